--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+MODULES := fleet standin deckd deck
+PACKAGES := $(MODULES:%=./%/...)
+BIN := $(CURDIR)/bin
+PREFIX ?= /usr/local
+GOFUMPT := mvdan.cc/gofumpt@v0.12.0
+REVIVE := github.com/mgechev/revive@v1.10.0
+HAND = $(shell git ls-files '*.go' | grep -v -e '\.pb\.go$$' -e '\.twirp\.go$$')
+
+.PHONY: all build test race lint vet fmt gen bench slopes fuzz demo install clean
+
+all: build
+
+build:
+	go build -o $(BIN)/ ./deckd ./deck ./standin
+
+# Runs every test. It needs nothing but Go and the module proxy.
+test: build
+	go test $(PACKAGES)
+
+race:
+	go test -race $(PACKAGES)
+
+lint: vet $(BIN)/gofumpt $(BIN)/revive
+	@out=$$($(BIN)/gofumpt -l $(HAND)); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	@for m in $(MODULES); do (cd $$m && $(BIN)/revive -set_exit_status ./...) || exit 1; done
+
+vet:
+	go vet $(PACKAGES)
+
+fmt: $(BIN)/gofumpt
+	$(BIN)/gofumpt -w $(HAND)
+
+$(BIN)/gofumpt:
+	GOBIN=$(BIN) go install $(GOFUMPT)
+
+$(BIN)/revive:
+	GOBIN=$(BIN) go install $(REVIVE)
+
+# Generates fleet/wire from the schema; needs protoc and its two Go plugins.
+gen:
+	fleet/gen.sh
+
+demo: build
+	demo/run.sh
+
+install: build
+	install -d $(PREFIX)/bin
+	install $(BIN)/deckd $(BIN)/deck $(PREFIX)/bin
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/deck/main.go
@@ -0,0 +1,6 @@
+// Deck is the command line of callers and operators.
+package main
+
+import "os"
+
+func main() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/deckd/cmd_run.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"dragonflydeck.example/deckd/daemon"
+	"dragonflydeck.example/fleet/config"
+	"dragonflydeck.example/fleet/serve"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+)
+
+// cmdRun runs the daemon until a signal stops it.
+func cmdRun() (*cobra.Command, error) {
+	s := &daemon.Settings{}
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "Run the daemon; SIGTERM stops it gracefully, a second one at once",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := s.Check(); err != nil {
+				return err
+			}
+			return run(cmd.Context(), s)
+		},
+	}
+	return cmd, config.Bind(cmd.Flags(), daemon.Prefix, s)
+}
+
+func run(ctx context.Context, s *daemon.Settings) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d := daemon.New(s, newEdges(s), os.Stderr)
+	server, err := serve.Listen(s.Listen, d.Routes(), d.Pages())
+	if err != nil {
+		return status{err, exitFailed}
+	}
+	var group errgroup.Group
+	group.Go(server.Run)
+	<-signals
+	left := leave(ctx, d, s, signals)
+	stop, cancel := context.WithTimeout(context.Background(), serve.ReadSpan)
+	defer cancel()
+	err = errors.Join(server.Stop(stop), group.Wait())
+	d.Close(left)
+	if left != nil {
+		return status{left, exitCut}
+	}
+	if err != nil {
+		return status{err, exitFailed}
+	}
+	return nil
+}
+
+// leave waits for the graceful part of a stop, at most the drain span or until
+// a second signal.
+func leave(ctx context.Context, d *daemon.Daemon, s *daemon.Settings, signals <-chan os.Signal) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Drain)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	err := d.Leave(ctx)
+	cancel()
+	<-ended
+	return err
+}
--- /dev/null
+++ b/deckd/daemon/daemon.go
@@ -0,0 +1,120 @@
+// Package daemon is the process of an entry host: it joins the pure core, the
+// traffic of requests and the edges to the outside.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/board"
+	"dragonflydeck.example/fleet/config"
+	"dragonflydeck.example/fleet/core"
+	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/serve"
+	"dragonflydeck.example/fleet/timer"
+	"dragonflydeck.example/fleet/wire"
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Daemon is one entry host's process.
+type Daemon struct {
+	settings *Settings
+	loop     *loop
+	exec     *exec
+	traffic  *traffic
+	lines    *lines
+	timer    *timer.Service
+	cancel   context.CancelFunc
+	desk     *desk
+	peer     *peer
+}
+
+// New returns a daemon that has not started. Log lines go to w.
+func New(s *Settings, edges Edges, w io.Writer) *Daemon {
+	self := board.Self{
+		Host: fleet.HostID(s.Host), Domain: fleet.DomainID(s.Domain),
+		Addr: s.Listen, Inc: fleet.Incarnation(time.Now().UnixMilli()),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Daemon{settings: s, cancel: cancel, timer: timer.New(ctx)}
+	d.lines = newLines(self.Host, s.Level, s.Lines, w)
+	d.exec = newExec(edges, d.lines)
+	d.traffic = newTraffic(self, edges, d.lines, s)
+	d.loop = newLoop(core.New(self, int32(s.Seats)), d.timer.Every(TickSpan), d.exec, d.traffic)
+	d.desk = &desk{loop: d.loop, traffic: d.traffic, edges: edges}
+	d.peer = &peer{loop: d.loop, traffic: d.traffic}
+	go d.loop.run(ctx)
+	d.tell(event.ProcessStarted, strings.Join(config.Lines(s), " "))
+	return d
+}
+
+// Desk returns the service for callers and operators.
+func (d *Daemon) Desk() wire.Desk { return d.desk }
+
+// Peer returns the service for other daemons.
+func (d *Daemon) Peer() wire.Peer { return d.peer }
+
+// Routes returns the services of the daemon's port.
+func (d *Daemon) Routes() []serve.Route {
+	one := wire.NewDeskServer(d.desk)
+	two := wire.NewPeerServer(d.peer)
+	return []serve.Route{{Prefix: one.PathPrefix(), Handler: one}, {Prefix: two.PathPrefix(), Handler: two}}
+}
+
+// Pages returns the plain pages of the daemon's port.
+func (d *Daemon) Pages() []serve.Page {
+	return []serve.Page{
+		{Path: "/ready", Body: d.ready},
+		{Path: "/live", Body: func() (int, string) { return http.StatusOK, "live\n" }},
+		{Path: "/metrics", Body: d.metrics},
+	}
+}
+
+func (d *Daemon) health() *wire.HealthReply {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	h, err := d.desk.Health(ctx, &wire.HealthAsk{})
+	if err != nil {
+		return &wire.HealthReply{Why: err.Error()}
+	}
+	return h
+}
+
+func (d *Daemon) ready() (int, string) {
+	h := d.health()
+	if h.Ready {
+		return http.StatusOK, "ready\n"
+	}
+	return http.StatusServiceUnavailable, h.Why + "\n"
+}
+
+func (d *Daemon) metrics() (int, string) {
+	var w strings.Builder
+	h := d.health()
+	fmt.Fprintf(&w, "deckd_ready %d\n", bit(h.Ready))
+	fmt.Fprintf(&w, "deckd_lead %d\n", bit(h.Lead == h.Host && h.Host != ""))
+	fmt.Fprintf(&w, "deckd_gate_open %d\n", bit(h.Ready && h.Why == ""))
+	fmt.Fprintf(&w, "deckd_log_age_seconds %g\n", float64(h.Age)/1000)
+	fmt.Fprintf(&w, "deckd_revision %d\n", h.Rev)
+	fmt.Fprintf(&w, "deckd_jobs{state=\"waiting\"} %d\n", h.Queued)
+	fmt.Fprintf(&w, "deckd_jobs{state=\"running\"} %d\n", h.Running)
+	fmt.Fprintf(&w, "deckd_requests_in_flight %d\n", d.traffic.inFlight())
+	metrics.WritePrometheus(&w, true)
+	return http.StatusOK, w.String()
+}
+
+func bit(on bool) int {
+	if on {
+		return 1
+	}
+	return 0
+}
+
+func (d *Daemon) tell(code event.Code, text string) {
+	d.lines.write(event.Event{At: time.Now(), Code: code, Host: fleet.HostID(d.settings.Host), About: d.settings.Host, Text: text})
+}
--- /dev/null
+++ b/deckd/daemon/edges.go
@@ -0,0 +1,16 @@
+package daemon
+
+import (
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/wire"
+)
+
+// Edges reach the systems around the daemon.
+type Edges interface {
+	Log() fleet.Log
+	Roster() fleet.Roster
+	Worker(addr string) fleet.Worker
+	Runner(addr string) fleet.Runner
+	Peer(addr string) fleet.Peer
+	Desk(addr string) wire.Desk
+}
--- /dev/null
+++ b/deckd/daemon/request.go
@@ -0,0 +1,291 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/board"
+	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/link"
+	"dragonflydeck.example/fleet/refuse"
+	"dragonflydeck.example/fleet/route"
+	"dragonflydeck.example/fleet/wire"
+	"github.com/twitchtv/twirp"
+)
+
+// request is one request on its way through this daemon.
+type request struct {
+	route.Request
+	ask   *wire.CallAsk
+	begun time.Time
+	tries int
+	doubt bool // a try may have run
+}
+
+// serve takes a request through the router's verdicts to its answer or final
+// refusal.
+func (t *traffic) serve(ctx context.Context, ask *wire.CallAsk, until time.Time, hops int) (*wire.CallReply, error) {
+	q := &request{ask: ask, begun: time.Now()}
+	t.mu.Lock()
+	q.Request = route.Request{ID: t.nextID(), Rank: int(ask.Rank), Until: until, Hops: hops}
+	v := t.router.Offer(q.Request, q.begun)
+	wait := t.enlist(q, v)
+	t.mu.Unlock()
+	reply, err := t.follow(ctx, q, v, wait)
+	if err != nil {
+		r := q.truth(refusal("call", err))
+		t.stats.ended(r, time.Since(q.begun))
+		t.note(refusedCode(r), q.ID, r.Error())
+		return nil, r
+	}
+	t.stats.ended(nil, time.Since(q.begun))
+	t.note(event.RequestAnswered, q.ID, fmt.Sprintf("by %s in %s for %s", reply.Runner, time.Since(q.begun).Round(time.Millisecond), ask.Caller))
+	return reply, nil
+}
+
+// truth makes a refusal say that a request may have run, if a try may have.
+func (q *request) truth(r *refuse.Error) *refuse.Error {
+	if !q.doubt || r.Ran != refuse.No {
+		return r
+	}
+	return &refuse.Error{Op: r.Op, Kind: r.Kind, Ran: refuse.Unknown, After: r.After, Text: r.Text + "; an earlier try may have run"}
+}
+
+func refusedCode(r *refuse.Error) event.Code {
+	if r.Ran == refuse.Unknown {
+		return event.RequestUnknown
+	}
+	return event.RequestRefused
+}
+
+// enlist makes the channel on which a waiting request gets its verdict. The
+// lock is held.
+func (t *traffic) enlist(q *request, v route.Verdict) chan route.Verdict {
+	if v.Kind != route.Wait {
+		return nil
+	}
+	ch := make(chan route.Verdict, 1)
+	t.waiting[q.ID] = ch
+	return ch
+}
+
+// follow carries verdicts out until one is final.
+func (t *traffic) follow(ctx context.Context, q *request, v route.Verdict, wait chan route.Verdict) (*wire.CallReply, error) {
+	for {
+		switch v.Kind {
+		case route.Refuse:
+			return nil, refuse.NotRun("call", twirp.ResourceExhausted, v.After, "%s", v.Why)
+		case route.Wait:
+			var err error
+			if v, err = t.wait(ctx, q, wait); err != nil {
+				return nil, err
+			}
+			continue
+		case route.Relay:
+			reply, err := t.relay(ctx, q, v)
+			if err == nil || refusal("relay", err).Ran != refuse.No {
+				return reply, err
+			}
+			v, wait = t.again(q, (*route.Router).Back)
+			continue
+		}
+		reply, next, err := t.try(ctx, q, v)
+		if next == nil {
+			return reply, err
+		}
+		v, wait = t.again(q, next)
+	}
+}
+
+// verdictFunc asks the router what becomes of a request that came back.
+type verdictFunc func(*route.Router, route.Request, time.Time) route.Verdict
+
+func (t *traffic) again(q *request, ask verdictFunc) (route.Verdict, chan route.Verdict) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := ask(t.router, q.Request, time.Now())
+	return v, t.enlist(q, v)
+}
+
+// wait waits for a verdict, at most until the caller's limit.
+func (t *traffic) wait(ctx context.Context, q *request, ch chan route.Verdict) (route.Verdict, error) {
+	limit := time.NewTimer(time.Until(q.Until))
+	defer limit.Stop()
+	var why string
+	select {
+	case v := <-ch:
+		return v, nil
+	case <-ctx.Done():
+		why = "its caller went away while it waited"
+	case <-limit.C:
+		why = "it waited until its caller's limit"
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	select {
+	case v := <-ch: // granted meanwhile
+		return v, nil
+	default:
+	}
+	delete(t.waiting, q.ID)
+	t.router.Drop(q.ID)
+	return route.Verdict{}, refuse.NotRun("call", twirp.DeadlineExceeded, OpenSpan, "%s", why)
+}
+
+// relay has a peer run the request.
+func (t *traffic) relay(ctx context.Context, q *request, v route.Verdict) (*wire.CallReply, error) {
+	t.mu.Lock()
+	addr := t.peers[v.Peer]
+	t.mu.Unlock()
+	t.note(event.RequestRelayed, q.ID, fmt.Sprintf("to %s: %s", v.Peer, v.Why))
+	ctx, cancel := context.WithDeadline(ctx, q.Until)
+	defer cancel()
+	reply, err := t.edges.Peer(addr).Relay(ctx, &wire.RelayAsk{Call: withLimit(q.ask, q.Until), Hops: 1})
+	switch {
+	case err == nil:
+		return reply, nil
+	case link.NotSent(err):
+		return nil, refuse.NotRun("relay", twirp.Unavailable, OpenSpan, "%s can't be reached", v.Peer)
+	}
+	return nil, refuse.From("relay", err)
+}
+
+// try sends the request to a runner. Next asks for another try, if there is to
+// be one; else the answer or the refusal is final.
+func (t *traffic) try(ctx context.Context, q *request, v route.Verdict) (*wire.CallReply, verdictFunc, error) {
+	q.tries++
+	t.note(event.RequestRouted, q.ID, fmt.Sprintf("try %d to %s: %s", q.tries, v.Runner, v.Why))
+	got := t.send(ctx, q, v.Runner)
+	limit := time.NewTimer(time.Until(q.Until))
+	defer limit.Stop()
+	select {
+	case r := <-got:
+		return t.judge(q, v.Runner, r)
+	case <-limit.C:
+		return nil, nil, refuse.Doubt("call", OpenSpan, "no answer from %s within the limit", v.Runner)
+	case <-ctx.Done():
+		return nil, nil, refuse.Doubt("call", OpenSpan, "the caller went away")
+	}
+}
+
+// outcome is how one try ended.
+type outcome struct {
+	result route.Result
+	body   []byte
+	err    error
+}
+
+// judge decides what follows from a try.
+func (t *traffic) judge(q *request, on fleet.HostID, r outcome) (*wire.CallReply, verdictFunc, error) {
+	q.Not = on
+	switch r.result {
+	case route.Answered:
+		return &wire.CallReply{Id: string(q.ID), Body: r.body, Runner: string(on)}, nil, nil
+	case route.Busy, route.Unsent:
+		t.note(event.RequestRetried, q.ID, fmt.Sprintf("%s did not take it: %v", on, r.err))
+		return nil, (*route.Router).Back, nil
+	}
+	q.doubt = true
+	if q.ask.Repeat {
+		t.note(event.RequestRetried, q.ID, fmt.Sprintf("%s failed: %v", on, r.err))
+		return nil, (*route.Router).Again, nil
+	}
+	return nil, nil, refuse.Doubt("call", 0, "%s failed with the answer owed: %v", on, r.err)
+}
+
+// send puts the request on a runner. The slot stays taken until the runner has
+// answered or its connection ended, also when the caller has gone.
+func (t *traffic) send(ctx context.Context, q *request, id fleet.HostID) <-chan outcome {
+	t.mu.Lock()
+	addr := t.runners[id]
+	o := &owed{answer: make(chan *wire.RunReply, 1), until: time.Now().Add(board.RequestSpan)}
+	t.owed[q.ID] = o
+	t.mu.Unlock()
+	got := make(chan outcome, 1)
+	t.group.Add(1)
+	go func() {
+		defer t.group.Done()
+		got <- t.ride(context.WithoutCancel(ctx), q, id, addr, o)
+	}()
+	return got
+}
+
+// ride makes the call and finds the request's own answer, which may come on
+// another connection.
+func (t *traffic) ride(ctx context.Context, q *request, id fleet.HostID, addr string, o *owed) outcome {
+	ctx, cancel := context.WithDeadline(ctx, o.until)
+	defer cancel()
+	begun := time.Now()
+	reply, err := t.edges.Runner(addr).Run(ctx, &wire.RunAsk{Id: string(q.ID), Body: q.ask.Body, Until: q.Until.UnixMilli()})
+	res := resultOf(reply, err)
+	t.finish(id, res, time.Since(begun))
+	if res != route.Answered {
+		return t.failed(q, o, res, err)
+	}
+	t.deliver(q, reply)
+	select {
+	case own := <-o.answer:
+		if time.Now().After(q.Until) {
+			t.note(event.AnswerLate, q.ID, fmt.Sprintf("%s answered after the limit", id))
+		}
+		return outcome{result: route.Answered, body: own.Body}
+	case <-ctx.Done():
+		return outcome{result: route.Broken, err: ctx.Err()}
+	}
+}
+
+func resultOf(reply *wire.RunReply, err error) route.Result {
+	switch {
+	case link.NotSent(err):
+		return route.Unsent
+	case err != nil:
+		return route.Broken
+	case reply.Busy:
+		return route.Busy
+	}
+	return route.Answered
+}
+
+// failed ends a try whose connection gave no answer. Its own answer may have
+// come by another one.
+func (t *traffic) failed(q *request, o *owed, res route.Result, err error) outcome {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	select {
+	case own := <-o.answer:
+		return outcome{result: route.Answered, body: own.Body}
+	default:
+	}
+	delete(t.owed, q.ID)
+	return outcome{result: res, err: err}
+}
+
+// deliver gives an answer to the request it belongs to.
+func (t *traffic) deliver(q *request, reply *wire.RunReply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	id := route.RequestID(reply.Id)
+	if id != q.ID {
+		t.note(event.AnswerCrossed, q.ID, fmt.Sprintf("the answer to %s came instead", id))
+	}
+	if o, ok := t.owed[id]; ok {
+		o.answer <- reply
+		delete(t.owed, id)
+	}
+}
+
+func (t *traffic) finish(id fleet.HostID, res route.Result, took time.Duration) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	suspended, restored := t.router.Finish(id, res, took, now)
+	if suspended {
+		t.note(event.RunnerSuspended, route.RequestID(id), "it failed in a row, or is far slower than the rest")
+	}
+	if restored {
+		t.note(event.RunnerRestored, route.RequestID(id), "it answers well again")
+	}
+	t.grant(t.router.Sweep(now))
+}
--- /dev/null
+++ b/fleet/gang/sync.go
@@ -0,0 +1,205 @@
+package gang
+
+import (
+	"fmt"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/board"
+	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/place"
+	"dragonflydeck.example/fleet/wire"
+)
+
+// syncNodes tells the planner of workers that came, changed or were lost.
+func (c *Control) syncNodes(b *board.Board) {
+	for id, w := range b.Workers {
+		n := Node(w.Host)
+		_, known := c.nodes[id]
+		switch {
+		case w.Lost && known:
+			delete(c.nodes, id)
+			c.plan.DropNode(id)
+			c.dirty = true
+		case !w.Lost && c.nodes[id] != n:
+			c.nodes[id] = n
+			c.plan.SetNode(n)
+			c.dirty = true
+		}
+	}
+	for id := range c.nodes {
+		if b.Workers[id] == nil {
+			delete(c.nodes, id)
+			c.plan.DropNode(id)
+			c.dirty = true
+		}
+	}
+}
+
+// Node converts a worker of the host list.
+func Node(h *wire.Host) place.Node {
+	return place.Node{
+		ID: fleet.HostID(h.Id), Rack: fleet.Rack(h.Rack),
+		Total: fleet.ResOf(h.Total), Leaving: h.Leaving,
+	}
+}
+
+// syncSpaces tells the planner of changed guarantees and quotas.
+func (c *Control) syncSpaces(b *board.Board) {
+	changed := false
+	for id, w := range b.State.Spaces {
+		if c.revs[id] == w.Rev {
+			continue
+		}
+		c.revs[id] = w.Rev
+		c.plan.SetSpace(id, shapesIn(w, b.Self.Domain), fleet.ResOf(w.Quota))
+		changed = true
+	}
+	for id := range c.revs {
+		if b.State.Spaces[id] == nil {
+			delete(c.revs, id)
+			c.plan.DropSpace(id)
+			changed = true
+		}
+	}
+	if !changed {
+		return
+	}
+	c.dirty = true
+	for _, id := range c.plan.Short() {
+		b.Note(event.GuaranteeShort, string(id), fmt.Sprintf("the workers of %s cannot carry its guarantee", b.Self.Domain))
+	}
+}
+
+// shapesIn returns the guarantees of a workspace that a domain carries.
+func shapesIn(w *wire.Space, id fleet.DomainID) []place.Shape {
+	var out []place.Shape
+	for _, h := range w.Homes {
+		if h.Domain != string(id) || int(h.Shape) >= len(w.Shapes) {
+			continue
+		}
+		s := w.Shapes[h.Shape]
+		out = append(out, place.Shape{Count: int(h.Count), Tasks: int(s.Tasks), Each: fleet.ResOf(s.Each)})
+	}
+	return out
+}
+
+func (c *Control) syncBeyond(b *board.Board) {
+	beyond := map[fleet.SpaceID]fleet.Res{}
+	for _, j := range b.State.Jobs {
+		if j.Phase != wire.Phase_PLACED || j.Home == string(b.Self.Domain) {
+			continue
+		}
+		id := fleet.SpaceID(j.Spec.Space)
+		beyond[id] = beyond[id].Add(fleet.ResOf(j.Spec.Each).Times(int(j.Spec.Tasks)))
+	}
+	for id := range b.State.Spaces {
+		c.plan.SetBeyond(id, beyond[id])
+	}
+}
+
+// syncGate opens and closes the planner, and drains a domain that is out.
+func (c *Control) syncGate(b *board.Board) {
+	if b.Gate.Open && !b.Leaving {
+		c.plan.Open()
+	} else {
+		c.plan.Close(closedWhy(b))
+	}
+	drain := draining(b)
+	if drain == c.drained {
+		return
+	}
+	c.drained, c.dirty = drain, true
+	if drain {
+		c.plan.Drain()
+		return
+	}
+	c.plan.Fill(b.Now)
+}
+
+func closedWhy(b *board.Board) string {
+	if b.Leaving {
+		return "the lead leaves, the next one places"
+	}
+	return b.Gate.Why
+}
+
+func draining(b *board.Board) bool {
+	if t := b.HeldOut(b.Self.Domain); t != nil {
+		return t.Drain != wire.Drain_FINISH
+	}
+	d := b.State.Domains[b.Self.Domain]
+	return d.GetOut() && d.GetDrain() != wire.Drain_FINISH
+}
+
+// syncJob follows one job of the state.
+func (c *Control) syncJob(b *board.Board, id fleet.JobID) {
+	c.dirty = true
+	j, r := b.State.Jobs[id], c.runs[id]
+	if r != nil {
+		c.syncRun(b, j, r)
+		return
+	}
+	if j == nil || j.Home != string(b.Self.Domain) {
+		c.plan.Remove(id)
+		return
+	}
+	switch j.Phase {
+	case wire.Phase_QUEUED:
+		c.plan.Add(c.job(j))
+	case wire.Phase_PLACED:
+		c.adopt(b, j)
+	default:
+		c.plan.Remove(id)
+		delete(c.after, id)
+	}
+}
+
+func (c *Control) syncRun(b *board.Board, j *wire.Job, r *run) {
+	if j.GetCancel() && fleet.Attempt(j.Attempt) == r.attempt && r.phase != settled {
+		r.halt(b, true, verdict{phase: wire.Phase_CANCELLED, why: "cancelled: " + j.Why})
+	}
+}
+
+func (c *Control) job(j *wire.Job) place.Job {
+	id := fleet.JobID(j.Spec.Id)
+	out := Job(j)
+	out.After = c.after[id]
+	return out
+}
+
+// Job converts a job of the state.
+func Job(j *wire.Job) place.Job {
+	out := place.Job{
+		ID: fleet.JobID(j.Spec.Id), Space: fleet.SpaceID(j.Spec.Space),
+		Tasks: int(j.Spec.Tasks), Each: fleet.ResOf(j.Spec.Each), Urgent: j.Spec.Urgent,
+		Declared: time.Duration(j.Spec.Span) * time.Millisecond,
+		Spent:    time.Duration(j.Spent) * time.Millisecond,
+		Since:    time.UnixMilli(j.Begun),
+	}
+	for _, f := range j.Faulty {
+		out.Faulty = append(out.Faulty, fleet.HostID(f))
+	}
+	return out
+}
+
+// adopt takes over a gang that an earlier lead placed. Whether it runs whole
+// is known when every worker has reported.
+func (c *Control) adopt(b *board.Board, j *wire.Job) {
+	r := &run{
+		id: fleet.JobID(j.Spec.Id), spec: j.Spec, attempt: fleet.Attempt(j.Attempt),
+		parts: parts(j.Parts), owned: j.Owned, since: b.Now, phase: adopting,
+		spent: time.Duration(j.Spent) * time.Millisecond,
+	}
+	c.runs[r.id] = r
+	c.plan.Restore(Job(j), r.parts, r.owned, time.UnixMilli(j.Since))
+	c.syncRun(b, j, r)
+}
+
+func parts(list []*wire.Part) []place.Part {
+	var out []place.Part
+	for _, p := range list {
+		out = append(out, place.Part{Worker: fleet.HostID(p.Worker), Tasks: int(p.Tasks)})
+	}
+	return out
+}
--- /dev/null
+++ b/fleet/lead/lead.go
@@ -0,0 +1,137 @@
+// Package lead decides which daemon places work in a failure domain. The term
+// is the offset of the claim in the log, so claims are ordered and only one
+// that knows the newest term succeeds. Only a daemon of the same domain claims.
+package lead
+
+import (
+	"fmt"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/board"
+	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/member"
+	"dragonflydeck.example/fleet/wire"
+)
+
+// RankSpan is how much longer each next daemon waits before it claims, so that
+// two seldom do at once.
+const RankSpan = time.Second
+
+// Control is the controller of the lead.
+type Control struct {
+	absent time.Time // since when the domain has no live lead
+	asked  fleet.EntryID
+}
+
+// New returns the controller.
+func New() *Control { return &Control{} }
+
+// Step follows the term, judges readiness and claims a lead that is missing.
+func (c *Control) Step(b *board.Board) {
+	if !b.Log.Loaded {
+		return
+	}
+	c.follow(b)
+	c.ready(b)
+	if b.Leaving || !c.missing(b) {
+		c.absent = time.Time{}
+		return
+	}
+	if c.absent.IsZero() {
+		c.absent = b.Now
+	}
+	c.claim(b)
+}
+
+// follow notes when this daemon becomes lead or no longer is.
+func (c *Control) follow(b *board.Board) {
+	d := b.State.Domain(b.Self.Domain)
+	mine := d.Lead == string(b.Self.Host) && d.Inc == int64(b.Self.Inc)
+	term := fleet.Term(d.Term)
+	if mine == b.Lead.Mine && (!mine || term == b.Lead.Term) {
+		return
+	}
+	if !mine {
+		b.Lead = board.Lead{}
+		b.Note(event.LeadLost, string(b.Self.Domain), fmt.Sprintf("%s leads in term %d", d.Lead, term))
+		return
+	}
+	b.Lead = board.Lead{Mine: true, Term: term, Since: b.Now}
+	for _, w := range b.Workers {
+		w.Fresh = false
+	}
+}
+
+// ready waits until every worker reported to this term, or its lease from an
+// earlier one has surely lapsed.
+func (c *Control) ready(b *board.Board) {
+	if !b.Lead.Mine || b.Lead.Ready || b.HostsAt.IsZero() {
+		return
+	}
+	waits := 0
+	for id, h := range b.Hosts {
+		if h.Role != wire.Role_WORKER || fleet.DomainID(h.Domain) != b.Self.Domain {
+			continue
+		}
+		if w := b.Workers[id]; w == nil || !w.Fresh && !w.Lost {
+			waits++
+		}
+	}
+	if waits > 0 && b.Now.Sub(b.Lead.Since) < board.LapseSpan {
+		return
+	}
+	b.Lead.Ready = true
+	b.Note(event.LeadReady, string(b.Self.Domain), fmt.Sprintf("term %d, %d workers silent, %s after the claim", b.Lead.Term, waits, b.Now.Sub(b.Lead.Since).Round(time.Millisecond)))
+}
+
+// missing reports whether the domain has no lead that lives and stays.
+func (c *Control) missing(b *board.Board) bool {
+	d := b.State.Domain(b.Self.Domain)
+	if d.Lead == "" {
+		return true
+	}
+	id := fleet.HostID(d.Lead)
+	if id == b.Self.Host {
+		return d.Inc != int64(b.Self.Inc)
+	}
+	p, ok := b.Members.Get(id)
+	if !ok {
+		return b.Now.Sub(b.HostsAt) > member.NearDead || b.Hosts[id] == nil || c.unheard(b)
+	}
+	return p.Status == member.Dead || p.Leaving || int64(p.Inc) > d.Inc
+}
+
+// unheard reports whether a lead that this daemon never heard of had time to
+// speak.
+func (c *Control) unheard(b *board.Board) bool {
+	return b.Now.Sub(time.UnixMilli(int64(b.Self.Inc))) > member.NearDead
+}
+
+// claim asks for the lead when it is this daemon's turn.
+func (c *Control) claim(b *board.Board) {
+	if c.asked != "" && b.Outbox.Has(c.asked) {
+		return
+	}
+	if b.Log.Blind || b.Now.Sub(c.absent) < time.Duration(c.rank(b))*RankSpan {
+		return
+	}
+	prev := b.State.Term(b.Self.Domain)
+	id := fmt.Sprintf("claim/%s/%d/%s/%d", b.Self.Domain, prev, b.Self.Host, b.Self.Inc)
+	if met, _ := b.State.Outcome(fleet.EntryID(id)); met {
+		return
+	}
+	c.asked = fleet.EntryID(id)
+	b.Append(&wire.Entry{Id: id, Kind: &wire.Entry_Claim{Claim: &wire.Claim{
+		Domain: string(b.Self.Domain), Host: string(b.Self.Host), Inc: int64(b.Self.Inc), Prev: int64(prev),
+	}}})
+}
+
+func (c *Control) rank(b *board.Board) int {
+	for i, p := range b.Members.Near() {
+		if p.ID == b.Self.Host {
+			return i
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/fleet/link/client.go
@@ -0,0 +1,124 @@
+// Package link reaches other processes: Twirp clients over fasthttp. It holds
+// no decisions; errors tell whether anything may have been sent.
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Bounds of connections.
+const (
+	DialSpan     = 500 * time.Millisecond
+	DefaultLimit = 10 * time.Second // of a call whose context has no deadline
+	IdleSpan     = 8 * time.Second  // below the idle limit of our servers
+	MaxReply     = 64 << 20         // bytes
+	MaxConns     = 256
+)
+
+// Client is an HTTP client for one address, as Twirp's clients want it. It
+// never sends a request twice.
+type Client struct {
+	host *fasthttp.HostClient
+}
+
+// NewClient returns a client that opens at most conns connections.
+func NewClient(addr string, conns int) *Client {
+	return &Client{host: &fasthttp.HostClient{
+		Addr:                          addr,
+		Dial:                          dial,
+		MaxConns:                      conns,
+		MaxIdleConnDuration:           IdleSpan,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    never,
+		MaxResponseBodySize:           MaxReply,
+		NoDefaultUserAgentHeader:      true,
+		DisableHeaderNamesNormalizing: true,
+	}}
+}
+
+func never(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+
+func dial(addr string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", addr, DialSpan)
+	if err != nil {
+		return nil, &Error{Op: "dial " + addr, Kind: Unsent, Err: err}
+	}
+	return conn, nil
+}
+
+// Do sends a request and returns the whole answer.
+func (c *Client) Do(r *http.Request) (*http.Response, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	if err := convert(r, req); err != nil {
+		return nil, &Error{Op: "read request", Kind: Unsent, Err: err}
+	}
+	until := deadline(r.Context())
+	if !time.Now().Before(until) {
+		return nil, &Error{Op: "call " + c.host.Addr, Kind: Unsent, Err: context.DeadlineExceeded}
+	}
+	if err := c.host.DoDeadline(req, resp, until); err != nil {
+		return nil, classify("call "+c.host.Addr, err)
+	}
+	return answer(r, resp), nil
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.host.CloseIdleConnections() }
+
+func convert(r *http.Request, req *fasthttp.Request) error {
+	req.Header.SetMethod(r.Method)
+	req.SetRequestURI(r.URL.String())
+	for k, v := range r.Header {
+		if k != "Twirp-Version" && k != "Accept" {
+			req.Header.Set(k, v[0])
+		}
+	}
+	if r.Body == nil {
+		return nil
+	}
+	body, err := io.ReadAll(r.Body)
+	req.SetBody(body)
+	return err
+}
+
+func deadline(ctx context.Context) time.Time {
+	if d, ok := ctx.Deadline(); ok {
+		return d
+	}
+	return time.Now().Add(DefaultLimit)
+}
+
+func answer(r *http.Request, resp *fasthttp.Response) *http.Response {
+	h := http.Header{}
+	h.Set("Content-Type", string(resp.Header.ContentType()))
+	body := append([]byte(nil), resp.Body()...)
+	return &http.Response{
+		StatusCode: resp.StatusCode(),
+		Status:     http.StatusText(resp.StatusCode()),
+		Header:     h,
+		Body:       io.NopCloser(bytes.NewReader(body)),
+		Request:    r,
+	}
+}
+
+// classify tells errors before the first byte from those after.
+func classify(op string, err error) error {
+	var own *Error
+	if errors.As(err, &own) {
+		return own
+	}
+	if errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, fasthttp.ErrDialTimeout) {
+		return &Error{Op: op, Kind: Unsent, Err: err}
+	}
+	return &Error{Op: op, Kind: Owed, Err: err}
+}
--- /dev/null
+++ b/fleet/member/table.go
@@ -0,0 +1,250 @@
+// Package member decides which daemons of the fleet are alive. Daemons pass
+// counters along to a few peers; one whose counter stands still is suspected.
+// A link that is cut in one direction does no harm, as counters take other ways.
+package member
+
+import (
+	"sort"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/wire"
+)
+
+// Spans of silence. Counters from other failure domains take longer ways.
+const (
+	BeatSpan    = time.Second
+	NearSuspect = 3 * time.Second
+	NearDead    = 8 * time.Second
+	FarSuspect  = 10 * time.Second
+	FarDead     = 20 * time.Second
+	ForgetSpan  = 2 * time.Minute
+)
+
+// Status says what is thought of a peer.
+type Status int
+
+// The states of a peer.
+const (
+	Alive Status = iota + 1
+	Suspect
+	Dead
+)
+
+// String returns the state in lower case.
+func (s Status) String() string {
+	names := [...]string{"unknown", "alive", "suspect", "dead"}
+	return names[s]
+}
+
+// Peer is the newest that is known of one daemon.
+type Peer struct {
+	ID      fleet.HostID
+	Domain  fleet.DomainID
+	Addr    string
+	Inc     fleet.Incarnation
+	Beat    int64
+	Leaving bool
+	Status  Status
+	Heard   time.Time // when its counter last rose
+	Room    int32
+
+	// What it said of the log, and the earliest time it can have said so.
+	Said  time.Time
+	Blind bool
+	End   fleet.Offset
+	Fresh time.Time // it had applied every record appended before this
+}
+
+// Change is a peer whose state changed.
+type Change struct {
+	Peer Peer
+	Was  Status
+}
+
+// Table holds the peers that one daemon knows. It belongs to one goroutine.
+type Table struct {
+	self  Peer
+	peers map[fleet.HostID]*Peer
+	round int
+}
+
+// New returns a table that knows only its own daemon.
+func New(self Peer) *Table {
+	return &Table{self: self, peers: map[fleet.HostID]*Peer{}}
+}
+
+// Advance raises the daemon's own counter.
+func (t *Table) Advance() { t.self.Beat++ }
+
+// Say sets what the daemon tells of itself.
+func (t *Table) Say(leaving, blind bool, end fleet.Offset, fresh time.Time, room int32) {
+	t.self.Leaving, t.self.Blind = leaving, blind
+	t.self.End, t.self.Fresh, t.self.Room = end, fresh, room
+}
+
+// Pulses returns what this daemon tells its peers.
+func (t *Table) Pulses(now time.Time) []*wire.Pulse {
+	t.self.Said = now
+	out := []*wire.Pulse{pulse(&t.self, now)}
+	for _, p := range t.All() {
+		if p.Status != Dead {
+			out = append(out, pulse(&p, now))
+		}
+	}
+	return out
+}
+
+func pulse(p *Peer, now time.Time) *wire.Pulse {
+	return &wire.Pulse{
+		Host: string(p.ID), Inc: int64(p.Inc), Beat: p.Beat, Leaving: p.Leaving,
+		Domain: string(p.Domain), Addr: p.Addr, Room: p.Room,
+		End: int64(p.End), Blind: p.Blind,
+		Age: p.Said.Sub(p.Fresh).Milliseconds(), Old: now.Sub(p.Said).Milliseconds(),
+	}
+}
+
+// Merge takes pulses from a peer. For an answer, asked is when the question
+// left, which bounds when the pulses were said; else it is zero.
+func (t *Table) Merge(now time.Time, pulses []*wire.Pulse, asked time.Time) {
+	for _, w := range pulses {
+		if fleet.HostID(w.Host) == t.self.ID || w.Host == "" {
+			continue
+		}
+		t.merge(now, w, asked)
+	}
+}
+
+func (t *Table) merge(now time.Time, w *wire.Pulse, asked time.Time) {
+	id := fleet.HostID(w.Host)
+	p, ok := t.peers[id]
+	if !ok || int64(p.Inc) < w.Inc {
+		p = &Peer{ID: id, Inc: fleet.Incarnation(w.Inc), Beat: -1, Status: Dead}
+		t.peers[id] = p
+	}
+	if int64(p.Inc) > w.Inc {
+		return
+	}
+	if w.Beat > p.Beat {
+		p.Beat, p.Heard = w.Beat, now
+		p.Leaving, p.Room = w.Leaving, w.Room
+		p.Domain, p.Addr = fleet.DomainID(w.Domain), w.Addr
+		p.Blind = p.Blind && w.Blind
+	}
+	if asked.IsZero() {
+		return
+	}
+	said := asked.Add(-ms(w.Old))
+	if said.After(p.Said) {
+		p.Said, p.Blind, p.End = said, w.Blind, fleet.Offset(w.End)
+		p.Fresh = said.Add(-ms(w.Age))
+	}
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Check judges every peer by its silence and returns the changes.
+func (t *Table) Check(now time.Time) []Change {
+	var out []Change
+	for _, p := range t.All() {
+		was := p.Status
+		is := t.judge(&p, now)
+		t.peers[p.ID].Status = is
+		if is != was {
+			p.Status = is
+			out = append(out, Change{Peer: p, Was: was})
+		}
+		if now.Sub(p.Heard) > ForgetSpan {
+			delete(t.peers, p.ID)
+		}
+	}
+	return out
+}
+
+func (t *Table) judge(p *Peer, now time.Time) Status {
+	suspect, dead := FarSuspect, FarDead
+	if p.Domain == t.self.Domain {
+		suspect, dead = NearSuspect, NearDead
+	}
+	silent := now.Sub(p.Heard)
+	switch {
+	case silent >= dead:
+		return Dead
+	case silent >= suspect:
+		return Suspect
+	}
+	return Alive
+}
+
+// All returns the peers by id, without the daemon itself.
+func (t *Table) All() []Peer {
+	out := make([]Peer, 0, len(t.peers))
+	for _, p := range t.peers {
+		out = append(out, *p)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+// Get returns what is known of a daemon, itself included.
+func (t *Table) Get(id fleet.HostID) (Peer, bool) {
+	if id == t.self.ID {
+		self := t.self
+		self.Status = Alive
+		return self, true
+	}
+	p, ok := t.peers[id]
+	if !ok {
+		return Peer{}, false
+	}
+	return *p, true
+}
+
+// Near returns the live daemons of the own failure domain in order, itself
+// included unless it leaves.
+func (t *Table) Near() []Peer {
+	var out []Peer
+	if !t.self.Leaving {
+		self := t.self
+		self.Status = Alive
+		out = append(out, self)
+	}
+	for _, p := range t.All() {
+		if p.Domain == t.self.Domain && p.Status != Dead && !p.Leaving {
+			out = append(out, p)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+// Targets picks whom to beat next: every peer of the own failure domain and, in
+// turn, one of the others. Known are the addresses of the host list.
+func (t *Table) Targets(known map[fleet.HostID]*wire.Host) []Peer {
+	var near, far []Peer
+	for _, p := range t.candidates(known) {
+		if p.Domain == t.self.Domain {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	t.round++
+	if len(far) > 0 {
+		near = append(near, far[(t.round+len(t.self.ID))%len(far)])
+	}
+	return near
+}
+
+// candidates joins the host list with the peers heard of.
+func (t *Table) candidates(known map[fleet.HostID]*wire.Host) []Peer {
+	out := t.All()
+	for id, h := range known {
+		if _, ok := t.peers[id]; ok || h.Role != wire.Role_ENTRY || id == t.self.ID {
+			continue
+		}
+		out = append(out, Peer{ID: id, Domain: fleet.DomainID(h.Domain), Addr: h.Addr})
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
--- /dev/null
+++ b/fleet/place/plan.go
@@ -0,0 +1,251 @@
+package place
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"dragonflydeck.example/fleet"
+)
+
+// fairBase weighs how strongly a workspace's use lowers its jobs' turn.
+const fairBase = 0.5
+
+// Plan decides what to do now. Each decision is counted as taken: Start is
+// followed by Done, Fail or End, and Evict by End.
+func (p *Planner) Plan(now time.Time) []Decision {
+	p.now = now
+	p.probeDue()
+	out := p.drained()
+	if !p.gate.open || p.gate.drain {
+		return out
+	}
+	out = append(out, p.startClaimed()...)
+	p.rehold()
+	return append(out, p.startWaiting()...)
+}
+
+// startClaimed starts the gangs whose evicted predecessors are gone by now.
+func (p *Planner) startClaimed() []Decision {
+	var out []Decision
+	for _, g := range p.inOrder() {
+		if g.running {
+			continue
+		}
+		if !p.usableUnder(g) {
+			p.vacate(g)
+			p.waits[g.ID] = &wait{Job: g.Job, why: "a worker of its guarantee went away"}
+			continue
+		}
+		if d, ok := p.begin(g); ok {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (p *Planner) usableUnder(g *gang) bool {
+	for _, part := range g.parts {
+		if n := p.nodes[part.Worker]; n.gone || n.Leaving || n.health.aside {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Planner) inOrder() []*gang {
+	all := make([]*gang, 0, len(p.gangs))
+	for _, g := range p.gangs {
+		all = append(all, g)
+	}
+	sort.Slice(all, func(a, b int) bool { return all[a].ID < all[b].ID })
+	return all
+}
+
+// startWaiting goes through the waiting jobs by their turn.
+func (p *Planner) startWaiting() []Decision {
+	var out []Decision
+	var failed []*wait
+	tried := misses{}
+	for i, w := range p.order() {
+		if i >= p.rules.Depth {
+			break
+		}
+		ds, fits := p.try(w, tried)
+		out = append(out, ds...)
+		if !fits {
+			failed = append(failed, w)
+		}
+	}
+	p.holdOldest(failed)
+	return out
+}
+
+// try starts a waiting job if it can. It reports false if only room is lacking.
+func (p *Planner) try(w *wait, tried misses) ([]Decision, bool) {
+	if lacks := p.space(w.Space).over(w.Need()); lacks != "" {
+		w.why = "the quota of " + string(w.Space) + " lacks " + lacks
+		return nil, true
+	}
+	if !w.Urgent && !p.gate.ramped(w.Need(), p.total, p.now, p.rules.Ramp) {
+		w.why = "its failure domain came back and fills step by step"
+		return nil, true
+	}
+	if ds := p.claim(w); ds != nil {
+		return ds, true
+	}
+	if _, held := p.waits[w.ID]; !held {
+		return nil, true // it waits for evicted gangs
+	}
+	if tried.hopeless(&w.Job) {
+		w.why = "a gang of the same kind did not fit either"
+		return nil, false
+	}
+	parts := p.borrow(w)
+	if parts == nil {
+		tried.miss(&w.Job)
+		w.why = p.lacking(w)
+		return nil, false
+	}
+	g := &gang{Job: w.Job, parts: parts}
+	delete(p.waits, w.ID)
+	p.release(w.ID)
+	p.occupy(g)
+	d, _ := p.begin(g)
+	return []Decision{d}, true
+}
+
+// borrow finds room outside the guarantees, else in idle ones.
+func (p *Planner) borrow(w *wait) []Part {
+	ends := p.now.Add(time.Duration(float64(p.remaining(&w.Job)) * p.rules.Slack))
+	outside := func(n *node) int { return p.roomIn(n, n.open(), w, ends) }
+	if parts := p.fit(w.Tasks, w.Each, outside); parts != nil {
+		return parts
+	}
+	return p.fit(w.Tasks, w.Each, func(n *node) int { return p.roomIn(n, n.free(), w, ends) })
+}
+
+func (p *Planner) roomIn(n *node, room fleet.Res, w *wait, ends time.Time) int {
+	if !n.usable() || slices.Contains(w.Faulty, n.ID) {
+		return 0
+	}
+	if len(p.holds) > 0 {
+		room = room.Sub(p.keptFor(n, w.ID, ends))
+	}
+	return room.Count(w.Each)
+}
+
+func (p *Planner) lacking(w *wait) string {
+	free := 0
+	for _, k := range p.racks {
+		for _, n := range k.nodes {
+			if n.usable() {
+				free += n.free().Count(w.Each)
+			}
+		}
+	}
+	if free >= w.Tasks {
+		return fmt.Sprintf("room for %d of its tasks is free, but kept for a gang that waits longer", free)
+	}
+	return fmt.Sprintf("room for %d of its %d tasks is free", free, w.Tasks)
+}
+
+// misses remembers which kinds of gang found no room in this plan. Room only
+// shrinks while a plan is made.
+type misses map[fleet.Res]miss
+
+type miss struct {
+	tasks  int
+	faulty int
+}
+
+func (m misses) hopeless(j *Job) bool {
+	at, ok := m[j.Each]
+	return ok && j.Tasks >= at.tasks && len(j.Faulty) >= at.faulty
+}
+
+func (m misses) miss(j *Job) {
+	if at, ok := m[j.Each]; !ok || j.Tasks < at.tasks {
+		m[j.Each] = miss{j.Tasks, len(j.Faulty)}
+	}
+}
+
+// order sorts the waiting jobs by turn: urgent ones first, then by how long a
+// job has waited measured by its own length, divided by its workspace's use.
+func (p *Planner) order() []*wait {
+	list := make([]*wait, 0, len(p.waits))
+	active := p.active()
+	for _, w := range p.waits {
+		if w.After.After(p.now) {
+			w.why = "failed before, is tried again at " + w.After.UTC().Format(time.TimeOnly)
+			continue
+		}
+		w.score = p.turn(w, active)
+		list = append(list, w)
+	}
+	sort.Slice(list, func(a, b int) bool { return earlier(list[a], list[b]) })
+	return list
+}
+
+func earlier(a, b *wait) bool {
+	if a.Urgent != b.Urgent {
+		return a.Urgent
+	}
+	if a.score != b.score {
+		return a.score > b.score
+	}
+	if !a.Since.Equal(b.Since) {
+		return a.Since.Before(b.Since)
+	}
+	return a.ID < b.ID
+}
+
+func (p *Planner) turn(w *wait, active int) float64 {
+	rest := float64(p.remaining(&w.Job))
+	ratio := (float64(p.now.Sub(w.Since)) + rest) / rest
+	share := p.space(w.Space).used.Share(p.total)
+	return ratio / (fairBase + share*float64(active))
+}
+
+// active counts the workspaces that run or wait.
+func (p *Planner) active() int {
+	ids := map[fleet.SpaceID]bool{}
+	for _, w := range p.waits {
+		ids[w.Space] = true
+	}
+	for _, g := range p.gangs {
+		ids[g.Space] = true
+	}
+	return len(ids)
+}
+
+// Why tells why a job waits or runs where it does; empty if it is not known.
+func (p *Planner) Why(id fleet.JobID) string {
+	if w, ok := p.waits[id]; ok {
+		if !p.gate.open {
+			return p.gate.why
+		}
+		return w.why
+	}
+	g, ok := p.gangs[id]
+	switch {
+	case !ok:
+		return ""
+	case g.leaving:
+		return "being checkpointed and stopped"
+	case !g.running:
+		return "waits for evicted gangs to stop"
+	}
+	return p.reason(g)
+}
+
+// Saved says that a gang was checkpointed.
+func (p *Planner) Saved(id fleet.JobID, at time.Time) {
+	if g, ok := p.gangs[id]; ok {
+		g.saved = at
+	}
+}
+
+// Counts returns how many jobs wait and how many gangs hold workers.
+func (p *Planner) Counts() (waiting, running int) { return len(p.waits), len(p.gangs) }
--- /dev/null
+++ b/fleet/seat/seat.go
@@ -0,0 +1,197 @@
+// Package seat shares the slots and connections of a failure domain's runners
+// among its daemons. They are split into a fixed number of seats, and the log
+// says who holds which, so the sum stays within the limit whatever the daemons
+// think of each other. A seat changes hands only when its holder gave it back,
+// or the host list no longer names it, or it is an earlier process of the same
+// host; a daemon that is cut off keeps its seats and goes on.
+package seat
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/board"
+	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/member"
+	"dragonflydeck.example/fleet/state"
+	"dragonflydeck.example/fleet/wire"
+)
+
+// StepSpan is the pause between two changes that a daemon makes.
+const StepSpan = time.Second
+
+// Control is the controller of seats.
+type Control struct {
+	of    int32
+	next  time.Time
+	fold  map[int32]time.Time // seats not used any more, and since when
+	share board.Share
+}
+
+// New returns the controller for a failure domain with so many seats.
+func New(of int32) *Control {
+	return &Control{of: of, fold: map[int32]time.Time{}}
+}
+
+// Step works out which seats may be used and takes or gives back one.
+func (c *Control) Step(b *board.Board) {
+	b.Share = board.Share{Seats: c.usable(b), Of: c.of}
+	c.tell(b)
+	if !b.Log.Loaded || b.Log.Blind || b.Now.Before(c.next) {
+		return
+	}
+	c.next = b.Now.Add(StepSpan)
+	want := c.target(b)
+	mine := c.mine(b)
+	switch {
+	case len(mine)-len(c.fold) > want:
+		c.stopUsing(b, mine)
+	case len(mine) < want:
+		c.claim(b)
+	}
+	c.giveBack(b)
+}
+
+// tell notes the seats that became usable or are no longer used.
+func (c *Control) tell(b *board.Board) {
+	if fmt.Sprint(c.share.Seats) == fmt.Sprint(b.Share.Seats) {
+		return
+	}
+	b.Note(event.SeatTaken, string(b.Self.Host), fmt.Sprintf("uses seats %v of %d", b.Share.Seats, c.of))
+	c.share = b.Share
+}
+
+func (c *Control) key(b *board.Board, seat int32) state.SeatKey {
+	return state.SeatKey{Domain: b.Self.Domain, Seat: seat}
+}
+
+// mine returns the seats that the log gives this process.
+func (c *Control) mine(b *board.Board) []int32 {
+	var out []int32
+	for i := range c.of {
+		s := b.State.Seats[c.key(b, i)]
+		if s.GetHost() == string(b.Self.Host) && s.Inc == int64(b.Self.Inc) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// usable returns the seats that have rested and are not being given back.
+func (c *Control) usable(b *board.Board) []int32 {
+	var out []int32
+	for _, i := range c.mine(b) {
+		_, folded := c.fold[i]
+		rested := b.Now.UnixMilli() >= b.State.Seats[c.key(b, i)].Rest
+		if !folded && rested {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// target is how many seats this daemon is to hold: an even part, none when it
+// leaves.
+func (c *Control) target(b *board.Board) int {
+	if b.Leaving {
+		return 0
+	}
+	near := b.Members.Near()
+	n := len(near)
+	for i, p := range near {
+		if p.ID != b.Self.Host {
+			continue
+		}
+		even := int(c.of) / n
+		if i < int(c.of)%n {
+			even++
+		}
+		return even
+	}
+	return 0
+}
+
+func (c *Control) claim(b *board.Board) {
+	for i := range c.of {
+		s := b.State.Seats[c.key(b, i)]
+		if !c.free(b, s) {
+			continue
+		}
+		id := fmt.Sprintf("seat/%s/%d/%d/%s/%d", b.Self.Domain, i, s.GetRev(), b.Self.Host, b.Self.Inc)
+		b.Append(&wire.Entry{Id: id, Kind: &wire.Entry_Seat{Seat: &wire.Seat{
+			Domain: string(b.Self.Domain), Seat: i, Host: string(b.Self.Host), Inc: int64(b.Self.Inc), Prev: s.GetRev(),
+		}}})
+		return
+	}
+}
+
+// free reports whether the holder of a seat surely is no more.
+func (c *Control) free(b *board.Board, s *wire.Seated) bool {
+	id := fleet.HostID(s.GetHost())
+	if id == "" {
+		return true
+	}
+	if id == b.Self.Host {
+		return s.Inc != int64(b.Self.Inc)
+	}
+	if _, listed := b.Hosts[id]; listed || b.HostsAt.IsZero() {
+		return false
+	}
+	p, known := b.Members.Get(id)
+	return !known || p.Status == member.Dead
+}
+
+// stopUsing takes the highest seat out of use. It is given back when requests
+// sent under it have surely ended.
+func (c *Control) stopUsing(b *board.Board, mine []int32) {
+	for _, i := range backwards(mine) {
+		if _, folded := c.fold[i]; !folded {
+			c.fold[i] = b.Now
+			return
+		}
+	}
+}
+
+func backwards(list []int32) []int32 {
+	out := append([]int32{}, list...)
+	sort.Slice(out, func(a, b int) bool { return out[a] > out[b] })
+	return out
+}
+
+func (c *Control) giveBack(b *board.Board) {
+	for i, since := range c.fold {
+		s := b.State.Seats[c.key(b, i)]
+		if s.GetHost() != string(b.Self.Host) {
+			delete(c.fold, i)
+			continue
+		}
+		if b.Now.Sub(since) < board.RequestSpan && !c.idle(b) {
+			continue
+		}
+		id := fmt.Sprintf("seat/%s/%d/%d/free", b.Self.Domain, i, s.GetRev())
+		b.Append(&wire.Entry{Id: id, Kind: &wire.Entry_Seat{Seat: &wire.Seat{
+			Domain: string(b.Self.Domain), Seat: i, Prev: s.GetRev(),
+		}}})
+	}
+}
+
+// idle reports whether a leaving daemon has no request in flight, so that its
+// seats need not wait.
+func (c *Control) idle(b *board.Board) bool { return b.Leaving && b.Idle }
+
+// Slots returns how many of a runner's slots, or connections, the share is.
+func Slots(s board.Share, total int32) int32 {
+	if s.Of == 0 {
+		return 0
+	}
+	n := int32(0)
+	for _, seat := range s.Seats {
+		n += total / s.Of
+		if seat < total%s.Of {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fleet/state/config.go
@@ -0,0 +1,88 @@
+package state
+
+import (
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/wire"
+)
+
+func (s *State) setSpace(at fleet.Offset, w *wire.Space) error {
+	id := fleet.SpaceID(w.GetName())
+	if id == "" {
+		return fail("set workspace", Broken, "no name")
+	}
+	if have := s.Spaces[id].GetRev(); have != w.Rev {
+		return fail("set workspace", Conflict, "%s is at revision %d, not %d", id, have, w.Rev)
+	}
+	set := &wire.Space{Name: w.Name, Shapes: w.Shapes, Quota: w.Quota, Homes: w.Homes, Rev: int64(at)}
+	s.Spaces[id] = set
+	return nil
+}
+
+func (s *State) dropSpace(d *wire.Drop) error {
+	id := fleet.SpaceID(d.GetName())
+	w, ok := s.Spaces[id]
+	if !ok {
+		return fail("remove workspace", Missing, "no workspace %s", id)
+	}
+	if w.Rev != d.Base {
+		return fail("remove workspace", Conflict, "%s is at revision %d, not %d", id, w.Rev, d.Base)
+	}
+	if n := s.liveIn(id); n > 0 {
+		return fail("remove workspace", Busy, "%s has %d jobs that have not ended", id, n)
+	}
+	delete(s.Spaces, id)
+	return nil
+}
+
+func (s *State) liveIn(id fleet.SpaceID) int {
+	n := 0
+	for _, j := range s.Jobs {
+		if j.Spec.Space == string(id) && !Ended(j.Phase) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) turnDomain(at fleet.Offset, when int64, t *wire.Turn) error {
+	id := fleet.DomainID(t.GetName())
+	if id == "" {
+		return fail("turn failure domain", Broken, "no name")
+	}
+	if have := s.Domains[id].GetRev(); have != t.Base {
+		return fail("turn failure domain", Conflict, "%s is at revision %d, not %d", id, have, t.Base)
+	}
+	d := s.Domain(id)
+	d.Out, d.Drain, d.Why = t.Out, t.Drain, t.Why
+	d.Rev, d.Since = int64(at), when
+	return nil
+}
+
+func (s *State) claim(at fleet.Offset, c *wire.Claim) error {
+	id := fleet.DomainID(c.GetDomain())
+	if have := s.Domains[id].GetTerm(); have != c.GetPrev() {
+		return fail("claim lead", Conflict, "%s is in term %d, not %d", id, have, c.GetPrev())
+	}
+	d := s.Domain(id)
+	d.Lead, d.Inc, d.Term = c.Host, c.Inc, int64(at)
+	return nil
+}
+
+// seat gives a seat to a host. A seat that was not given back rests first, as
+// requests of its last holder may still occupy the runners.
+func (s *State) seat(at fleet.Offset, when int64, w *wire.Seat) error {
+	key := SeatKey{fleet.DomainID(w.GetDomain()), w.GetSeat()}
+	have, ok := s.Seats[key]
+	if have.GetRev() != w.GetPrev() {
+		return fail("take seat", Conflict, "seat %d of %s is at revision %d, not %d", key.Seat, key.Domain, have.GetRev(), w.GetPrev())
+	}
+	rest := int64(0)
+	if ok && have.Host != "" {
+		rest = when + SeatRest.Milliseconds()
+	}
+	if w.Host == "" {
+		rest = 0
+	}
+	s.Seats[key] = &wire.Seated{Domain: w.Domain, Seat: w.Seat, Host: w.Host, Inc: w.Inc, Rev: int64(at), Rest: rest}
+	return nil
+}
--- /dev/null
+++ b/fleet/state/image.go
@@ -0,0 +1,136 @@
+package state
+
+import (
+	"sort"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// JobsPerPiece bounds the size of one piece of an image.
+const JobsPerPiece = 200
+
+// Images returns the state in pieces that fit into log records.
+func (s *State) Images() []*wire.Image {
+	head := &wire.Image{Upto: int64(s.Next)}
+	for _, w := range s.Spaces {
+		head.Spaces = append(head.Spaces, proto.CloneOf(w))
+	}
+	for _, d := range s.Domains {
+		head.Domains = append(head.Domains, proto.CloneOf(d))
+	}
+	for _, k := range s.Seats {
+		head.Seats = append(head.Seats, proto.CloneOf(k))
+	}
+	for _, id := range s.seen.order {
+		if _, err := s.seen.get(id); err == nil {
+			head.Ids = append(head.Ids, string(id))
+		}
+	}
+	sortHead(head)
+	return number(append([]*wire.Image{head}, s.jobPieces()...))
+}
+
+func sortHead(m *wire.Image) {
+	sort.Slice(m.Spaces, func(a, b int) bool { return m.Spaces[a].Name < m.Spaces[b].Name })
+	sort.Slice(m.Domains, func(a, b int) bool { return m.Domains[a].Name < m.Domains[b].Name })
+	sort.Slice(m.Seats, func(a, b int) bool { return m.Seats[a].Rev < m.Seats[b].Rev })
+}
+
+func (s *State) jobPieces() []*wire.Image {
+	var pieces []*wire.Image
+	for i, j := range s.inOrder() {
+		if i%JobsPerPiece == 0 {
+			pieces = append(pieces, &wire.Image{Upto: int64(s.Next)})
+		}
+		last := pieces[len(pieces)-1]
+		last.Jobs = append(last.Jobs, proto.CloneOf(j))
+	}
+	return pieces
+}
+
+// inOrder returns the ended jobs, oldest end first, then the live ones.
+func (s *State) inOrder() []*wire.Job {
+	var jobs []*wire.Job
+	for _, id := range s.ended {
+		jobs = append(jobs, s.Jobs[id])
+	}
+	return append(jobs, s.Live()...)
+}
+
+func number(pieces []*wire.Image) []*wire.Image {
+	for i, p := range pieces {
+		p.Piece, p.Pieces = int32(i), int32(len(pieces))
+	}
+	return pieces
+}
+
+// Load returns the state that the pieces of one image describe. Of older
+// entries only those that had an effect are known.
+func Load(pieces []*wire.Image) (*State, error) {
+	if err := whole(pieces); err != nil {
+		return nil, err
+	}
+	s := New()
+	s.Next = fleet.Offset(pieces[0].Upto)
+	for _, p := range pieces {
+		s.load(proto.CloneOf(p))
+	}
+	return s, nil
+}
+
+func whole(pieces []*wire.Image) error {
+	if len(pieces) == 0 {
+		return fail("load image", Missing, "no pieces")
+	}
+	for i, p := range pieces {
+		if p.Upto != pieces[0].Upto || int(p.Piece) != i || int(p.Pieces) != len(pieces) {
+			return fail("load image", Broken, "piece %d of %d up to %d is out of place", p.Piece, p.Pieces, p.Upto)
+		}
+	}
+	return nil
+}
+
+func (s *State) load(p *wire.Image) {
+	for _, w := range p.Spaces {
+		s.Spaces[fleet.SpaceID(w.Name)] = w
+	}
+	for _, d := range p.Domains {
+		s.Domains[fleet.DomainID(d.Name)] = d
+	}
+	for _, k := range p.Seats {
+		s.Seats[SeatKey{fleet.DomainID(k.Domain), k.Seat}] = k
+	}
+	for _, id := range p.Ids {
+		s.seen.put(fleet.EntryID(id), nil)
+	}
+	for _, j := range p.Jobs {
+		s.Jobs[fleet.JobID(j.Spec.Id)] = j
+		if Ended(j.Phase) {
+			s.end(fleet.JobID(j.Spec.Id))
+		}
+	}
+}
+
+// Gather collects the pieces of the newest whole image met in the log.
+type Gather struct {
+	upto   int64
+	pieces []*wire.Image
+}
+
+// Add takes the next image piece in log order and returns the image when it is
+// whole, else nil.
+func (g *Gather) Add(p *wire.Image) []*wire.Image {
+	if p.Piece == 0 {
+		g.upto, g.pieces = p.Upto, nil
+	}
+	if p.Upto != g.upto || int(p.Piece) != len(g.pieces) {
+		return nil
+	}
+	g.pieces = append(g.pieces, p)
+	if len(g.pieces) < int(p.Pieces) {
+		return nil
+	}
+	return g.pieces
+}
--- /dev/null
+++ b/fleet/state/jobs.go
@@ -0,0 +1,153 @@
+package state
+
+import (
+	"slices"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/wire"
+)
+
+// SeatRest is how long a seat rests that its last holder did not give back. It
+// exceeds the longest time a request may run.
+const SeatRest = 35 * time.Second
+
+func (s *State) submit(at fleet.Offset, when int64, w *wire.Submit) error {
+	spec := w.GetSpec()
+	id := fleet.JobID(spec.GetId())
+	if id == "" || spec.Tasks < 1 {
+		return fail("submit", Broken, "job without id or tasks")
+	}
+	if _, ok := s.Jobs[id]; ok {
+		return fail("submit", Conflict, "job %s exists", id)
+	}
+	if _, ok := s.Spaces[fleet.SpaceID(spec.Space)]; !ok {
+		return fail("submit", Missing, "no workspace %s", spec.Space)
+	}
+	s.Jobs[id] = &wire.Job{
+		Spec: spec, Phase: wire.Phase_QUEUED, Home: w.Home,
+		Since: when, Begun: when, Rev: int64(at),
+	}
+	s.touch(s.Jobs[id])
+	return nil
+}
+
+func (s *State) cancel(at fleet.Offset, when int64, c *wire.Cancel) error {
+	j, err := s.job("cancel", c.GetJob())
+	if err != nil {
+		return err
+	}
+	if Ended(j.Phase) {
+		return fail("cancel", Stale, "job %s is over: %s", c.Job, j.Phase)
+	}
+	j.Rev = int64(at)
+	j.Why = c.Why
+	if j.Phase == wire.Phase_PLACED {
+		j.Cancel = true
+		s.touch(j)
+		return nil
+	}
+	s.turn(j, wire.Phase_CANCELLED, when)
+	return nil
+}
+
+func (s *State) place(at fleet.Offset, when int64, p *wire.Place) error {
+	j, err := s.job("place", p.GetJob())
+	if err != nil {
+		return err
+	}
+	if j.Phase != wire.Phase_QUEUED || j.Attempt+1 != p.Attempt {
+		return fail("place", Stale, "job %s is %s in attempt %d, not waiting for %d", p.Job, j.Phase, j.Attempt, p.Attempt)
+	}
+	if j.Home != p.Domain {
+		return fail("place", Stale, "job %s belongs to %s", p.Job, j.Home)
+	}
+	d := s.Domains[fleet.DomainID(p.Domain)]
+	if d.GetTerm() != p.Term {
+		return fail("place", Stale, "%s is in term %d, not %d", p.Domain, d.GetTerm(), p.Term)
+	}
+	if d.GetOut() {
+		return fail("place", Busy, "%s is out of service", p.Domain)
+	}
+	j.Attempt, j.Term, j.Parts, j.Owned, j.Why = p.Attempt, p.Term, p.Parts, p.Owned, p.Why
+	j.Rev = int64(at)
+	s.turn(j, wire.Phase_PLACED, when)
+	return nil
+}
+
+func (s *State) settle(at fleet.Offset, when int64, w *wire.Settle) error {
+	j, err := s.job("settle", w.GetJob())
+	if err != nil {
+		return err
+	}
+	if j.Phase != wire.Phase_PLACED || j.Attempt != w.Attempt {
+		return fail("settle", Stale, "job %s is %s in attempt %d, not placed in %d", w.Job, j.Phase, j.Attempt, w.Attempt)
+	}
+	if err := s.may("settle", j.Home, w.Term); err != nil {
+		return err
+	}
+	j.Rev = int64(at)
+	j.Why, j.Parts, j.Owned = w.Why, nil, false
+	j.Spent = max(j.Spent, w.Spent)
+	j.Faulty = merge(j.Faulty, w.Faulty)
+	phase := w.Phase
+	if j.Cancel && phase == wire.Phase_QUEUED {
+		phase = wire.Phase_CANCELLED
+	}
+	s.turn(j, phase, when)
+	return nil
+}
+
+func (s *State) move(at fleet.Offset, m *wire.Move) error {
+	j, err := s.job("move", m.GetJob())
+	if err != nil {
+		return err
+	}
+	if j.Phase != wire.Phase_QUEUED || j.Attempt != m.Attempt || j.Home != m.From {
+		return fail("move", Stale, "job %s is %s at %s in attempt %d", m.Job, j.Phase, j.Home, j.Attempt)
+	}
+	if err := s.may("move", m.From, m.Term); err != nil {
+		return err
+	}
+	j.Home, j.Why, j.Rev = m.To, m.Why, int64(at)
+	s.touch(j)
+	return nil
+}
+
+// may checks that a record comes from the lead of the domain. For a domain that
+// operators gave up as lost anybody may speak.
+func (s *State) may(op, domain string, term int64) error {
+	d := s.Domains[fleet.DomainID(domain)]
+	if d.GetTerm() == term || Lost(d) {
+		return nil
+	}
+	return fail(op, Stale, "%s is in term %d, not %d", domain, d.GetTerm(), term)
+}
+
+// Lost reports whether operators said that nothing of the domain runs any more.
+func Lost(d *wire.Domain) bool { return d.GetOut() && d.GetDrain() == wire.Drain_LOST }
+
+func (s *State) job(op, id string) (*wire.Job, error) {
+	j, ok := s.Jobs[fleet.JobID(id)]
+	if !ok {
+		return nil, fail(op, Missing, "no job %s", id)
+	}
+	return j, nil
+}
+
+func (s *State) turn(j *wire.Job, p wire.Phase, when int64) {
+	j.Phase, j.Since = p, when
+	s.touch(j)
+	if Ended(p) {
+		s.end(fleet.JobID(j.Spec.Id))
+	}
+}
+
+func merge(have, more []string) []string {
+	for _, m := range more {
+		if !slices.Contains(have, m) {
+			have = append(have, m)
+		}
+	}
+	return have
+}
--- /dev/null
+++ b/standin/root.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"dragonflydeck.example/fleet/serve"
+	"dragonflydeck.example/fleet/wire"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/encoding/protojson"
+)
+
+// Main runs the command line and returns the exit status.
+func Main(args []string, out, errOut io.Writer) int {
+	root := &cobra.Command{
+		Use: "standin", Short: "Stand-ins of the platform and the backend servers",
+		SilenceErrors: true, SilenceUsage: true,
+	}
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	root.AddCommand(cmdPlatform(), cmdBackend(), cmdFault())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(errOut, "standin:", err)
+		return 1
+	}
+	return 0
+}
+
+// readHosts reads a host list from a JSON file of the schema's ListReply.
+func readHosts(path string) ([]*wire.Host, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	list := &wire.ListReply{}
+	if err := protojson.Unmarshal(data, list); err != nil {
+		return nil, fmt.Errorf("read host list %s: %w", path, err)
+	}
+	return list.Hosts, nil
+}
+
+// route serves a Twirp service under its own path.
+type service interface {
+	http.Handler
+	PathPrefix() string
+}
+
+func routes(list ...service) []serve.Route {
+	var out []serve.Route
+	for _, s := range list {
+		out = append(out, serve.Route{Prefix: s.PathPrefix(), Handler: s})
+	}
+	return out
+}
+
+// port is an address and what is served there.
+type port struct {
+	addr   string
+	routes []serve.Route
+}
+
+// serveAll serves until a signal comes.
+func serveAll(ports []port) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	var group errgroup.Group
+	var servers []*serve.Server
+	for _, p := range ports {
+		s, err := serve.Listen(p.addr, p.routes, nil)
+		if err != nil {
+			return err
+		}
+		servers = append(servers, s)
+		group.Go(s.Run)
+	}
+	<-ctx.Done()
+	last, cancel := context.WithTimeout(context.Background(), serve.ReadSpan)
+	defer cancel()
+	for _, s := range servers {
+		group.Go(func() error { return s.Stop(last) })
+	}
+	return group.Wait()
+}
