Send a job where it can start at once, and there to the fullest domain

Cause: a domain was chosen by total load alone, so jobs waited at home while another domain had room, and free accelerators lay in all domains alike.

Change: a view of a domain says whether the gang fits beside what runs there, worked out from the placements in the log.

--- a/fleet/home/views.go
+++ b/fleet/home/views.go
@@ -16,13 +16,14 @@
 type Atlas struct {
 	views map[fleet.DomainID]*place.View
 	nodes map[fleet.DomainID][]place.Node
+	held  map[fleet.HostID]fleet.Res // by gangs, as the log tells it
 	order []fleet.DomainID
 	b     *board.Board
 }
 
 // NewAtlas works the load out.
 func NewAtlas(b *board.Board) *Atlas {
-	a := &Atlas{views: map[fleet.DomainID]*place.View{}, nodes: map[fleet.DomainID][]place.Node{}, b: b}
+	a := &Atlas{views: map[fleet.DomainID]*place.View{}, nodes: map[fleet.DomainID][]place.Node{}, held: map[fleet.HostID]fleet.Res{}, b: b}
 	for _, h := range b.Hosts {
 		if h.Role == wire.Role_WORKER && !h.Leaving {
 			a.addNode(fleet.DomainID(h.Domain), gang.Node(h))
@@ -52,10 +53,15 @@
 	if v == nil {
 		return
 	}
-	need := fleet.ResOf(j.Spec.Each).Times(int(j.Spec.Tasks))
+	each := fleet.ResOf(j.Spec.Each)
+	need := each.Times(int(j.Spec.Tasks))
 	switch j.Phase {
 	case wire.Phase_PLACED:
 		v.Used = v.Used.Add(need)
+		for _, p := range j.Parts {
+			id := fleet.HostID(p.Worker)
+			a.held[id] = a.held[id].Add(each.Times(int(p.Tasks)))
+		}
 	case wire.Phase_QUEUED:
 		v.Queued = v.Queued.Add(need)
 	}
@@ -67,12 +73,22 @@
 	for _, id := range a.order {
 		v := *a.views[id]
 		v.Ever, _ = place.Ever(a.nodes[id], int(spec.Tasks), fleet.ResOf(spec.Each))
+		v.Now = a.fitsNow(id, int(spec.Tasks), fleet.ResOf(spec.Each))
 		v.Claims = a.claims(id, spec)
 		out = append(out, v)
 	}
 	return out
 }
 
+// fitsNow reports whether a gang fits beside what runs in a domain.
+func (a *Atlas) fitsNow(id fleet.DomainID, tasks int, each fleet.Res) bool {
+	n := 0
+	for _, w := range a.nodes[id] {
+		n += w.Total.Sub(a.held[w.ID]).Count(each)
+	}
+	return n >= tasks
+}
+
 // claims counts the guaranteed gangs of the job's workspace in a domain that
 // take it and are not in use.
 func (a *Atlas) claims(id fleet.DomainID, spec *wire.Spec) int {
--- a/fleet/place/home.go
+++ b/fleet/place/home.go
@@ -15,6 +15,7 @@
 	Queued fleet.Res // of jobs that wait
 	Claims int       // unclaimed guaranteed gangs that take the job
 	Ever   bool      // the job fits the empty domain
+	Now    bool      // the job fits beside what runs
 }
 
 // crowd is the load of a domain with the job in it, as a part of its size.
@@ -22,8 +23,12 @@
 	return v.Used.Add(v.Queued).Add(need).Share(v.Total)
 }
 
-// Choose picks the failure domain for a job: one with a guarantee for it, else
-// the least crowded. The empty answer means that none is fit.
+// fits reports whether the job can start at once and nothing waits before it.
+func (v *View) fits(need fleet.Res) bool { return v.Now && v.crowd(need) <= 1 }
+
+// Choose picks the failure domain for a job: one with a guarantee for it; else
+// of those with room now the fullest, so that the large holes stay; else the
+// least crowded. The empty answer means that none is fit.
 func Choose(need fleet.Res, views []View) fleet.DomainID {
 	var best *View
 	for i := range views {
@@ -45,38 +50,43 @@
 	if (a.Claims > 0) != (b.Claims > 0) {
 		return a.Claims > 0
 	}
+	if fa, fb := a.fits(need), b.fits(need); fa != fb {
+		return fa
+	}
 	ca, cb := a.crowd(need), b.crowd(need)
-	if ca != cb {
-		return ca < cb
+	switch {
+	case ca == cb:
+		return a.Domain < b.Domain
+	case a.fits(need):
+		return ca > cb
 	}
-	return a.Domain < b.Domain
+	return ca < cb
 }
 
-// moveGain is by how much less crowded another domain must be for a waiting
-// job to move there.
+// moveGain is by how much less crowded another domain must be for a job to
+// wait there instead.
 const moveGain = 0.1
 
 // Better picks another failure domain for a job that waits at home, or none:
-// one that has room now while home has not.
+// one where it can start at once, or one far less crowded.
 func Better(need fleet.Res, home fleet.DomainID, views []View) fleet.DomainID {
 	var at *View
-	var open []View
+	var others []View
 	for i := range views {
 		if views[i].Domain == home {
 			at = &views[i]
-			continue
-		}
-		if views[i].crowd(need) <= 1 {
-			open = append(open, views[i])
+		} else {
+			others = append(others, views[i])
 		}
 	}
-	to := Choose(need, open)
-	if to == "" || at == nil || !at.Open || !at.Ever {
-		return to
+	id := Choose(need, others)
+	if id == "" || at == nil || !at.Open || !at.Ever {
+		return id
 	}
-	for i := range open {
-		if open[i].Domain == to && open[i].crowd(need)+moveGain < at.crowd(need) {
-			return to
+	for i := range others {
+		v := &others[i]
+		if v.Domain == id && (v.fits(need) && !at.Now || v.crowd(need)+moveGain < at.crowd(need)) {
+			return id
 		}
 	}
 	return ""
--- a/fleet/place/preempt.go
+++ b/fleet/place/preempt.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -15,22 +16,46 @@
 	// preemptGain is by how much more urgent a waiting job must be than every
 	// gang that is stopped for it.
 	preemptGain = 1.5
+	// gatherAfter is how long a job waits before room is gathered for it from
+	// gangs that need less than gatherShare of what it needs.
+	gatherAfter = time.Minute
+	gatherShare = 0.5
 )
 
-// preempt makes room for a job by checkpointing lent gangs that can wait far
-// better than it. The job holds the room from now on.
+// rule says which gangs may be stopped for a waiting job.
+type rule struct {
+	worst float64 // less urgent than this
+	most  float64 // and together at most this part of the job's need
+	why   string
+}
+
+// preempt makes room for a job by checkpointing lent gangs: those that can wait
+// far better than it, or a few small ones whose going puts more to work than it
+// stops. The job holds the room from now on.
 func (p *Planner) preempt(w *wait) []Decision {
-	if w.score < preemptGain {
-		return nil
+	rules := []rule{{worst: w.score / preemptGain, most: math.Inf(1), why: "it has waited less for its length"}}
+	if p.now.Sub(w.Since) >= gatherAfter {
+		rules = append(rules, rule{worst: math.Inf(1), most: gatherShare, why: "more is put to work than stopped"})
+	}
+	for _, u := range rules {
+		if u.worst < 1 {
+			continue
+		}
+		if ds := p.oust(w, u); ds != nil {
+			return ds
+		}
 	}
-	worst := w.score / preemptGain
-	room := func(n *node) int { return p.yielding(n, w, worst) }
-	parts := p.fit(w.Tasks, w.Each, room)
+	return nil
+}
+
+// oust stops what a rule allows so that the job fits.
+func (p *Planner) oust(w *wait, u rule) []Decision {
+	parts := p.fit(w.Tasks, w.Each, func(n *node) int { return p.yielding(n, w, u.worst) })
 	if parts == nil {
 		return nil
 	}
-	victims, ok := p.weakest(parts, w.Each, worst)
-	if !ok {
+	victims, ok := p.weakest(parts, w.Each, u.worst)
+	if !ok || !u.allows(victims, w.Need()) {
 		return nil
 	}
 	g := &gang{Job: w.Job, parts: parts}
@@ -39,11 +64,20 @@
 	p.occupy(g)
 	var out []Decision
 	for _, v := range victims {
-		out = append(out, p.evict(v, w.ID, "it has waited less for its length")...)
+		out = append(out, p.evict(v, w.ID, u.why)...)
 	}
 	return append(out, p.begin(g)...)
 }
 
+// allows reports whether the victims are small beside what takes their room.
+func (u *rule) allows(victims []*gang, need fleet.Res) bool {
+	sum := fleet.Res{}
+	for _, v := range victims {
+		sum = sum.Add(v.Need())
+	}
+	return sum.Share(need) <= u.most
+}
+
 // yielding counts the tasks that fit on a worker if its weaker gangs go.
 func (p *Planner) yielding(n *node, w *wait, worst float64) int {
 	if !n.usable() || n.refuses(&w.Job) {
