Choose the gangs to stop over the whole domain, the least urgent first

Cause: room was gathered inside the window of racks that was tightest with all weaker gangs gone, which often held large ones; fewer or smaller ones elsewhere would have done.

Change: gangs are taken one by one, the least urgent first, only those whose going lets more tasks fit, until the job does; then the narrowest racks are chosen and only gangs in the way are stopped. Room may be gathered from gangs that need up to 0.75 (was 0.5) of what the job needs.

--- a/fleet/place/preempt.go
+++ b/fleet/place/preempt.go
@@ -19,7 +19,7 @@
 	// gatherAfter is how long a job waits before room is gathered for it from
 	// gangs that need less than gatherShare of what it needs.
 	gatherAfter = time.Minute
-	gatherShare = 0.5
+	gatherShare = 0.75
 )
 
 // rule says which gangs may be stopped for a waiting job.
@@ -50,12 +50,16 @@
 
 // oust stops what a rule allows so that the job fits.
 func (p *Planner) oust(w *wait, u rule) []Decision {
-	parts := p.fit(w.Tasks, w.Each, func(n *node) int { return p.yielding(n, w, u.worst) })
-	if parts == nil {
+	victims := p.fewest(w, u)
+	if victims == nil {
 		return nil
 	}
-	victims, ok := p.weakest(parts, w.Each, u.worst)
-	if !ok || !u.allows(victims, w.Need()) {
+	gone := map[fleet.JobID]bool{}
+	for _, v := range victims {
+		gone[v.ID] = true
+	}
+	parts := p.fit(w.Tasks, w.Each, func(n *node) int { return p.without(n, w, gone) })
+	if parts == nil {
 		return nil
 	}
 	g := &gang{Job: w.Job, parts: parts}
@@ -63,83 +67,103 @@
 	p.release(w.ID)
 	p.occupy(g)
 	var out []Decision
-	for _, v := range victims {
+	for _, v := range p.touching(victims, parts) {
 		out = append(out, p.evict(v, w.ID, u.why)...)
 	}
 	return append(out, p.begin(g)...)
 }
 
-// allows reports whether the victims are small beside what takes their room.
-func (u *rule) allows(victims []*gang, need fleet.Res) bool {
+// fewest chooses gangs, the best to stop first, until the job fits without
+// them; nil if it never does or the rule forbids so much.
+func (p *Planner) fewest(w *wait, u rule) []*gang {
+	fits := 0
+	room := map[fleet.HostID]fleet.Res{}
+	for _, k := range p.racks {
+		for _, n := range k.nodes {
+			if n.usable() && !n.refuses(&w.Job) {
+				room[n.ID] = n.free()
+				fits += n.free().Count(w.Each)
+			}
+		}
+	}
+	var list []*gang
 	sum := fleet.Res{}
-	for _, v := range victims {
-		sum = sum.Add(v.Need())
+	for _, g := range p.yielding(u) {
+		if fits >= w.Tasks {
+			break
+		}
+		gain := 0
+		for _, part := range g.parts {
+			have, ok := room[part.Worker]
+			if !ok {
+				continue
+			}
+			after := have.Add(g.Each.Times(part.Tasks))
+			gain += after.Count(w.Each) - have.Count(w.Each)
+		}
+		next := sum.Add(g.Need())
+		if gain == 0 || next.Share(w.Need()) > u.most {
+			continue
+		}
+		for _, part := range g.parts {
+			if have, ok := room[part.Worker]; ok {
+				room[part.Worker] = have.Add(g.Each.Times(part.Tasks))
+			}
+		}
+		fits += gain
+		sum = next
+		list = append(list, g)
 	}
-	return sum.Share(need) <= u.most
+	if fits < w.Tasks || len(list) == 0 {
+		return nil
+	}
+	return list
 }
 
-// yielding counts the tasks that fit on a worker if its weaker gangs go.
-func (p *Planner) yielding(n *node, w *wait, worst float64) int {
+// yielding lists the gangs that a rule allows to stop, the least urgent first.
+func (p *Planner) yielding(u rule) []*gang {
+	var list []*gang
+	rates := map[fleet.JobID]float64{}
+	for _, g := range p.inOrder() {
+		if g.owned || !g.running || g.leaving || p.now.Sub(g.began) < Quantum {
+			continue
+		}
+		if rate := p.urgency(&g.Job, p.now.Sub(g.began)); rate < u.worst {
+			rates[g.ID] = rate
+			list = append(list, g)
+		}
+	}
+	sort.SliceStable(list, func(a, b int) bool { return rates[list[a].ID] < rates[list[b].ID] })
+	return list
+}
+
+// without counts the tasks that fit on a worker when some gangs are gone.
+func (p *Planner) without(n *node, w *wait, gone map[fleet.JobID]bool) int {
 	if !n.usable() || n.refuses(&w.Job) {
 		return 0
 	}
 	room := n.free()
 	for _, g := range n.gangs {
-		if p.yields(g, worst) {
+		if gone[g.ID] {
 			room = room.Add(g.on(n.ID))
 		}
 	}
 	return room.Count(w.Each)
 }
 
-// yields reports whether a gang may be stopped for a job of a given urgency.
-func (p *Planner) yields(g *gang, worst float64) bool {
-	return !g.owned && g.running && !g.leaving && p.now.Sub(g.began) >= Quantum && p.urgency(&g.Job, p.now.Sub(g.began)) < worst
-}
-
-// weakest chooses the gangs to stop so that parts have room, the least urgent
-// first.
-func (p *Planner) weakest(parts []Part, each fleet.Res, worst float64) ([]*gang, bool) {
-	chosen := map[fleet.JobID]bool{}
-	var list []*gang
-	for _, part := range parts {
-		n := p.nodes[part.Worker]
-		need := each.Times(part.Tasks)
-		room := n.free()
-		for _, g := range n.gangs {
-			if chosen[g.ID] {
-				room = room.Add(g.on(n.ID))
-			}
-		}
-		for _, g := range p.weakestOn(n, worst) {
-			if need.Fits(room) {
+// touching returns the gangs that must go for these parts: those on a worker
+// that has too little room.
+func (p *Planner) touching(victims []*gang, parts []Part) []*gang {
+	var out []*gang
+	for _, v := range victims {
+		for _, part := range v.parts {
+			if names(parts, part.Worker) && p.nodes[part.Worker].free().Negative() {
+				out = append(out, v)
 				break
 			}
-			if !chosen[g.ID] {
-				chosen[g.ID] = true
-				list = append(list, g)
-				room = room.Add(g.on(n.ID))
-			}
-		}
-		if !need.Fits(room) {
-			return nil, false
 		}
 	}
-	return list, true
-}
-
-func (p *Planner) weakestOn(n *node, worst float64) []*gang {
-	var list []*gang
-	for _, g := range n.gangs {
-		if p.yields(g, worst) {
-			list = append(list, g)
-		}
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
-	sort.SliceStable(list, func(a, b int) bool {
-		return p.urgency(&list[a].Job, p.now.Sub(list[a].began)) < p.urgency(&list[b].Job, p.now.Sub(list[b].began))
-	})
-	return list
+	return out
 }
 
 // urgency is the slowdown that a job has come to: the time since it was
