Leave the cores of free accelerators to jobs that need them

Cause: in the window of the outage 30 to 57 accelerators of a domain were free while gangs waited: tasks without accelerators held the cores beside them (seen in the reasons of the waiting jobs, room for 0 tasks).

Change: a job without accelerators leaves what the free ones need, by the average of the jobs that run and wait; where nobody waits for them it may take that room last.

--- a/fleet/place/place.go
+++ b/fleet/place/place.go
@@ -73,18 +73,19 @@
 // Planner holds the workers, guarantees, gangs and waiting jobs of one failure
 // domain. It belongs to one goroutine.
 type Planner struct {
-	rules  Rules
-	now    time.Time
-	nodes  map[fleet.HostID]*node
-	racks  []*rack
-	spaces map[fleet.SpaceID]*space
-	waits  map[fleet.JobID]*wait
-	gangs  map[fleet.JobID]*gang
-	holds  []*hold
-	gate   gate
-	total  fleet.Res
-	used   fleet.Res
-	short  bool // some spot has no room
+	rules   Rules
+	now     time.Time
+	nodes   map[fleet.HostID]*node
+	racks   []*rack
+	spaces  map[fleet.SpaceID]*space
+	waits   map[fleet.JobID]*wait
+	gangs   map[fleet.JobID]*gang
+	holds   []*hold
+	gate    gate
+	balance balance
+	total   fleet.Res
+	used    fleet.Res
+	short   bool // some spot has no room
 
 	dirty   bool      // something changed since the last whole plan
 	planned time.Time // when that was
--- a/fleet/place/plan.go
+++ b/fleet/place/plan.go
@@ -24,6 +24,7 @@
 	}
 	p.dirty, p.planned, p.wake = false, now, now.Add(PlanSpan)
 	p.probeDue()
+	p.weighBalance()
 	out := p.drained()
 	if !p.gate.open || p.gate.drain {
 		return out
@@ -134,14 +135,24 @@
 	return p.begin(g), true
 }
 
-// borrow finds room outside the guarantees, else in idle ones.
+// borrow finds room outside the guarantees, else in idle ones; last where it
+// takes the cores of free accelerators that nobody waits for.
 func (p *Planner) borrow(w *wait) []Part {
 	ends := p.now.Add(time.Duration(float64(p.remaining(&w.Job)) * p.rules.Slack))
-	outside := func(n *node) int { return p.roomIn(n, n.open(), w, ends) }
-	if parts := p.fit(w.Tasks, w.Each, outside); parts != nil {
-		return parts
+	tries := []room{
+		func(n *node) int { return p.roomIn(n, p.spare(n, n.open(), &w.Job, true), w, ends) },
+		func(n *node) int { return p.roomIn(n, p.spare(n, n.free(), &w.Job, true), w, ends) },
+		func(n *node) int { return p.roomIn(n, p.spare(n, n.free(), &w.Job, false), w, ends) },
 	}
-	return p.fit(w.Tasks, w.Each, func(n *node) int { return p.roomIn(n, n.free(), w, ends) })
+	if w.Each.Accels > 0 {
+		tries = tries[:2]
+	}
+	for _, r := range tries {
+		if parts := p.fit(w.Tasks, w.Each, r); parts != nil {
+			return parts
+		}
+	}
+	return nil
 }
 
 func (p *Planner) roomIn(n *node, room fleet.Res, w *wait, ends time.Time) int {
--- a/fleet/place/preempt.go
+++ b/fleet/place/preempt.go
@@ -81,8 +81,8 @@
 	for _, k := range p.racks {
 		for _, n := range k.nodes {
 			if n.usable() && !n.refuses(&w.Job) {
-				room[n.ID] = n.free()
-				fits += n.free().Count(w.Each)
+				room[n.ID] = p.spare(n, n.free(), &w.Job, false)
+				fits += room[n.ID].Count(w.Each)
 			}
 		}
 	}
@@ -142,7 +142,7 @@
 	if !n.usable() || n.refuses(&w.Job) {
 		return 0
 	}
-	room := n.free()
+	room := p.spare(n, n.free(), &w.Job, false)
 	for _, g := range n.gangs {
 		if gone[g.ID] {
 			room = room.Add(g.on(n.ID))
