Keep beats within the control budget, readiness to what requests find

Ruled out: passing others on in fixed turns; daemons fell into step and some stayed unheard for ten seconds.

Change: a beat carries the daemon itself and six others at random, all only while the log does not answer; far daemons are given 15 s before suspicion. A daemon is ready once a request would find a runner. Bodies that are too large are answered with 413.

--- a/deckd/daemon/desk.go
+++ b/deckd/daemon/desk.go
@@ -20,7 +20,7 @@
 // Spans of changes.
 const (
 	ChangeSpan = 6 * time.Second // a change waits so long for the log
-	FreshSpan  = 3 * time.Second // a refusal waits so long for newer records
+	FreshSpan  = 6 * time.Second // a refusal waits so long for newer records
 	FreshStep  = 20 * time.Millisecond
 )
 
@@ -306,7 +306,7 @@
 	waiting, running := c.Gangs.Counts()
 	return &wire.HealthReply{
 		Host: string(b.Self.Host), Domain: string(b.Self.Domain),
-		Ready: b.Log.Loaded && !b.Leaving, Why: unready(c),
+		Ready: b.Log.Loaded && !b.Leaving && b.Reach, Why: unready(c),
 		Rev: int64(b.State.Next), Age: time.Since(b.Log.Fresh).Milliseconds(),
 		Lead: own.GetLead(), Term: own.GetTerm(), Leaving: b.Leaving,
 		Queued: int32(waiting), Running: int32(running),
@@ -319,6 +319,8 @@
 		return "the state is not loaded: neither the log nor a peer has answered"
 	case c.Board.Leaving:
 		return "the daemon leaves"
+	case !c.Board.Reach:
+		return "the daemon has no runner slots yet and has not heard of a peer"
 	case !c.Board.Gate.Open:
 		return "no task starts here: " + c.Board.Gate.Why
 	}
--- a/deckd/daemon/explain.go
+++ b/deckd/daemon/explain.go
@@ -95,7 +95,7 @@
 	if !ok {
 		return ""
 	}
-	return p.Addr
+	return c.Board.AddrOf(p)
 }
 
 // relayKey marks a question that another daemon passed on.
--- a/deckd/daemon/traffic.go
+++ b/deckd/daemon/traffic.go
@@ -24,6 +24,9 @@
 const (
 	MaxRequest = 1 << 20 // bytes of a body
 	OpenSpan   = 2 * time.Second
+	// StartSpan is how long a daemon waits for slots or a peer with room before
+	// it is ready without.
+	StartSpan = 15 * time.Second
 )
 
 // traffic takes requests to runners. Its lock is held for decisions only; the
@@ -33,6 +36,7 @@
 	edges Edges
 	lines *lines
 	stats *stats
+	began time.Time
 	cut   string // what an isolated domain does with requests
 
 	mu       sync.Mutex
@@ -58,7 +62,7 @@
 	rules := route.Defaults()
 	rules.Queue = s.Queue
 	return &traffic{
-		self: self, edges: edges, lines: l, cut: s.Isolated, stats: newStats(),
+		self: self, edges: edges, lines: l, began: time.Now(), cut: s.Isolated, stats: newStats(),
 		router:  route.New(rules, uint64(self.Inc)),
 		book:    ticket.New(self.Host, self.Inc),
 		runners: map[fleet.HostID]string{}, peers: map[fleet.HostID]string{},
@@ -79,6 +83,7 @@
 	t.grant(t.router.Sweep(now))
 	_, busy := t.router.Busy("")
 	b.Room, b.Idle = int32(t.router.Room(now)), busy == 0
+	b.Reach = b.Reach || t.router.Reaches() || now.Sub(t.began) > StartSpan
 }
 
 // shares works out this daemon's slots of every runner of its domain.
@@ -99,7 +104,7 @@
 func (t *traffic) rooms(b *board.Board) []route.Peer {
 	var out []route.Peer
 	for _, p := range b.Members.All() {
-		t.peers[p.ID] = p.Addr
+		t.peers[p.ID] = b.AddrOf(p)
 		if p.Status == member.Alive && !p.Leaving {
 			out = append(out, route.Peer{ID: p.ID, Room: int(p.Room), Near: p.Domain == b.Self.Domain})
 		}
--- a/fleet/board/board.go
+++ b/fleet/board/board.go
@@ -103,6 +103,7 @@
 	Share   Share
 	Room    int32 // free runner slots, told by the traffic side
 	Idle    bool  // no request is in flight, told by the traffic side
+	Reach   bool  // a request has found or would have found a runner, told by the traffic side
 	Outbox  *outbox.Box
 	Recent  *Recent
 
@@ -159,6 +160,14 @@
 	return nil
 }
 
+// AddrOf returns the address of a peer, by its own word or the host list.
+func (b *Board) AddrOf(p member.Peer) string {
+	if h := b.Hosts[p.ID]; p.Addr == "" && h != nil {
+		return h.Addr
+	}
+	return p.Addr
+}
+
 // MoveID names the entry that gives a waiting job to another domain.
 func MoveID(j *wire.Job) fleet.EntryID {
 	return fleet.EntryID(fmt.Sprintf("move/%s/%d/%s/%d", j.Spec.Id, j.Attempt, j.Home, j.Rev))
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -115,7 +115,7 @@
 		}
 		if p.End > b.State.Next && (b.Log.Blind || !b.Log.Loaded) && !c.fetching && p.Status == member.Alive {
 			c.fetching = true
-			b.Do(board.FetchState{Addr: p.Addr, From: b.State.Next})
+			b.Do(board.FetchState{Addr: b.AddrOf(p), From: b.State.Next})
 		}
 	}
 }
@@ -166,18 +166,25 @@
 func (c *Control) send(b *board.Board) {
 	b.Members.Advance()
 	for _, p := range b.Members.Targets(b.Hosts) {
-		b.Do(board.SendBeat{Peer: p.ID, Addr: p.Addr, Ask: Ask(b)})
+		b.Do(board.SendBeat{Peer: p.ID, Addr: b.AddrOf(p), Ask: Ask(b)})
 	}
 }
 
 // Ask returns what the daemon tells a peer.
 func Ask(b *board.Board) *wire.BeatAsk {
-	return &wire.BeatAsk{Host: string(b.Self.Host), Pulses: b.Members.Pulses(b.Now), Holds: held(b)}
+	return &wire.BeatAsk{Host: string(b.Self.Host), Pulses: pulses(b), Holds: held(b)}
 }
 
 // Reply returns what the daemon answers to a beat.
 func Reply(b *board.Board) *wire.BeatReply {
-	return &wire.BeatReply{Pulses: b.Members.Pulses(b.Now), Holds: held(b)}
+	return &wire.BeatReply{Pulses: pulses(b), Holds: held(b)}
+}
+
+func pulses(b *board.Board) []*wire.Pulse {
+	if b.Log.Blind {
+		return b.Members.Pulses(b.Now, member.All)
+	}
+	return b.Members.Pulses(b.Now, member.Passed)
 }
 
 func held(b *board.Board) []*wire.Hold {
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -4,11 +4,13 @@
 package member
 
 import (
+	"math/rand/v2"
 	"sort"
 	"time"
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/wire"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Spans of silence. Counters from other failure domains take longer ways.
@@ -16,11 +18,18 @@
 	BeatSpan    = time.Second
 	NearSuspect = 3 * time.Second
 	NearDead    = 8 * time.Second
-	FarSuspect  = 10 * time.Second
-	FarDead     = 20 * time.Second
+	FarSuspect  = 15 * time.Second
+	FarDead     = 30 * time.Second
 	ForgetSpan  = 2 * time.Minute
 )
 
+// Passed is how many other daemons' pulses one beat passes on. All is
+// for when the log does not answer: then beats carry what it else would.
+const (
+	Passed = 6
+	All    = 1 << 16
+)
+
 // Status says what is thought of a peer.
 type Status int
 
@@ -66,12 +75,13 @@
 type Table struct {
 	self  Peer
 	peers map[fleet.HostID]*Peer
-	round int
+	rng   *rand.Rand
 }
 
 // New returns a table that knows only its own daemon.
 func New(self Peer) *Table {
-	return &Table{self: self, peers: map[fleet.HostID]*Peer{}}
+	seed := xxhash.Sum64String(string(self.ID))
+	return &Table{self: self, peers: map[fleet.HostID]*Peer{}, rng: rand.New(rand.NewPCG(seed, uint64(self.Inc)))}
 }
 
 // Advance raises the daemon's own counter.
@@ -83,13 +93,17 @@
 	t.self.End, t.self.Fresh, t.self.Room = end, fresh, room
 }
 
-// Pulses returns what this daemon tells its peers.
-func (t *Table) Pulses(now time.Time) []*wire.Pulse {
+// Pulses returns what this daemon tells a peer: of itself, and of so many
+// others, picked at random.
+func (t *Table) Pulses(now time.Time, most int) []*wire.Pulse {
 	t.self.Said = now
-	out := []*wire.Pulse{pulse(&t.self, now)}
-	for _, p := range t.All() {
-		if p.Status != Dead {
-			out = append(out, pulse(&p, now))
+	own := pulse(&t.self, now)
+	own.Addr = t.self.Addr
+	out := []*wire.Pulse{own}
+	all := t.All()
+	for _, i := range t.rng.Perm(len(all))[:min(most, len(all))] {
+		if all[i].Status != Dead {
+			out = append(out, pulse(&all[i], now))
 		}
 	}
 	return out
@@ -98,7 +112,7 @@
 func pulse(p *Peer, now time.Time) *wire.Pulse {
 	return &wire.Pulse{
 		Host: string(p.ID), Inc: int64(p.Inc), Beat: p.Beat, Leaving: p.Leaving,
-		Domain: string(p.Domain), Addr: p.Addr, Room: p.Room,
+		Domain: string(p.Domain), Room: p.Room,
 		End: int64(p.End), Blind: p.Blind,
 		Age: p.Said.Sub(p.Fresh).Milliseconds(), Old: now.Sub(p.Said).Milliseconds(),
 	}
@@ -128,7 +142,10 @@
 	if w.Beat > p.Beat {
 		p.Beat, p.Heard = w.Beat, now
 		p.Leaving, p.Room = w.Leaving, w.Room
-		p.Domain, p.Addr = fleet.DomainID(w.Domain), w.Addr
+		p.Domain = fleet.DomainID(w.Domain)
+		if w.Addr != "" {
+			p.Addr = w.Addr
+		}
 		p.Blind = p.Blind && w.Blind
 	}
 	if asked.IsZero() {
@@ -218,8 +235,8 @@
 	return out
 }
 
-// Targets picks whom to beat next: every peer of the own failure domain and, in
-// turn, one of the others. Known are the addresses of the host list.
+// Targets picks whom to beat next: every peer of the own failure domain and one
+// of the others at random. Known are the addresses of the host list.
 func (t *Table) Targets(known map[fleet.HostID]*wire.Host) []Peer {
 	var near, far []Peer
 	for _, p := range t.candidates(known) {
@@ -229,9 +246,8 @@
 			far = append(far, p)
 		}
 	}
-	t.round++
 	if len(far) > 0 {
-		near = append(near, far[(t.round+len(t.self.ID))%len(far)])
+		near = append(near, far[t.rng.IntN(len(far))])
 	}
 	return near
 }
--- /dev/null
+++ b/fleet/permit/permit_test.go
@@ -0,0 +1,81 @@
+package permit_test
+
+import (
+	"testing"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/board"
+	"dragonflydeck.example/fleet/member"
+	"dragonflydeck.example/fleet/permit"
+	"dragonflydeck.example/fleet/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+var now = time.Unix(100000, 0)
+
+// pulse is what a peer says of the log, so long ago.
+func pulse(id, domain string, blind bool, ago time.Duration) *wire.Pulse {
+	return &wire.Pulse{Host: id, Domain: domain, Inc: 1, Beat: 1, Blind: blind, Old: ago.Milliseconds(), Age: 60000}
+}
+
+func newBoard(fresh time.Duration, blind bool, peers ...*wire.Pulse) *board.Board {
+	b := board.New(board.Self{Host: "e1", Domain: "d1"})
+	b.Now = now
+	b.Log = board.Log{Loaded: true, Blind: blind, Fresh: now.Add(-fresh)}
+	b.Hosts = map[fleet.HostID]*wire.Host{
+		"e1": {Id: "e1", Domain: "d1", Role: wire.Role_ENTRY},
+		"e2": {Id: "e2", Domain: "d2", Role: wire.Role_ENTRY},
+		"e3": {Id: "e3", Domain: "d3", Role: wire.Role_ENTRY},
+	}
+	b.Members.Merge(now, peers, now)
+	return b
+}
+
+// Every way in which another daemon may have reached the log keeps the gate
+// shut; only all of them together, just heard, open it.
+func TestGate(t *testing.T) {
+	both := []*wire.Pulse{pulse("e2", "d2", true, time.Second), pulse("e3", "d3", true, time.Second)}
+	stale := permit.BlindSpan + time.Second
+	for _, c := range []struct {
+		name  string
+		b     *board.Board
+		open  bool
+		blind bool
+		why   string
+	}{
+		{"the log was just read", newBoard(time.Second, false), true, false, ""},
+		{"the log was read too long ago", newBoard(permit.FreshSpan+time.Second, false), false, false, ".*e1 may know.*"},
+		{"all are blind", newBoard(time.Minute, true, both...), true, true, ""},
+		{"one was never heard", newBoard(time.Minute, true, both[0]), false, false, ".*e3 may know.*"},
+		{"one is not blind", newBoard(time.Minute, true, both[0], pulse("e3", "d3", false, 0)), false, false, ".*e3 may know.*"},
+		{"one said so too long ago", newBoard(time.Minute, true, both[0], pulse("e3", "d3", true, stale)), false, false, ".*e3 may know.*"},
+	} {
+		permit.New().Step(c.b)
+		qt.Check(t, c.b.Gate.Open, qt.Equals, c.open, qt.Commentf(c.name))
+		qt.Check(t, c.b.Gate.Blind, qt.Equals, c.blind, qt.Commentf(c.name))
+		qt.Check(t, c.b.Gate.Why, qt.Matches, c.why, qt.Commentf(c.name))
+	}
+}
+
+func TestGateObeysConfigurationAndHeldOrders(t *testing.T) {
+	b := newBoard(0, false)
+	_ = b.State.Apply(1, &wire.Entry{Id: "o", Kind: &wire.Entry_Turn{Turn: &wire.Turn{Name: "d1", Out: true, Why: "fire"}}})
+	permit.New().Step(b)
+	qt.Assert(t, b.Gate.Why, qt.Equals, "d1 is out of service: fire")
+	b = newBoard(0, false)
+	b.Holds["h"] = &wire.Entry{Id: "h", Kind: &wire.Entry_Turn{Turn: &wire.Turn{Name: "d1", Out: true}}}
+	permit.New().Step(b)
+	qt.Assert(t, b.Gate.Open, qt.IsFalse)
+}
+
+// What a peer says in an unasked beat bounds no time, so it proves nothing.
+func TestUnaskedWordProvesNothing(t *testing.T) {
+	b := newBoard(time.Minute, true)
+	both := []*wire.Pulse{pulse("e2", "d2", true, 0), pulse("e3", "d3", true, 0)}
+	b.Members.Merge(now, both, time.Time{})
+	permit.New().Step(b)
+	qt.Assert(t, b.Gate.Open, qt.IsFalse)
+	p, _ := b.Members.Get("e2")
+	qt.Assert(t, p.Status, qt.Equals, member.Dead, qt.Commentf("not judged yet"))
+}
--- a/fleet/route/peer.go
+++ b/fleet/route/peer.go
@@ -40,6 +40,19 @@
 	}
 }
 
+// Reaches reports whether a request would find a runner, here or at a peer.
+func (r *Router) Reaches() bool {
+	if r.capacity() > 0 {
+		return true
+	}
+	for _, p := range r.peers {
+		if p.Room > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // peer picks a peer with room: of two at random the one with more, near ones
 // before far ones. What it is given counts at once.
 func (r *Router) peer(now time.Time) fleet.HostID {
--- a/fleet/serve/serve.go
+++ b/fleet/serve/serve.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -57,6 +58,7 @@
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 		CloseOnShutdown:       true,
+		ErrorHandler:          refuse,
 		Logger:                quiet{},
 	}}, nil
 }
@@ -98,6 +100,19 @@
 	}
 }
 
+// refuse answers what is not a request that can be read.
+func refuse(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		ctx.Error(fmt.Sprintf("the body is larger than %d bytes", MaxBody), fasthttp.StatusRequestEntityTooLarge)
+	case errors.As(err, &small):
+		ctx.Error(fmt.Sprintf("the header is larger than %d bytes", MaxHeader), fasthttp.StatusRequestHeaderFieldsTooLarge)
+	default:
+		ctx.Error("not a request that can be read", fasthttp.StatusBadRequest)
+	}
+}
+
 func page(ctx *fasthttp.RequestCtx, path string, pages []Page) {
 	for _, p := range pages {
 		if p.Path == path {
