--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,12 @@
 # Measures placement and routing beside the naive version, at every size.
 bench:
 	go test ./fleet/bench -count=1 -v -full -timeout 60m | grep '^bench:'
+
+# Measures the slopes of docs/CAPACITY.md.
+slopes:
+	go test ./fleet/bench -run 'Slopes|Budgets' -count=1 -v -slopes | grep '^slope:'
+	go test ./fleet/member -run Budget -count=1 -v | grep -o 'slope:.*'
+
+# Looks for inputs that break the fold, the planner, the seats and the tickets.
+fuzz:
+	go test ./fleet/state ./fleet/place ./fleet/seat ./fleet/ticket -rapid.checks=20000 -timeout 30m
--- a/deckd/daemon/exec.go
+++ b/deckd/daemon/exec.go
@@ -44,7 +44,7 @@
 		case board.AppendLog:
 			x.run(ctx, AppendSpan, func(ctx context.Context) board.Event { return x.append(ctx, a) })
 		case board.ListHosts:
-			x.run(ctx, ListSpan, x.list)
+			x.run(ctx, ListSpan, func(ctx context.Context) board.Event { return x.list(ctx, a) })
 		case board.RenewWorker:
 			limit := time.Duration(a.Ask.Wait)*time.Millisecond + RenewSlack
 			x.run(ctx, limit, func(ctx context.Context) board.Event { return x.renew(ctx, a) })
@@ -84,8 +84,8 @@
 	return board.Appended{Err: err}
 }
 
-func (x *exec) list(ctx context.Context) board.Event {
-	r, err := x.edges.Roster().List(ctx, &wire.ListAsk{})
+func (x *exec) list(ctx context.Context, a board.ListHosts) board.Event {
+	r, err := x.edges.Roster().List(ctx, &wire.ListAsk{Seen: a.Seen})
 	return board.Listed{Reply: r, Err: err}
 }
 
--- a/deckd/daemon/peer.go
+++ b/deckd/daemon/peer.go
@@ -22,7 +22,7 @@
 func (p *peer) Beat(ctx context.Context, ask *wire.BeatAsk) (*wire.BeatReply, error) {
 	var reply *wire.BeatReply
 	err := p.loop.do(ctx, "beat", func(c *core.Core) {
-		reply = gossip.Reply(c.Board)
+		reply = gossip.Reply(c.Board, ask)
 	})
 	if err != nil {
 		return nil, twirpOf("beat", err)
--- a/fleet/board/action.go
+++ b/fleet/board/action.go
@@ -22,8 +22,9 @@
 	Entries []*wire.Entry
 }
 
-// ListHosts asks for the host list; Listed follows.
-type ListHosts struct{}
+// ListHosts asks for the host list if it is newer than the version seen; Listed
+// follows.
+type ListHosts struct{ Seen int64 }
 
 // RenewWorker renews a lease, or only asks if the lease is 0; Renewed follows.
 type RenewWorker struct {
--- a/fleet/board/board.go
+++ b/fleet/board/board.go
@@ -17,15 +17,38 @@
 
 // Spans that several controllers share.
 const (
-	// LeaseSpan is how long a worker runs on without a renewal, by its clock.
-	LeaseSpan = 10 * time.Second
-	// LapseSpan is after how long without contact a lease has surely lapsed,
-	// allowing for clocks that run apart.
-	LapseSpan = LeaseSpan + LeaseSpan/5
+	// MinLease is the shortest lease: how long a worker runs on without a
+	// renewal, by its clock.
+	MinLease = 20 * time.Second
+	// MaxLease is the longest lease.
+	MaxLease = time.Minute
 	// RequestSpan is the longest that a request may run.
 	RequestSpan = 30 * time.Second
 )
 
+// Cost of renewals. A lease is as long as the bytes that its renewals may take
+// ask for, in a domain with many workers.
+const (
+	renewBytes  = 300  // of one renewal, both ways
+	renewBudget = 1000 // bytes a second for all renewals of a lead
+	renewsEach  = 2.5  // renewals in the span of one lease
+)
+
+// LeaseFor returns the lease for a domain with so many workers.
+func LeaseFor(workers int) time.Duration {
+	span := time.Duration(renewsEach * float64(workers) * renewBytes / renewBudget * float64(time.Second))
+	return min(max(span, MinLease), MaxLease)
+}
+
+// RenewWait returns how long a worker may hold the answer to a renewal back.
+func RenewWait(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) / renewsEach)
+}
+
+// Lapse returns after how long without contact a lease has surely lapsed,
+// allowing for clocks that run apart.
+func Lapse(lease time.Duration) time.Duration { return lease + lease/5 }
+
 // Self is the daemon itself.
 type Self struct {
 	Host   fleet.HostID
@@ -49,7 +72,9 @@
 	Mine  bool
 	Term  fleet.Term
 	Since time.Time
-	Ready bool // it is known what every worker runs
+	Ready bool          // it is known what every worker runs
+	Lease time.Duration // granted to workers in this term
+	Prior time.Duration // granted by the lead before
 }
 
 // Gate says whether tasks may start in the daemon's failure domain.
@@ -87,25 +112,26 @@
 
 // Board is the blackboard.
 type Board struct {
-	Now     time.Time
-	Self    Self
-	Leaving bool
-	State   *state.State
-	Touched []fleet.JobID // jobs that changed since the last step
-	Log     Log
-	Hosts   map[fleet.HostID]*wire.Host
-	HostsAt time.Time
-	Members *member.Table
-	Lead    Lead
-	Gate    Gate
-	Workers map[fleet.HostID]*Worker
-	Holds   map[fleet.EntryID]*wire.Entry // orders of operators not in the log yet
-	Share   Share
-	Room    int32 // free runner slots, told by the traffic side
-	Idle    bool  // no request is in flight, told by the traffic side
-	Reach   bool  // a request has found or would have found a runner, told by the traffic side
-	Outbox  *outbox.Box
-	Recent  *Recent
+	Now          time.Time
+	Self         Self
+	Leaving      bool
+	State        *state.State
+	Touched      []fleet.JobID // jobs that changed since the last step
+	Log          Log
+	Hosts        map[fleet.HostID]*wire.Host
+	HostsAt      time.Time
+	HostsVersion int64
+	Members      *member.Table
+	Lead         Lead
+	Gate         Gate
+	Workers      map[fleet.HostID]*Worker
+	Holds        map[fleet.EntryID]*wire.Entry // orders of operators not in the log yet
+	Share        Share
+	Room         int32 // free runner slots, told by the traffic side
+	Idle         bool  // no request is in flight, told by the traffic side
+	Reach        bool  // a request has found or would have found a runner, told by the traffic side
+	Outbox       *outbox.Box
+	Recent       *Recent
 
 	Events  []Event // of this step
 	actions []Action
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -20,7 +20,8 @@
 
 // Control is the controller of membership.
 type Control struct {
-	beat     time.Time
+	near     time.Time
+	far      time.Time
 	list     time.Time
 	listing  bool
 	fetching bool
@@ -37,13 +38,11 @@
 	c.judge(b)
 	if !b.Now.Before(c.list) && !c.listing {
 		c.listing, c.list = true, b.Now.Add(ListSpan)
-		b.Do(board.ListHosts{})
+		b.Do(board.ListHosts{Seen: b.HostsVersion})
 	}
 	b.Members.Say(b.Leaving, b.Log.Blind, b.State.Next, b.Log.Fresh, b.Room)
-	if !b.Now.Before(c.beat) {
-		c.beat = b.Now.Add(member.BeatSpan)
-		c.send(b)
-	}
+	c.beatNear(b)
+	c.beatFar(b)
 }
 
 func (c *Control) take(b *board.Board, e board.Event) {
@@ -68,9 +67,17 @@
 // are not gone because the list is.
 func (c *Control) listed(b *board.Board, l board.Listed) {
 	c.listing = false
-	if l.Err != nil || len(l.Reply.Hosts) == 0 {
+	if l.Err != nil {
+		return
+	}
+	if l.Reply.Version != 0 && l.Reply.Version == b.HostsVersion {
+		b.HostsAt = b.Now
+		return
+	}
+	if len(l.Reply.Hosts) == 0 {
 		return
 	}
+	b.HostsVersion = l.Reply.Version
 	b.Hosts = map[fleet.HostID]*wire.Host{}
 	for _, h := range l.Reply.Hosts {
 		b.Hosts[fleet.HostID(h.Id)] = h
@@ -163,28 +170,56 @@
 	}
 }
 
-func (c *Control) send(b *board.Board) {
+func (c *Control) beatNear(b *board.Board) {
+	if b.Now.Before(c.near) {
+		return
+	}
+	c.near = b.Now.Add(member.NearBeat)
 	b.Members.Advance()
-	for _, p := range b.Members.Targets(b.Hosts) {
-		b.Do(board.SendBeat{Peer: p.ID, Addr: b.AddrOf(p), Ask: Ask(b)})
+	for _, p := range b.Members.NearTargets(b.Hosts) {
+		c.send(b, p)
 	}
 }
 
-// Ask returns what the daemon tells a peer.
-func Ask(b *board.Board) *wire.BeatAsk {
-	return &wire.BeatAsk{Host: string(b.Self.Host), Pulses: pulses(b), Holds: held(b)}
+// beatFar beats one daemon of another domain, more often while the log does
+// not answer, as more hangs on beats then.
+func (c *Control) beatFar(b *board.Board) {
+	if b.Now.Before(c.far) {
+		return
+	}
+	c.far = b.Now.Add(member.FarBeat)
+	if b.Log.Blind {
+		c.far = b.Now.Add(member.NearBeat)
+	}
+	if p, ok := b.Members.FarTarget(b.Hosts); ok {
+		c.send(b, p)
+	}
+}
+
+func (c *Control) send(b *board.Board, p member.Peer) {
+	addr := b.AddrOf(p)
+	if addr == "" {
+		return
+	}
+	b.Do(board.SendBeat{Peer: p.ID, Addr: addr, Ask: &wire.BeatAsk{
+		Host: string(b.Self.Host), Domain: string(b.Self.Domain), Pulses: pulses(b, p.Domain), Holds: held(b),
+	}})
 }
 
 // Reply returns what the daemon answers to a beat.
-func Reply(b *board.Board) *wire.BeatReply {
-	return &wire.BeatReply{Pulses: pulses(b), Holds: held(b)}
+func Reply(b *board.Board, ask *wire.BeatAsk) *wire.BeatReply {
+	return &wire.BeatReply{Pulses: pulses(b, fleet.DomainID(ask.Domain)), Holds: held(b)}
 }
 
-func pulses(b *board.Board) []*wire.Pulse {
-	if b.Log.Blind {
+// pulses returns what a daemon of a domain is told.
+func pulses(b *board.Board, to fleet.DomainID) []*wire.Pulse {
+	switch {
+	case b.Log.Blind:
 		return b.Members.Pulses(b.Now, member.All)
+	case to == b.Self.Domain:
+		return b.Members.Pulses(b.Now, member.NearPassed)
 	}
-	return b.Members.Pulses(b.Now, member.Passed)
+	return b.Members.Pulses(b.Now, member.FarPassed)
 }
 
 func held(b *board.Board) []*wire.Hold {
--- a/fleet/lead/lead.go
+++ b/fleet/lead/lead.go
@@ -14,6 +14,10 @@
 	"dragonflydeck.example/fleet/wire"
 )
 
+// ConfirmSpan is how long a lead must be missing while the log answers, so that
+// a daemon that was cut off hears the others before it claims.
+const ConfirmSpan = 2 * time.Second
+
 // RankSpan is how much longer each next daemon waits before it claims, so that
 // two seldom do at once.
 const RankSpan = time.Second
@@ -36,7 +40,7 @@
 	}
 	c.follow(b)
 	c.ready(b)
-	if b.Leaving || !c.missing(b) {
+	if b.Leaving || b.Log.Blind || !c.missing(b) {
 		c.absent = time.Time{}
 		return
 	}
@@ -62,12 +66,27 @@
 		b.Note(event.LeadLost, string(b.Self.Domain), fmt.Sprintf("%s leads in term %d", d.Lead, term))
 		return
 	}
-	b.Lead = board.Lead{Mine: true, Term: term, Since: b.Now}
+	b.Lead = board.Lead{Mine: true, Term: term, Since: b.Now, Lease: lease(d.Lease), Prior: lease(d.Before)}
 	for _, w := range b.Workers {
 		w.Fresh = false
 	}
 }
 
+func lease(ms int64) time.Duration {
+	return max(time.Duration(ms)*time.Millisecond, board.MinLease)
+}
+
+// workers counts the workers of the daemon's domain.
+func workers(b *board.Board) int {
+	n := 0
+	for _, h := range b.Hosts {
+		if h.Role == wire.Role_WORKER && fleet.DomainID(h.Domain) == b.Self.Domain {
+			n++
+		}
+	}
+	return n
+}
+
 // ready waits until every worker reported to this term, or its lease from an
 // earlier one has surely lapsed.
 func (c *Control) ready(b *board.Board) {
@@ -83,7 +102,7 @@
 			waits++
 		}
 	}
-	if waits > 0 && b.Now.Sub(b.Lead.Since) < board.LapseSpan {
+	if waits > 0 && b.Now.Sub(b.Lead.Since) < board.Lapse(b.Lead.Prior) {
 		return
 	}
 	b.Lead.Ready = true
@@ -112,7 +131,7 @@
 	if c.asked != "" && b.Outbox.Has(c.asked) {
 		return
 	}
-	if b.Log.Blind || b.Now.Sub(c.absent) < time.Duration(c.rank(b))*RankSpan {
+	if b.HostsAt.IsZero() || b.Now.Sub(c.absent) < c.patience(b) {
 		return
 	}
 	prev := b.State.Term(b.Self.Domain)
@@ -123,9 +142,22 @@
 	c.asked = fleet.EntryID(id)
 	b.Append(&wire.Entry{Id: id, Kind: &wire.Entry_Claim{Claim: &wire.Claim{
 		Domain: string(b.Self.Domain), Host: string(b.Self.Host), Inc: int64(b.Self.Inc), Prev: int64(prev),
+		Lease: board.LeaseFor(workers(b)).Milliseconds(),
 	}}})
 }
 
+// patience is how long a missing lead is waited for. One that was never there,
+// that left, or that is an earlier process of this host surely stays away.
+func (c *Control) patience(b *board.Board) time.Duration {
+	turn := time.Duration(c.rank(b)) * RankSpan
+	d := b.State.Domain(b.Self.Domain)
+	p, known := b.Members.Get(fleet.HostID(d.Lead))
+	if d.Lead == "" || d.Lead == string(b.Self.Host) || known && (p.Leaving || int64(p.Inc) > d.Inc) {
+		return turn
+	}
+	return turn + ConfirmSpan
+}
+
 func (c *Control) rank(b *board.Board) int {
 	for i, p := range b.Members.Near() {
 		if p.ID == b.Self.Host {
--- a/fleet/lease/lease.go
+++ b/fleet/lease/lease.go
@@ -17,8 +17,6 @@
 
 // Spans of renewal.
 const (
-	// RenewWait is how long a worker may hold its answer back.
-	RenewWait = 4 * time.Second
 	// GiveUp is how long renewals may fail before the lease is left to lapse.
 	GiveUp = 4 * time.Second
 	// RetrySpan is the pause after a renewal that failed.
@@ -110,7 +108,10 @@
 		return
 	}
 	l.good, l.failing, l.next = b.Now, time.Time{}, b.Now
-	w.Reports, w.Version, w.Fresh, w.Asked = r.Reply.Gangs, r.Reply.Version, true, r.Asked
+	if r.Reply.Version != w.Version || !w.Fresh {
+		w.Reports, w.Version = r.Reply.Gangs, r.Reply.Version
+	}
+	w.Fresh, w.Asked = true, r.Asked
 	if w.Lost {
 		w.Lost = false
 		b.Note(event.WorkerBack, string(r.Worker), "answers again")
@@ -131,16 +132,16 @@
 // and grants nothing, so that the lease surely lapses.
 func (c *Control) renew(b *board.Board, id fleet.HostID) {
 	l, w := c.links[id], b.Workers[id]
-	lapsing := w.Lost || !l.failing.IsZero() && b.Now.Sub(l.good) >= GiveUp+RenewWait
-	if lapsing && !w.Lost && !l.flying && b.Now.Sub(l.granted) >= board.LapseSpan {
+	lapsing := w.Lost || !l.failing.IsZero() && b.Now.Sub(l.good) >= GiveUp+board.RenewWait(b.Lead.Lease)
+	if lapsing && !w.Lost && !l.flying && b.Now.Sub(l.granted) >= board.Lapse(b.Lead.Lease) {
 		c.lose(b, id)
 	}
 	if l.flying || b.Now.Before(l.next) {
 		return
 	}
-	ask := &wire.RenewAsk{Term: int64(c.term), Lease: board.LeaseSpan.Milliseconds()}
-	if w.Fresh && l.failing.IsZero() {
-		ask.Seen, ask.Wait = w.Version, RenewWait.Milliseconds()
+	ask := &wire.RenewAsk{Term: int64(c.term), Lease: b.Lead.Lease.Milliseconds()}
+	if w.Fresh && !w.Lost && l.failing.IsZero() {
+		ask.Seen, ask.Wait = w.Version, board.RenewWait(b.Lead.Lease).Milliseconds()
 	}
 	if lapsing {
 		ask.Lease = 0
@@ -152,6 +153,6 @@
 
 func (c *Control) lose(b *board.Board, id fleet.HostID) {
 	w := b.Workers[id]
-	w.Lost, w.Reports = true, nil
+	w.Lost, w.Reports, w.Version, w.Fresh = true, nil, 0, false
 	b.Note(event.WorkerLost, string(id), fmt.Sprintf("no answer for %s, its lease has lapsed", b.Now.Sub(c.links[id].good).Round(time.Millisecond)))
 }
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -13,21 +13,24 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Spans of silence. Counters from other failure domains take longer ways.
+// Spans of beats and of silence. Counters from other failure domains take
+// longer ways.
 const (
-	BeatSpan    = time.Second
+	NearBeat    = time.Second     // to peers of the own failure domain
+	FarBeat     = 2 * time.Second // to one other
 	NearSuspect = 3 * time.Second
-	NearDead    = 8 * time.Second
-	FarSuspect  = 15 * time.Second
-	FarDead     = 30 * time.Second
+	NearDead    = 5 * time.Second
+	FarSuspect  = 20 * time.Second
+	FarDead     = 40 * time.Second
 	ForgetSpan  = 2 * time.Minute
 )
 
-// Passed is how many other daemons' pulses one beat passes on. All is
-// for when the log does not answer: then beats carry what it else would.
+// How many other daemons' pulses one beat passes on. All is for when the log
+// does not answer: then beats carry what it else would.
 const (
-	Passed = 6
-	All    = 1 << 16
+	NearPassed = 2
+	FarPassed  = 8
+	All        = 1 << 16
 )
 
 // Status says what is thought of a peer.
@@ -235,31 +238,35 @@
 	return out
 }
 
-// Targets picks whom to beat next: every peer of the own failure domain and one
-// of the others at random. Known are the addresses of the host list.
-func (t *Table) Targets(known map[fleet.HostID]*wire.Host) []Peer {
-	var near, far []Peer
-	for _, p := range t.candidates(known) {
-		if p.Domain == t.self.Domain {
-			near = append(near, p)
-		} else {
-			far = append(far, p)
-		}
-	}
-	if len(far) > 0 {
-		near = append(near, far[t.rng.IntN(len(far))])
+// NearTargets picks whom to beat of the own failure domain: everybody.
+func (t *Table) NearTargets(known map[fleet.HostID]*wire.Host) []Peer {
+	return t.candidates(known, true)
+}
+
+// FarTarget picks one daemon of the others at random.
+func (t *Table) FarTarget(known map[fleet.HostID]*wire.Host) (Peer, bool) {
+	far := t.candidates(known, false)
+	if len(far) == 0 {
+		return Peer{}, false
 	}
-	return near
+	return far[t.rng.IntN(len(far))], true
 }
 
-// candidates joins the host list with the peers heard of.
-func (t *Table) candidates(known map[fleet.HostID]*wire.Host) []Peer {
-	out := t.All()
+// candidates joins the host list with the peers heard of, of the own failure
+// domain or of the others.
+func (t *Table) candidates(known map[fleet.HostID]*wire.Host, near bool) []Peer {
+	var out []Peer
+	for _, p := range t.All() {
+		if (p.Domain == t.self.Domain) == near {
+			out = append(out, p)
+		}
+	}
 	for id, h := range known {
-		if _, ok := t.peers[id]; ok || h.Role != wire.Role_ENTRY || id == t.self.ID {
-			continue
+		_, heard := t.peers[id]
+		there := fleet.DomainID(h.Domain) == t.self.Domain
+		if !heard && there == near && h.Role == wire.Role_ENTRY && id != t.self.ID {
+			out = append(out, Peer{ID: id, Domain: fleet.DomainID(h.Domain), Addr: h.Addr})
 		}
-		out = append(out, Peer{ID: id, Domain: fleet.DomainID(h.Domain), Addr: h.Addr})
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
 	return out
--- a/fleet/state/config.go
+++ b/fleet/state/config.go
@@ -71,6 +71,7 @@
 	}
 	d := s.Domain(id)
 	d.Lead, d.Inc, d.Term = c.Host, c.Inc, int64(at)
+	d.Before, d.Lease = d.Lease, c.Lease
 	return nil
 }
 
--- a/fleet/ticket/ticket_test.go
+++ b/fleet/ticket/ticket_test.go
@@ -82,4 +82,3 @@
 	// e1 7 KEY <nil>
 	// read ticket: "nonsense" is not host.incarnation.key
 }
-
--- a/standin/roster/roster.go
+++ b/standin/roster/roster.go
@@ -21,6 +21,7 @@
 const LeavingPrefix = "leaving:"
 
 type version struct {
+	n     int64
 	at    time.Time
 	hosts []*wire.Host
 }
@@ -41,7 +42,7 @@
 	for _, h := range hosts {
 		r.hosts[h.Id] = h
 	}
-	r.versions = []version{{time.Time{}, r.sorted()}}
+	r.versions = []version{{1, time.Time{}, r.sorted()}}
 	return r
 }
 
@@ -70,7 +71,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f()
-	r.versions = append(r.versions, version{time.Now(), r.sorted()})
+	last := r.versions[len(r.versions)-1].n
+	r.versions = append(r.versions, version{last + 1, time.Now(), r.sorted()})
 }
 
 func (r *Roster) sorted() []*wire.Host {
@@ -82,8 +84,8 @@
 	return out
 }
 
-// List returns the hosts as they were a lag ago.
-func (r *Roster) List(context.Context, *wire.ListAsk) (*wire.ListReply, error) {
+// List returns the hosts as they were a lag ago, unless the caller has them.
+func (r *Roster) List(_ context.Context, ask *wire.ListAsk) (*wire.ListReply, error) {
 	if r.Is(Down) {
 		return nil, twirp.NewError(twirp.Unavailable, "the host list is down")
 	}
@@ -93,7 +95,10 @@
 	for len(r.versions) > 1 && !r.versions[1].at.After(seen) {
 		r.versions = r.versions[1:]
 	}
-	reply := &wire.ListReply{}
+	reply := &wire.ListReply{Version: r.versions[0].n}
+	if reply.Version == ask.Seen {
+		return reply, nil
+	}
 	for _, h := range r.versions[0].hosts {
 		reply.Hosts = append(reply.Hosts, proto.CloneOf(h))
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -118,6 +118,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.version == ask.Seen {
+		return &wire.RenewReply{Version: w.version}, nil
+	}
 	return &wire.RenewReply{Version: w.version, Gangs: w.reports()}, nil
 }
 
