--- a/deckd/daemon/fails_test.go
+++ b/deckd/daemon/fails_test.go
@@ -161,8 +161,7 @@
 			}
 		}
 		qt.Assert(s.t, whole, qt.Equals, 1)
-		s.cuts = nil
-		s.cuts = map[[2]string]bool{}
+		s.mend()
 		for i := range 12 {
 			s.untilPhase(at, fmt.Sprint("j", i), wire.Phase_DONE, 5*time.Minute)
 		}
--- a/deckd/daemon/fleet_test.go
+++ b/deckd/daemon/fleet_test.go
@@ -164,6 +164,13 @@
 	s.cut(b, a, on)
 }
 
+// mend mends every link.
+func (s *site) mend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.cuts)
+}
+
 func (s *site) blocked(a, b string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/deckd/daemon/traffic.go
+++ b/deckd/daemon/traffic.go
@@ -81,8 +81,10 @@
 	t.isolated = isolated(b)
 	t.expire(now)
 	t.grant(t.router.Sweep(now))
-	_, busy := t.router.Busy("")
-	b.Room, b.Idle = int32(t.router.Room(now)), busy == 0
+	b.Room = int32(t.router.Room(now))
+	if !t.router.Over() {
+		b.Settled = b.Share.Version
+	}
 	b.Reach = b.Reach || t.router.Reaches() || now.Sub(t.began) > StartSpan
 }
 
--- a/deckd/e2e/site_test.go
+++ b/deckd/e2e/site_test.go
@@ -110,6 +110,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	file := filepath.Join(t.TempDir(), "hosts.json")
 	qt.Assert(t, os.WriteFile(file, data, 0o600), qt.IsNil)
+	t.Cleanup(s.show)
 	s.procs["platform"] = run(t, "standin", "platform", "--log", s.log, "--list", s.list, "--hosts", file)
 	s.procs["backend"] = run(t, "standin", "backend", "--hosts", file, "--domain", "d1")
 	s.startDaemon("e1")
@@ -119,6 +120,16 @@
 	return s
 }
 
+// show prints what the programs wrote if the test failed.
+func (s *site) show() {
+	if !s.t.Failed() {
+		return
+	}
+	for name, p := range s.procs {
+		s.t.Logf("--- %s\n%s", name, p.text())
+	}
+}
+
 func (s *site) add(h *wire.Host) {
 	h.Domain, h.Addr = "d1", freePort(s.t)
 	s.hosts = append(s.hosts, h)
@@ -190,9 +201,6 @@
 	end := time.Now().Add(most)
 	for !ok() {
 		if time.Now().After(end) {
-			for name, p := range s.procs {
-				s.t.Logf("--- %s\n%s", name, p.text())
-			}
 			s.t.Fatalf("%s did not come about within %s", what, most)
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/fleet/bench/slopes_test.go
+++ b/fleet/bench/slopes_test.go
@@ -283,4 +283,3 @@
 		fmt.Printf("slope: takeover jobs=%d gangs-here=%d ready=%t processor=%s\n", jobs, gangs, l.core.Board.Lead.Ready, took)
 	}
 }
-
--- a/fleet/board/board.go
+++ b/fleet/board/board.go
@@ -31,7 +31,7 @@
 const (
 	renewBytes  = 300  // of one renewal, both ways
 	renewBudget = 1000 // bytes a second for all renewals of a lead
-	renewsEach  = 2.5  // renewals in the span of one lease
+	renewsEach  = 4    // renewals in the span of one lease
 )
 
 // LeaseFor returns the lease for a domain with so many workers.
@@ -106,8 +106,9 @@
 
 // Share is how many slots and connections of each runner the daemon may use.
 type Share struct {
-	Seats []int32
-	Of    int32 // seats in the failure domain
+	Seats   []int32
+	Of      int32 // seats in the failure domain
+	Version int   // rises with every change of Seats
 }
 
 // Board is the blackboard.
@@ -128,7 +129,7 @@
 	Holds        map[fleet.EntryID]*wire.Entry // orders of operators not in the log yet
 	Share        Share
 	Room         int32 // free runner slots, told by the traffic side
-	Idle         bool  // no request is in flight, told by the traffic side
+	Settled      int   // version of the share that no runner has more requests than, told by the traffic side
 	Reach        bool  // a request has found or would have found a runner, told by the traffic side
 	Outbox       *outbox.Box
 	Recent       *Recent
--- a/fleet/gang/drive.go
+++ b/fleet/gang/drive.go
@@ -69,14 +69,18 @@
 	c.unstart(b, r.id)
 }
 
-func (c *Control) reserve(b *board.Board, r *run) {
+func (c *Control) reserve(b *board.Board, r *run) { c.orderAll(b, r, reserving, board.Reserve) }
+
+// orderAll enters a phase and orders its step from every worker, unless the
+// gate has closed.
+func (c *Control) orderAll(b *board.Board, r *run, next phase, step board.Step) {
 	if !b.Gate.Open {
 		r.halt(b, false, verdict{phase: wire.Phase_QUEUED, why: "not started: " + b.Gate.Why})
 		return
 	}
-	r.enter(reserving, b.Now)
+	r.enter(next, b.Now)
 	for _, p := range r.parts {
-		r.order(b, p, board.Reserve)
+		r.order(b, p, step)
 	}
 }
 
@@ -97,14 +101,7 @@
 		b.Note(event.JobRunning, string(r.id), fmt.Sprintf("attempt %d, %d tasks on %d workers", r.attempt, r.spec.Tasks, len(r.parts)))
 		return
 	}
-	if !b.Gate.Open {
-		r.halt(b, false, verdict{phase: wire.Phase_QUEUED, why: "not started: " + b.Gate.Why})
-		return
-	}
-	r.enter(starting, b.Now)
-	for _, p := range r.parts {
-		r.order(b, p, board.Start)
-	}
+	c.orderAll(b, r, starting, board.Start)
 }
 
 // tally sums up what the workers say of an attempt.
--- a/fleet/place/hold.go
+++ b/fleet/place/hold.go
@@ -7,8 +7,14 @@
 	"dragonflydeck.example/fleet"
 )
 
-// HoldFor is how long a reservation stands before it is weighed again.
-const HoldFor = 5 * time.Second
+// Spans of reservations.
+const (
+	// HoldAfter is how long a gang waits before room is kept for it: most get
+	// theirs sooner by preemption, and kept room lies idle.
+	HoldAfter = 10 * time.Minute
+	// HoldFor is how long a reservation stands before it is weighed again.
+	HoldFor = 5 * time.Second
+)
 
 // hold reserves room for a gang that waits: from at on its workers are expected
 // to have room for parts. Others may use the room if they surely end before.
@@ -69,7 +75,7 @@
 func (p *Planner) holdOldest(failed []*wait) {
 	sort.SliceStable(failed, func(a, b int) bool { return failed[a].Since.Before(failed[b].Since) })
 	for _, w := range failed {
-		if len(p.holds) >= p.rules.Holds {
+		if len(p.holds) >= p.rules.Holds || p.now.Sub(w.Since) < HoldAfter {
 			return
 		}
 		if p.holding(w.ID) {
--- a/fleet/route/queue.go
+++ b/fleet/route/queue.go
@@ -44,9 +44,15 @@
 	}
 }
 
-// late removes and returns the requests whose callers stop waiting before at.
-func (q *queue) late(at time.Time) []Request {
-	return q.filter(func(r Request) bool { return r.Until.Before(at) })
+// late removes and returns the requests that cannot be answered in time any
+// more, or have waited as long as they may.
+func (q *queue) late(now time.Time, service time.Duration) []Request {
+	return q.filter(func(r Request) bool {
+		if !r.Latest.IsZero() && now.After(r.Latest) {
+			return true
+		}
+		return r.Until.Before(now.Add(service))
+	})
 }
 
 func (q *queue) drop(id RequestID) {
--- a/fleet/route/route.go
+++ b/fleet/route/route.go
@@ -17,6 +17,10 @@
 // same: slots free up far more often than beats come.
 const ProbeSpan = 20 * time.Millisecond
 
+// SlotWait is how long a request waits at a daemon that has no slots, as when
+// they are just changing hands.
+const SlotWait = 2 * time.Second
+
 // Ranks is the number of priorities; rank 0 goes first.
 const Ranks = 10
 
@@ -51,7 +55,7 @@
 	Hops   int       // relays behind it
 	Guest  bool      // it came from a peer: it runs now or goes back
 	Not    fleet.HostID
-	Queued time.Time // when it began to wait
+	Latest time.Time // it waits no longer, zero for no bound but Until
 }
 
 // Runner is what the host list and the daemon's share say of a runner.
@@ -163,14 +167,13 @@
 	wait := r.expect(q.Rank)
 	left := q.Until.Sub(now)
 	switch {
-	case r.capacity() == 0 && len(r.peers) == 0:
-		return Verdict{Kind: Refuse, After: r.rules.Pause, Why: "no runner takes work from this host, and no peer is known"}
+	case r.capacity() == 0:
+		q.Latest = now.Add(SlotWait) // for slots that may be on their way
 	case r.queue.len() >= r.rules.Queue:
 		return Verdict{Kind: Refuse, After: max(wait, r.rules.Pause), Why: "the queue is full"}
 	case wait+r.mean() > left:
 		return Verdict{Kind: Refuse, After: max(wait+r.mean()-left, r.mean()), Why: "the answer would come after the caller's limit"}
 	}
-	q.Queued = now
 	r.queue.push(q)
 	return Verdict{Kind: Wait, Why: "every slot is taken"}
 }
@@ -190,8 +193,8 @@
 // answered in time any more.
 func (r *Router) Sweep(now time.Time) []Grant {
 	var out []Grant
-	for _, q := range r.queue.late(now.Add(r.mean())) {
-		out = append(out, Grant{q.ID, Verdict{Kind: Refuse, After: r.expect(q.Rank) + r.mean(), Why: "it waited too long to be answered in time"}})
+	for _, q := range r.queue.late(now, r.mean()) {
+		out = append(out, Grant{q.ID, Verdict{Kind: Refuse, After: r.expect(q.Rank) + r.mean(), Why: "it waited too long for a slot"}})
 	}
 	for {
 		q, ok := r.queue.head()
--- a/fleet/route/runner.go
+++ b/fleet/route/runner.go
@@ -163,6 +163,17 @@
 	return n
 }
 
+// Over reports whether some runner has more requests than its slots allow, after
+// the share became smaller.
+func (r *Router) Over() bool {
+	for _, u := range r.order {
+		if u.busy > u.Slots {
+			return true
+		}
+	}
+	return false
+}
+
 // Room counts the free slots, less the requests that wait.
 func (r *Router) Room(now time.Time) int {
 	n := -r.queue.len()
--- a/fleet/seat/seat.go
+++ b/fleet/seat/seat.go
@@ -25,21 +25,19 @@
 
 // Control is the controller of seats.
 type Control struct {
-	of    int32
-	next  time.Time
-	fold  map[int32]time.Time // seats not used any more, and since when
-	share board.Share
+	of   int32
+	next time.Time
+	fold map[int32]bool // seats not used any more
 }
 
 // New returns the controller for a failure domain with so many seats.
 func New(of int32) *Control {
-	return &Control{of: of, fold: map[int32]time.Time{}}
+	return &Control{of: of, fold: map[int32]bool{}}
 }
 
 // Step works out which seats may be used and takes or gives back one.
 func (c *Control) Step(b *board.Board) {
-	b.Share = board.Share{Seats: c.usable(b), Of: c.of}
-	c.tell(b)
+	c.shareOut(b)
 	if !b.Log.Loaded || b.Log.Blind || b.Now.Before(c.next) {
 		return
 	}
@@ -55,13 +53,16 @@
 	c.giveBack(b)
 }
 
-// tell notes the seats that became usable or are no longer used.
-func (c *Control) tell(b *board.Board) {
-	if fmt.Sprint(c.share.Seats) == fmt.Sprint(b.Share.Seats) {
+// shareOut tells the traffic side which seats to use.
+func (c *Control) shareOut(b *board.Board) {
+	seats := c.usable(b)
+	b.Share.Of = c.of
+	if slices.Equal(seats, b.Share.Seats) {
 		return
 	}
-	b.Note(event.SeatTaken, string(b.Self.Host), fmt.Sprintf("uses seats %v of %d", b.Share.Seats, c.of))
-	c.share = b.Share
+	b.Share.Seats = seats
+	b.Share.Version++
+	b.Note(event.SeatTaken, string(b.Self.Host), fmt.Sprintf("uses seats %v of %d", seats, c.of))
 }
 
 func (c *Control) key(b *board.Board, seat int32) state.SeatKey {
@@ -84,9 +85,8 @@
 func (c *Control) usable(b *board.Board) []int32 {
 	var out []int32
 	for _, i := range c.mine(b) {
-		_, folded := c.fold[i]
 		rested := b.Now.UnixMilli() >= b.State.Seats[c.key(b, i)].Rest
-		if !folded && rested {
+		if !c.fold[i] && rested {
 			out = append(out, i)
 		}
 	}
@@ -162,8 +162,8 @@
 // sent under it have surely ended.
 func (c *Control) stopUsing(b *board.Board, mine []int32) {
 	for _, i := range backwards(mine) {
-		if _, folded := c.fold[i]; !folded {
-			c.fold[i] = b.Now
+		if !c.fold[i] {
+			c.fold[i] = true
 			return
 		}
 	}
@@ -175,14 +175,16 @@
 	return out
 }
 
+// giveBack returns the seats out of use once no runner has more requests of
+// this daemon than the seats left allow.
 func (c *Control) giveBack(b *board.Board) {
-	for i, since := range c.fold {
+	for i := range c.fold {
 		s := b.State.Seats[c.key(b, i)]
-		if s.GetHost() != string(b.Self.Host) {
+		if s.GetHost() != string(b.Self.Host) || s.Inc != int64(b.Self.Inc) {
 			delete(c.fold, i)
 			continue
 		}
-		if b.Now.Sub(since) < board.RequestSpan && !c.idle(b) {
+		if b.Settled != b.Share.Version || slices.Contains(b.Share.Seats, i) {
 			continue
 		}
 		id := fmt.Sprintf("seat/%s/%d/%d/free", b.Self.Domain, i, s.GetRev())
@@ -192,10 +194,6 @@
 	}
 }
 
-// idle reports whether a leaving daemon has no request in flight, so that its
-// seats need not wait.
-func (c *Control) idle(b *board.Board) bool { return b.Leaving && b.Idle }
-
 // Slots returns how many of a runner's slots, or connections, the share is.
 func Slots(s board.Share, total int32) int32 {
 	if s.Of == 0 {
--- a/fleet/seat/seat_test.go
+++ b/fleet/seat/seat_test.go
@@ -49,6 +49,12 @@
 // use has a daemon fill every slot that it thinks it may use.
 func (g *group) use(h *host) {
 	h.sent = running(h.sent, g.now)
+	if rapid.Bool().Draw(g.t, "answered") && len(h.sent) > 0 {
+		h.sent = h.sent[1:]
+	}
+	if int32(len(h.sent)) <= seat.Slots(h.b.Share, slots) {
+		h.b.Settled = h.b.Share.Version
+	}
 	for int32(len(h.sent)) < seat.Slots(h.b.Share, slots) {
 		h.sent = append(h.sent, g.now)
 	}
--- a/fleet/state/config.go
+++ b/fleet/state/config.go
@@ -83,12 +83,9 @@
 	if have.GetRev() != w.GetPrev() {
 		return fail("take seat", Conflict, "seat %d of %s is at revision %d, not %d", key.Seat, key.Domain, have.GetRev(), w.GetPrev())
 	}
-	rest := int64(0)
-	if ok && have.Host != "" {
-		rest = when + SeatRest.Milliseconds()
-	}
-	if w.Host == "" {
-		rest = 0
+	rest := have.GetRest() // of an earlier holder, which giving back does not end
+	if ok && have.Host != "" && w.Host != "" {
+		rest = max(rest, when+SeatRest.Milliseconds())
 	}
 	s.Seats[key] = &wire.Seated{Domain: w.Domain, Seat: w.Seat, Host: w.Host, Inc: w.Inc, Rev: int64(at), Rest: rest}
 	return nil
