Keep room for a gang that waits ten minutes, and let it have it

Cause: with an endless stream of short jobs, which end before they may be preempted, a gang of 16 never started (TestLargeGangIsNotStarvedByShortJobs, an hour). Three faults behind it: jobs beyond the first 512 by turn were never looked at; a reservation was dropped when all gangs had ended, as now was no candidate; and the memory of kinds that did not fit, filled by the jobs that the kept room turned away, also turned away the gang it was kept for, so that the domain lay idle.

Change: the three mended; one reservation from ten minutes of waiting on; the quantum is two minutes and room is gathered after 15 s.

--- a/fleet/place/hold.go
+++ b/fleet/place/hold.go
@@ -108,8 +108,10 @@
 	return &hold{job: w.ID, each: w.Each, parts: p.fitAt(w, ends[i]), at: ends[i], made: p.now}
 }
 
+// endTimes lists when room is expected to come free, beginning with now.
 func (p *Planner) endTimes() []time.Time {
-	ends := make([]time.Time, 0, len(p.gangs))
+	ends := make([]time.Time, 0, len(p.gangs)+1)
+	ends = append(ends, p.now)
 	for _, g := range p.gangs {
 		ends = append(ends, p.ends(g))
 	}
--- a/fleet/place/place.go
+++ b/fleet/place/place.go
@@ -23,7 +23,7 @@
 // Defaults returns the rules the daemon uses.
 func Defaults() Rules {
 	return Rules{
-		Holds: 0, Slack: 1.25, Ramp: 10 * time.Second,
+		Holds: 1, Slack: 1.25, Ramp: 10 * time.Second,
 		Strikes: 3, Aside: time.Minute, MaxAside: time.Hour, Depth: 512,
 	}
 }
--- a/fleet/place/plan.go
+++ b/fleet/place/plan.go
@@ -84,10 +84,7 @@
 	var out []Decision
 	var failed []*wait
 	tried := misses{}
-	for i, w := range p.order() {
-		if i >= p.rules.Depth {
-			break
-		}
+	for _, w := range p.look() {
 		ds, fits := p.try(w, tried)
 		out = append(out, ds...)
 		if !fits {
@@ -98,6 +95,18 @@
 	return out
 }
 
+// look returns the jobs that this plan looks at: the first by turn, and those
+// that have waited longest of all, whatever their turn.
+func (p *Planner) look() []*wait {
+	list := p.order()
+	if len(list) <= p.rules.Depth {
+		return list
+	}
+	rest := list[p.rules.Depth:]
+	sort.Slice(rest, func(a, b int) bool { return rest[a].Since.Before(rest[b].Since) })
+	return list[:p.rules.Depth+min(p.rules.Holds, len(rest))]
+}
+
 // try starts a waiting job if it can. It reports false if only room is lacking.
 func (p *Planner) try(w *wait, tried misses) ([]Decision, bool) {
 	if lacks := p.space(w.Space).over(w.Need()); lacks != "" {
@@ -115,7 +124,7 @@
 	if _, held := p.waits[w.ID]; !held {
 		return nil, true // it waits for evicted gangs
 	}
-	if tried.hopeless(&w.Job) {
+	if !p.holding(w.ID) && tried.hopeless(&w.Job) {
 		w.why = "a gang of the same kind did not fit either"
 		return nil, false
 	}
@@ -183,7 +192,8 @@
 	return fmt.Sprintf("room for %d of its %d tasks is free", free, w.Tasks)
 }
 
-// misses remembers which kinds of gang found no room in this plan. Room only
+// misses remembers which kinds of gang found no room in this plan. It says nothing
+// of a gang that room is kept for. Room only
 // shrinks while a plan is made.
 type misses map[fleet.Res]miss
 
--- a/fleet/place/preempt.go
+++ b/fleet/place/preempt.go
@@ -12,13 +12,13 @@
 const (
 	// Quantum is how long a gang runs before another may take its room, so
 	// that checkpoints cost little beside the work between them.
-	Quantum = 3 * time.Minute
+	Quantum = 2 * time.Minute
 	// preemptGain is by how much more urgent a waiting job must be than every
 	// gang that is stopped for it.
 	preemptGain = 1.5
 	// gatherAfter is how long a job waits before room is gathered for it from
 	// gangs that need less than gatherShare of what it needs.
-	gatherAfter = time.Minute
+	gatherAfter = 15 * time.Second
 	gatherShare = 0.75
 )
 
