Serve through a slow log, explain without loops, and mend what grew

Two daemons that each took the other for the lead would have asked each other for explanations without end.

Ruled out: a shorter limit of reads (slow counts as down, changes are refused though the log takes them).

Change: reads do not wait for records while the log is slow; the permit lasts 4 s; a question passed on is answered from one daemon alone; a request needs twice the mean answer time left. Peers without a known address are passed by.

--- a/deckd/daemon/edges.go
+++ b/deckd/daemon/edges.go
@@ -13,4 +13,6 @@
 	Runner(addr string) fleet.Runner
 	Peer(addr string) fleet.Peer
 	Desk(addr string) wire.Desk
+	// Keep drops connections to addresses that are not among these.
+	Keep(used map[string]bool)
 }
--- a/deckd/daemon/exec.go
+++ b/deckd/daemon/exec.go
@@ -12,8 +12,8 @@
 
 // Limits of calls.
 const (
-	ReadMax    = 512 // records in one read
-	ReadSlack  = 2 * time.Second
+	ReadMax    = 512             // records in one read
+	ReadSlack  = 4 * time.Second // a log may be slow without being down
 	AppendSpan = 5 * time.Second
 	ListSpan   = 2 * time.Second
 	BeatSpan   = time.Second
@@ -86,6 +86,13 @@
 
 func (x *exec) list(ctx context.Context, a board.ListHosts) board.Event {
 	r, err := x.edges.Roster().List(ctx, &wire.ListAsk{Seen: a.Seen})
+	if err == nil && len(r.Hosts) > 0 {
+		used := map[string]bool{}
+		for _, h := range r.Hosts {
+			used[h.Addr] = true
+		}
+		x.edges.Keep(used)
+	}
 	return board.Listed{Reply: r, Err: err}
 }
 
--- a/deckd/daemon/explain.go
+++ b/deckd/daemon/explain.go
@@ -35,7 +35,7 @@
 		return nil, err
 	}
 	reply := &wire.ExplainReply{Notes: notes(own)}
-	if lead != "" {
+	if lead != "" && !ask.Passed {
 		reply.Notes = merge(reply.Notes, d.askLead(ctx, lead, ask))
 	}
 	return reply, nil
@@ -98,16 +98,10 @@
 	return c.Board.AddrOf(p)
 }
 
-// relayKey marks a question that another daemon passed on.
-const relayKey = "relayed:"
-
 func (d *desk) askLead(ctx context.Context, addr string, ask *wire.ExplainAsk) []*wire.Note {
-	if strings.HasPrefix(ask.Name, relayKey) {
-		return nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, BeatSpan)
 	defer cancel()
-	reply, err := d.edges.Desk(addr).Explain(ctx, &wire.ExplainAsk{Name: ask.Name})
+	reply, err := d.edges.Desk(addr).Explain(ctx, &wire.ExplainAsk{Name: ask.Name, Passed: true})
 	if err != nil {
 		return nil
 	}
--- a/deckd/daemon/fleet_test.go
+++ b/deckd/daemon/fleet_test.go
@@ -219,6 +219,9 @@
 func (e *fakeEdges) Peer(addr string) fleet.Peer     { return &fakePeer{e, addr} }
 func (e *fakeEdges) Desk(addr string) wire.Desk      { return e.s.get(addr).Desk() }
 
+// Keep has nothing to drop.
+func (e *fakeEdges) Keep(map[string]bool) {}
+
 type fakeLog struct{ *fakeEdges }
 
 func (f *fakeLog) Append(ctx context.Context, q *wire.AppendAsk) (*wire.AppendReply, error) {
--- a/deckd/daemon/jobs.go
+++ b/deckd/daemon/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sort"
-	"time"
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/core"
@@ -142,6 +141,3 @@
 	}
 	return a.Spec.Id < b.Spec.Id
 }
-
-// now returns unix milliseconds.
-func now() int64 { return time.Now().UnixMilli() }
--- a/deckd/daemon/spaces.go
+++ b/deckd/daemon/spaces.go
@@ -166,7 +166,7 @@
 
 func (d *desk) hold(ctx context.Context, e *wire.Entry) {
 	_ = d.loop.do(ctx, "hold failure domain", func(c *core.Core) {
-		e.Host, e.At = string(c.Board.Self.Host), now()
+		e.Host, e.At = string(c.Board.Self.Host), time.Now().UnixMilli()
 		if met, _ := c.Board.State.Outcome(fleet.EntryID(e.Id)); !met {
 			gossip.Hold(c.Board, proto.CloneOf(e))
 		}
--- a/deckd/daemon/traffic.go
+++ b/deckd/daemon/traffic.go
@@ -106,7 +106,11 @@
 func (t *traffic) rooms(b *board.Board) []route.Peer {
 	var out []route.Peer
 	for _, p := range b.Members.All() {
-		t.peers[p.ID] = b.AddrOf(p)
+		addr := b.AddrOf(p)
+		if addr == "" {
+			continue
+		}
+		t.peers[p.ID] = addr
 		if p.Status == member.Alive && !p.Leaving {
 			out = append(out, route.Peer{ID: p.ID, Room: int(p.Room), Near: p.Domain == b.Self.Domain})
 		}
--- a/deckd/edges.go
+++ b/deckd/edges.go
@@ -21,3 +21,10 @@
 
 // Roster returns the platform's host list.
 func (e *edges) Roster() fleet.Roster { return e.Pool.Roster(e.roster) }
+
+// Keep drops connections to addresses that neither the settings nor the host
+// list name.
+func (e *edges) Keep(used map[string]bool) {
+	used[e.log], used[e.roster] = true, true
+	e.Pool.Keep(used)
+}
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -74,7 +74,7 @@
 	{ProcessLeaving, "process-leaving", Info, "a graceful stop began: no new work, peers and balancer are told", "nothing"},
 	{ProcessStopped, "process-stopped", Info, "the graceful stop ended with nothing cut", "nothing"},
 	{ProcessCut, "process-cut", Error, "the stop hit its limit or a second signal; the line lists what was cut", "raise the drain setting if this recurs"},
-	{ProcessUnready, "process-unready", Warn, "the state is not loaded yet; the line says what is waited for", "check the log service and the links to peers"},
+	{ProcessUnready, "process-unready", Warn, "callers are better served elsewhere; the line says why", "nothing in a stop; else check the log and the links to peers"},
 	{RequestRouted, "request-routed", Debug, "a request was given to a runner, and why to this one", "nothing"},
 	{RequestAnswered, "request-answered", Debug, "the answer went to its caller", "nothing"},
 	{RequestRefused, "request-refused", Warn, "a request was refused; it did not run", "add runners if this lasts"},
--- /dev/null
+++ b/fleet/gang/tally.go
@@ -0,0 +1,52 @@
+package gang
+
+import (
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/board"
+	"dragonflydeck.example/fleet/wire"
+)
+
+// tally sums up what the workers say of an attempt.
+type tally struct {
+	ended   int
+	live    int
+	missing []fleet.HostID // certainly without their part
+	silent  int            // not heard of since the phase began
+	broken  []fleet.HostID
+	why     string
+}
+
+func (c *Control) tally(b *board.Board, r *run) tally {
+	var t tally
+	for _, p := range r.parts {
+		w := b.Workers[p.Worker]
+		if w == nil || w.Lost {
+			t.missing = append(t.missing, p.Worker)
+			continue
+		}
+		rep := w.Report(r.id, r.attempt)
+		if !w.Fresh || !w.Asked.After(r.since) && early(rep) {
+			t.silent++
+			continue
+		}
+		t.count(p.Worker, rep)
+	}
+	return t
+}
+
+// early reports whether a report may be from before the start of its gang.
+func early(rep *wire.Report) bool { return rep == nil || rep.Run == wire.Run_HELD }
+
+func (t *tally) count(id fleet.HostID, rep *wire.Report) {
+	switch {
+	case rep == nil || rep.Run == wire.Run_STOPPED || rep.Run == wire.Run_HELD:
+		t.missing = append(t.missing, id)
+	case rep.Run == wire.Run_ENDED:
+		t.ended++
+	case rep.Run == wire.Run_BROKEN:
+		t.broken = append(t.broken, id)
+		t.why = rep.Why
+	default:
+		t.live++
+	}
+}
--- a/fleet/permit/permit.go
+++ b/fleet/permit/permit.go
@@ -15,7 +15,7 @@
 // Spans of the permit.
 const (
 	// FreshSpan is how old the knowledge of the log's end may be.
-	FreshSpan = 3 * time.Second
+	FreshSpan = 4 * time.Second
 	// BlindSpan is how old the word of every other daemon may be that the log
 	// does not answer it either.
 	BlindSpan = 4 * time.Second
--- a/fleet/place/place_test.go
+++ b/fleet/place/place_test.go
@@ -81,7 +81,6 @@
 	qt.Assert(t, running, qt.Equals, 32)
 }
 
-
 // A job that fails everywhere is told from a worker that fails everything.
 func TestFaultsAreToldApart(t *testing.T) {
 	p := newRack(4)
--- a/fleet/route/route.go
+++ b/fleet/route/route.go
@@ -171,8 +171,8 @@
 		q.Latest = now.Add(SlotWait) // for slots that may be on their way
 	case r.queue.len() >= r.rules.Queue:
 		return Verdict{Kind: Refuse, After: max(wait, r.rules.Pause), Why: "the queue is full"}
-	case wait+r.mean() > left:
-		return Verdict{Kind: Refuse, After: max(wait+r.mean()-left, r.mean()), Why: "the answer would come after the caller's limit"}
+	case wait+r.margin() > left:
+		return Verdict{Kind: Refuse, After: max(wait+r.margin()-left, r.mean()), Why: "the answer would come after the caller's limit"}
 	}
 	r.queue.push(q)
 	return Verdict{Kind: Wait, Why: "every slot is taken"}
@@ -187,13 +187,17 @@
 	return time.Duration(float64(r.queue.ahead(rank)+1) * r.service.value / float64(n))
 }
 
+// margin is the time left in which a request is still worth sending: one that
+// is sent later would often end with its outcome unknown.
+func (r *Router) margin() time.Duration { return 2 * r.mean() }
+
 func (r *Router) mean() time.Duration { return time.Duration(r.service.value) }
 
 // Sweep gives free slots to waiting requests, and refuses those that cannot be
 // answered in time any more.
 func (r *Router) Sweep(now time.Time) []Grant {
 	var out []Grant
-	for _, q := range r.queue.late(now, r.mean()) {
+	for _, q := range r.queue.late(now, r.margin()) {
 		out = append(out, Grant{q.ID, Verdict{Kind: Refuse, After: r.expect(q.Rank) + r.mean(), Why: "it waited too long for a slot"}})
 	}
 	for {
--- a/fleet/seat/seat.go
+++ b/fleet/seat/seat.go
@@ -46,7 +46,7 @@
 	mine := c.mine(b)
 	switch {
 	case len(mine)-len(c.fold) > want:
-		c.stopUsing(b, mine)
+		c.stopUsing(mine)
 	case len(mine) < want:
 		c.claim(b)
 	}
@@ -160,7 +160,7 @@
 
 // stopUsing takes the highest seat out of use. It is given back when requests
 // sent under it have surely ended.
-func (c *Control) stopUsing(b *board.Board, mine []int32) {
+func (c *Control) stopUsing(mine []int32) {
 	for _, i := range backwards(mine) {
 		if !c.fold[i] {
 			c.fold[i] = true
--- a/fleet/state/config.go
+++ b/fleet/state/config.go
@@ -1,10 +1,16 @@
 package state
 
 import (
+	"time"
+
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/wire"
 )
 
+// SeatRest is how long a seat rests that its last holder did not give back. It
+// exceeds the longest time a request may run.
+const SeatRest = 35 * time.Second
+
 func (s *State) setSpace(at fleet.Offset, w *wire.Space) error {
 	id := fleet.SpaceID(w.GetName())
 	if id == "" {
--- a/fleet/state/jobs.go
+++ b/fleet/state/jobs.go
@@ -2,16 +2,11 @@
 
 import (
 	"slices"
-	"time"
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/wire"
 )
 
-// SeatRest is how long a seat rests that its last holder did not give back. It
-// exceeds the longest time a request may run.
-const SeatRest = 35 * time.Second
-
 func (s *State) submit(at fleet.Offset, when int64, w *wire.Submit) error {
 	spec := w.GetSpec()
 	id := fleet.JobID(spec.GetId())
--- a/fleet/tail/tail.go
+++ b/fleet/tail/tail.go
@@ -18,6 +18,9 @@
 	ReadWait = time.Second // a read waits so long for a record
 	MinRetry = 200 * time.Millisecond
 	MaxRetry = 2 * time.Second
+	// SlowSpan is how late an answer may be before reads wait for no record, so
+	// that the age of what is known stays small while the log is slow.
+	SlowSpan = 500 * time.Millisecond
 )
 
 // Control is the controller of the log's tail.
@@ -25,7 +28,9 @@
 	flying bool
 	next   time.Time // no read before
 	retry  time.Duration
-	seek   fleet.Offset // read position while an image is looked for, else 0
+	slow   bool
+	wait   time.Duration // of the read in flight
+	seek   fleet.Offset  // read position while an image is looked for, else 0
 	gather state.Gather
 }
 
@@ -46,8 +51,11 @@
 	if c.flying || b.Now.Before(c.next) {
 		return
 	}
-	c.flying = true
-	b.Do(board.ReadLog{From: c.from(b), Wait: ReadWait})
+	c.flying, c.wait = true, ReadWait
+	if c.slow {
+		c.wait = 0
+	}
+	b.Do(board.ReadLog{From: c.from(b), Wait: c.wait})
 }
 
 func (c *Control) from(b *board.Board) fleet.Offset {
@@ -64,6 +72,7 @@
 		return
 	}
 	c.retry = 0
+	c.slow = b.Now.Sub(r.Asked)-c.wait > SlowSpan
 	if b.Log.Blind {
 		b.Log.Blind = false
 		b.Note(event.LogSeen, "log", fmt.Sprintf("the log answers again, its end is %d", r.Reply.End))
