--- a/deckd/daemon/explain.go
+++ b/deckd/daemon/explain.go
@@ -21,22 +21,23 @@
 )
 
 // Explain tells the chain of decisions about a job, request, host, workspace
-// or failure domain: from the log, from this daemon, and for a job also from
-// the daemon that leads its domain.
+// or failure domain: from the log, from this daemon, for a job also from the
+// daemon that leads its domain, and for a request from the one it came in at.
 func (d *desk) Explain(ctx context.Context, ask *wire.ExplainAsk) (*wire.ExplainReply, error) {
 	var own []event.Event
-	var lead string
+	var lead string // address of the daemon that knows more
 	err := d.read(ctx, "explain", func(c *core.Core) {
 		own = append(recorded(c.Board, ask.Name), c.Board.Recent.Events(ask.Name)...)
 		own = append(own, standing(c, ask.Name)...)
-		lead = leadOf(c, ask.Name)
+		lead = knower(c, ask.Name)
 	})
 	if err != nil {
 		return nil, err
 	}
+	own = append(own, d.traffic.explain(ask.Name)...)
 	reply := &wire.ExplainReply{Notes: notes(own)}
 	if lead != "" && !ask.Passed {
-		reply.Notes = merge(reply.Notes, d.askLead(ctx, lead, ask))
+		reply.Notes = merge(reply.Notes, d.askKnower(ctx, lead, ask))
 	}
 	return reply, nil
 }
@@ -81,13 +82,15 @@
 	return out
 }
 
-// leadOf returns the address of the lead that knows more of a job.
-func leadOf(c *core.Core, name string) string {
-	j := c.Board.State.Jobs[fleet.JobID(name)]
-	if j == nil {
-		return ""
+// knower returns the address of the daemon that knows more of a name: the lead
+// of a job's domain, or the host that a request's id begins with.
+func knower(c *core.Core, name string) string {
+	id := fleet.HostID("")
+	if j := c.Board.State.Jobs[fleet.JobID(name)]; j != nil {
+		id = fleet.HostID(c.Board.State.Domains[fleet.DomainID(j.Home)].GetLead())
+	} else if host, _, ok := strings.Cut(name, "/"); ok {
+		id = fleet.HostID(host)
 	}
-	id := fleet.HostID(c.Board.State.Domains[fleet.DomainID(j.Home)].GetLead())
 	if id == c.Board.Self.Host || id == "" {
 		return ""
 	}
@@ -98,7 +101,7 @@
 	return c.Board.AddrOf(p)
 }
 
-func (d *desk) askLead(ctx context.Context, addr string, ask *wire.ExplainAsk) []*wire.Note {
+func (d *desk) askKnower(ctx context.Context, addr string, ask *wire.ExplainAsk) []*wire.Note {
 	ctx, cancel := context.WithTimeout(ctx, BeatSpan)
 	defer cancel()
 	reply, err := d.edges.Desk(addr).Explain(ctx, &wire.ExplainAsk{Name: ask.Name, Passed: true})
--- a/deckd/daemon/fails_test.go
+++ b/deckd/daemon/fails_test.go
@@ -328,8 +328,13 @@
 			time.Sleep(2 * time.Second)
 			s.noRevisionFell()
 		}
-		s.kill("e12")
-		s.start("e12", "d1", 2)
+		ids := []string{"e11", "e12", "e21", "e22", "e31", "e32"}
+		for _, id := range ids { // only the log remembers now
+			s.kill(id)
+		}
+		for _, id := range ids {
+			s.start(id, s.domain[id], 2)
+		}
 		s.until(10*time.Second, "the new daemon's state", func() bool {
 			ok := false
 			s.board("e12", func(c *core.Core) {
--- a/deckd/daemon/fleet_test.go
+++ b/deckd/daemon/fleet_test.go
@@ -284,20 +284,44 @@
 	to string
 }
 
+// at returns the daemon there, or one that answers nothing if it was killed
+// while the call was on its way.
+func (f *fakePeer) at() wire.Peer {
+	if d := f.s.get(f.to); d != nil {
+		return d.Peer()
+	}
+	return nobody{}
+}
+
+// nobody is a daemon that died before it could answer.
+type nobody struct{}
+
+var errDied = &link.Error{Op: "call", Kind: link.Owed, Err: io.EOF}
+
+func (nobody) Beat(context.Context, *wire.BeatAsk) (*wire.BeatReply, error) { return nil, errDied }
+
+func (nobody) Relay(context.Context, *wire.RelayAsk) (*wire.CallReply, error) { return nil, errDied }
+
+func (nobody) Fetch(context.Context, *wire.FetchAsk) (*wire.FetchReply, error) { return nil, errDied }
+
+func (nobody) Deliver(context.Context, *wire.DeliverAsk) (*wire.DeliverReply, error) {
+	return nil, errDied
+}
+
 func (f *fakePeer) Beat(ctx context.Context, q *wire.BeatAsk) (*wire.BeatReply, error) {
-	return over(ctx, f.s, f.from, f.to, func() (*wire.BeatReply, error) { return f.s.get(f.to).Peer().Beat(ctx, q) })
+	return over(ctx, f.s, f.from, f.to, func() (*wire.BeatReply, error) { return f.at().Beat(ctx, q) })
 }
 
 func (f *fakePeer) Relay(ctx context.Context, q *wire.RelayAsk) (*wire.CallReply, error) {
-	return over(ctx, f.s, f.from, f.to, func() (*wire.CallReply, error) { return f.s.get(f.to).Peer().Relay(ctx, q) })
+	return over(ctx, f.s, f.from, f.to, func() (*wire.CallReply, error) { return f.at().Relay(ctx, q) })
 }
 
 func (f *fakePeer) Fetch(ctx context.Context, q *wire.FetchAsk) (*wire.FetchReply, error) {
-	return over(ctx, f.s, f.from, f.to, func() (*wire.FetchReply, error) { return f.s.get(f.to).Peer().Fetch(ctx, q) })
+	return over(ctx, f.s, f.from, f.to, func() (*wire.FetchReply, error) { return f.at().Fetch(ctx, q) })
 }
 
 func (f *fakePeer) Deliver(ctx context.Context, q *wire.DeliverAsk) (*wire.DeliverReply, error) {
-	return over(ctx, f.s, f.from, f.to, func() (*wire.DeliverReply, error) { return f.s.get(f.to).Peer().Deliver(ctx, q) })
+	return over(ctx, f.s, f.from, f.to, func() (*wire.DeliverReply, error) { return f.at().Deliver(ctx, q) })
 }
 
 // Helpers that act as callers and operators.
--- a/deckd/daemon/reqs_test.go
+++ b/deckd/daemon/reqs_test.go
@@ -316,3 +316,40 @@
 		}
 	})
 }
+
+// A request is explained at any host, from the events of the one it came in at.
+func TestRequestIsExplained(t *testing.T) {
+	inSite(t, busy, func(s *site) {
+		r, no := s.call("e11", "", "why", time.Second)
+		s.fine(no)
+		for _, at := range []string{"e11", "e22"} {
+			e, err := s.get(at).Desk().Explain(context.Background(), &wire.ExplainAsk{Name: r.Id})
+			qt.Assert(s.t, err, qt.IsNil)
+			codes := []int32{}
+			for _, n := range e.Notes {
+				codes = append(codes, n.Code)
+			}
+			qt.Check(s.t, codes, qt.DeepEquals, []int32{201, 202}, qt.Commentf("at %s", at))
+		}
+	})
+}
+
+// A job is explained at any host from the log and its lead, also after the lead
+// that decided is gone.
+func TestJobIsExplainedAfterItsLeadIsGone(t *testing.T) {
+	inSite(t, small, func(s *site) {
+		s.space("e11", "orders")
+		s.mustSubmit("e11", "orders", "j", 8, 5*time.Second)
+		s.untilPhase("e11", "j", wire.Phase_DONE, 20*time.Second)
+		home := s.job("e11", "j").Home
+		lead := s.leadOf("e11", home)
+		s.kill(lead)
+		h, err := s.get(s.other(lead, "")).Desk().History(context.Background(), &wire.HistoryAsk{Name: "j"})
+		qt.Assert(s.t, err, qt.IsNil)
+		codes := []int32{}
+		for _, n := range h.Notes {
+			codes = append(codes, n.Code)
+		}
+		qt.Assert(s.t, codes, qt.DeepEquals, []int32{301, 302, 306})
+	})
+}
--- a/deckd/daemon/request.go
+++ b/deckd/daemon/request.go
@@ -36,6 +36,7 @@
 	reply, err := t.follow(ctx, q, v, wait)
 	if err != nil {
 		r := q.truth(refusal("call", err))
+		r.Text = fmt.Sprintf("%s (request %s)", r.Text, q.ID)
 		t.stats.ended(r, time.Since(q.begun))
 		t.note(refusedCode(r), q.ID, r.Error())
 		return nil, r
--- a/deckd/daemon/traffic.go
+++ b/deckd/daemon/traffic.go
@@ -50,6 +50,9 @@
 	leaving  bool
 	isolated bool
 	group    sync.WaitGroup
+
+	told  sync.Mutex // guards chain, taken last
+	chain *board.Recent
 }
 
 // owed is a request that was sent and whose answer has not come.
@@ -68,6 +71,7 @@
 		runners: map[fleet.HostID]string{}, peers: map[fleet.HostID]string{},
 		waiting: map[route.RequestID]chan route.Verdict{},
 		owed:    map[route.RequestID]*owed{},
+		chain:   board.NewRecent(),
 	}
 }
 
@@ -230,8 +234,20 @@
 	return route.RequestID(string(t.self.Host) + "/" + strconv.FormatInt(int64(t.self.Inc), 36) + "/" + strconv.FormatInt(t.seq, 36))
 }
 
+// note logs an event of a request and keeps it for explanations.
 func (t *traffic) note(code event.Code, about route.RequestID, text string) {
-	t.lines.write(event.Event{At: time.Now(), Code: code, Host: t.self.Host, About: string(about), Text: text})
+	e := event.Event{At: time.Now(), Code: code, Host: t.self.Host, About: string(about), Text: text}
+	t.told.Lock()
+	t.chain.Add(e)
+	t.told.Unlock()
+	t.lines.write(e)
+}
+
+// explain returns what is kept of a request.
+func (t *traffic) explain(about string) []event.Event {
+	t.told.Lock()
+	defer t.told.Unlock()
+	return t.chain.Events(about)
 }
 
 // inFlight counts the requests that are waiting or on runners.
--- a/fleet/state/state_test.go
+++ b/fleet/state/state_test.go
@@ -139,6 +139,33 @@
 	})
 }
 
+// A placement of an older term has no effect, and neither has one for a domain
+// that was taken out before it in the log.
+func TestPlacementsOfOldTermsAndOutDomainsHaveNoEffect(t *testing.T) {
+	s := state.New()
+	n := 0
+	apply := func(e *wire.Entry) error {
+		n++
+		e.Id = fmt.Sprint("r", n)
+		return s.Apply(s.Next, e)
+	}
+	place := func(term int64) *wire.Entry {
+		return &wire.Entry{Kind: &wire.Entry_Place{Place: &wire.Place{Job: "j", Attempt: 1, Term: term, Domain: "d"}}}
+	}
+	claim := func(prev int64) *wire.Entry {
+		return &wire.Entry{Kind: &wire.Entry_Claim{Claim: &wire.Claim{Domain: "d", Host: "e", Prev: prev}}}
+	}
+	qt.Assert(t, apply(&wire.Entry{Kind: &wire.Entry_Space{Space: &wire.Space{Name: "s"}}}), qt.IsNil)
+	qt.Assert(t, apply(&wire.Entry{Kind: &wire.Entry_Submit{Submit: &wire.Submit{Spec: &wire.Spec{Id: "j", Space: "s", Tasks: 1}, Home: "d"}}}), qt.IsNil)
+	qt.Assert(t, apply(claim(0)), qt.IsNil)
+	qt.Assert(t, apply(claim(3)), qt.IsNil)
+	qt.Assert(t, apply(place(3)), qt.ErrorMatches, "place: stale: d is in term 4, not 3")
+	qt.Assert(t, apply(&wire.Entry{Kind: &wire.Entry_Turn{Turn: &wire.Turn{Name: "d", Out: true}}}), qt.IsNil)
+	qt.Assert(t, apply(place(4)), qt.ErrorMatches, "place: busy: d is out of service")
+	qt.Assert(t, apply(&wire.Entry{Kind: &wire.Entry_Turn{Turn: &wire.Turn{Name: "d", Base: 6}}}), qt.IsNil)
+	qt.Assert(t, apply(place(4)), qt.IsNil)
+}
+
 func TestGapIsNotApplied(t *testing.T) {
 	s := state.New()
 	err := s.Apply(3, &wire.Entry{Id: "x"})
