--- a/deckd/daemon/traffic.go
+++ b/deckd/daemon/traffic.go
@@ -109,6 +109,7 @@
 
 func (t *traffic) rooms(b *board.Board) []route.Peer {
 	var out []route.Peer
+	clear(t.peers)
 	for _, p := range b.Members.All() {
 		addr := b.AddrOf(p)
 		if addr == "" {
--- a/fleet/gang/stray.go
+++ b/fleet/gang/stray.go
@@ -37,8 +37,8 @@
 	}
 	for key, list := range found {
 		sort.Slice(list, func(x, y int) bool { return list[x].Worker < list[y].Worker })
-		if !c.keep(b, key, list) {
-			c.clear(b, key, list)
+		if !c.adoptStray(b, key, list) {
+			c.clearStray(b, key, list)
 		}
 	}
 }
@@ -51,8 +51,8 @@
 	return r.attempt > fleet.Attempt(rep.Attempt) && w.Asked.After(r.since)
 }
 
-// keep adopts a whole gang whose placement the log never got.
-func (c *Control) keep(b *board.Board, key orphan, list []place.Part) bool {
+// adoptStray takes over a whole gang whose placement the log never got.
+func (c *Control) adoptStray(b *board.Board, key orphan, list []place.Part) bool {
 	j := b.State.Jobs[key.job]
 	if j.GetPhase() != wire.Phase_QUEUED || j.Home != string(b.Self.Domain) || fleet.Attempt(j.Attempt)+1 != key.attempt {
 		return false
@@ -79,8 +79,8 @@
 	return true
 }
 
-// clear lets workers forget a part, and stops it if it runs.
-func (c *Control) clear(b *board.Board, key orphan, list []place.Part) {
+// clearStray lets workers forget a part, and stops it if it runs.
+func (c *Control) clearStray(b *board.Board, key orphan, list []place.Part) {
 	for _, p := range list {
 		at := orphan{worker: p.Worker, job: key.job, attempt: key.attempt}
 		if last, ok := c.orphans[at]; ok && b.Now.Sub(last) < OrphanSpan {
--- a/fleet/place/claim.go
+++ b/fleet/place/claim.go
@@ -24,11 +24,11 @@
 		return nil
 	}
 	if len(best.victims) > 0 {
-		if o := p.aside(&w.Job, best.spot); o != nil {
+		if o := p.elsewhere(&w.Job, best.spot); o != nil {
 			best = o
 		}
 	}
-	return p.settle(w, best)
+	return p.carry(w, best)
 }
 
 // cheapest weighs every unclaimed spot that takes the job.
@@ -153,9 +153,9 @@
 	return fleet.Res{}
 }
 
-// aside moves a spot to room that neither gangs nor guarantees hold, so that
+// elsewhere moves a spot to room that neither gangs nor guarantees hold, so that
 // nothing needs to be evicted.
-func (p *Planner) aside(j *Job, k *spot) *option {
+func (p *Planner) elsewhere(j *Job, k *spot) *option {
 	parts := p.fit(k.tasks, k.each, func(n *node) int {
 		if !n.usable() {
 			return 0
@@ -181,9 +181,9 @@
 	return out
 }
 
-// settle carries an option out: the job holds the spot from now on and starts
+// carry puts an option into effect: the job holds the spot from now on and starts
 // when its room is free.
-func (p *Planner) settle(w *wait, o *option) []Decision {
+func (p *Planner) carry(w *wait, o *option) []Decision {
 	if o.moves {
 		p.lift(o.spot)
 		p.lay(o.spot, p.cover(o.spot, o.parts))
--- a/fleet/place/preempt.go
+++ b/fleet/place/preempt.go
@@ -76,48 +76,68 @@
 // fewest chooses gangs, the best to stop first, until the job fits without
 // them; nil if it never does or the rule forbids so much.
 func (p *Planner) fewest(w *wait, u rule) []*gang {
-	fits := 0
-	room := map[fleet.HostID]fleet.Res{}
-	for _, k := range p.racks {
-		for _, n := range k.nodes {
-			if n.usable() && !n.refuses(&w.Job) {
-				room[n.ID] = p.spare(n, n.free(), &w.Job, false)
-				fits += room[n.ID].Count(w.Each)
-			}
-		}
-	}
-	var list []*gang
-	sum := fleet.Res{}
+	k := p.newClearing(w)
 	for _, g := range p.yielding(u) {
-		if fits >= w.Tasks {
+		if k.fits >= w.Tasks {
 			break
 		}
-		gain := 0
-		for _, part := range g.parts {
-			have, ok := room[part.Worker]
-			if !ok {
-				continue
+		k.consider(g, u)
+	}
+	if k.fits < w.Tasks {
+		return nil
+	}
+	return k.list
+}
+
+// clearing is the room that a job would have if some gangs were gone.
+type clearing struct {
+	job  *wait
+	room map[fleet.HostID]fleet.Res // of the workers that may take it
+	fits int                        // tasks that fit
+	list []*gang                    // that are to go
+	sum  fleet.Res                  // that these hold
+}
+
+func (p *Planner) newClearing(w *wait) *clearing {
+	k := &clearing{job: w, room: map[fleet.HostID]fleet.Res{}}
+	for _, r := range p.racks {
+		for _, n := range r.nodes {
+			if n.usable() && !n.refuses(&w.Job) {
+				k.room[n.ID] = p.spare(n, n.free(), &w.Job, false)
+				k.fits += k.room[n.ID].Count(w.Each)
 			}
-			after := have.Add(g.Each.Times(part.Tasks))
-			gain += after.Count(w.Each) - have.Count(w.Each)
 		}
-		next := sum.Add(g.Need())
-		if gain == 0 || next.Share(w.Need()) > u.most {
-			continue
-		}
-		for _, part := range g.parts {
-			if have, ok := room[part.Worker]; ok {
-				room[part.Worker] = have.Add(g.Each.Times(part.Tasks))
-			}
+	}
+	return k
+}
+
+// consider adds a gang if more tasks fit without it and the rule allows it.
+func (k *clearing) consider(g *gang, u rule) {
+	gain := k.gain(g)
+	sum := k.sum.Add(g.Need())
+	if gain == 0 || sum.Share(k.job.Need()) > u.most {
+		return
+	}
+	for _, part := range g.parts {
+		if have, ok := k.room[part.Worker]; ok {
+			k.room[part.Worker] = have.Add(g.Each.Times(part.Tasks))
 		}
-		fits += gain
-		sum = next
-		list = append(list, g)
 	}
-	if fits < w.Tasks || len(list) == 0 {
-		return nil
+	k.fits += gain
+	k.sum = sum
+	k.list = append(k.list, g)
+}
+
+// gain counts the tasks that fit in addition if a gang is gone.
+func (k *clearing) gain(g *gang) int {
+	n := 0
+	for _, part := range g.parts {
+		if have, ok := k.room[part.Worker]; ok {
+			after := have.Add(g.Each.Times(part.Tasks))
+			n += after.Count(k.job.Each) - have.Count(k.job.Each)
+		}
 	}
-	return list
+	return n
 }
 
 // yielding lists the gangs that a rule allows to stop, the least urgent first.
