Show that a guarantee outlives its failure domain

Two tests more: the domain that carries a guarantee is taken out and all else is lent, and two of three domains are out at once.

--- a/deckd/daemon/tasks_test.go
+++ b/deckd/daemon/tasks_test.go
@@ -264,3 +264,50 @@
 		s.untilPhase(other, "j", wire.Phase_DONE, 2*time.Minute)
 	})
 }
+
+// A guarantee whose failure domain is taken out is given in another one, also
+// where everything is lent.
+func TestGuaranteeSurvivesItsDomain(t *testing.T) {
+	inSite(t, small, func(s *site) {
+		s.space("e11", "orders", gpus(1, 8))
+		s.space("e11", "camp")
+		home := ""
+		s.board("e11", func(c *core.Core) { home = c.Board.State.Spaces["orders"].Homes[0].Domain })
+		_, err := s.turn("e31", home, true, 0)
+		qt.Assert(s.t, err, qt.IsNil)
+		for i := range 8 {
+			s.mustSubmit("e11", "camp", fmt.Sprint("lent", i), 4, time.Hour)
+		}
+		s.until(30*time.Second, "a full site", func() bool { return s.allRunning("lent", 8) })
+		s.mustSubmit("e31", "orders", "owner", 8, 10*time.Second)
+		took := s.until(10*time.Second, "the owner's gang", func() bool { return s.running("owner") == 2 })
+		qt.Assert(s.t, took <= 6700*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", took))
+		qt.Assert(s.t, s.job("e31", "owner").Home != home, qt.IsTrue)
+	})
+}
+
+// Two domains are out at once; one guarantee still fits, the other is reported
+// short and comes back with its domain.
+func TestGuaranteeThatFitsNowhereIsReportedAndComesBack(t *testing.T) {
+	inSite(t, small, func(s *site) {
+		s.space("e11", "orders", gpus(2, 16))
+		rev := map[string]int64{}
+		for _, d := range []string{"d1", "d2"} {
+			r, err := s.turn("e31", d, true, 0)
+			qt.Assert(s.t, err, qt.IsNil)
+			rev[d] = r.Domain.Rev
+		}
+		time.Sleep(10 * time.Second)
+		s.mustSubmit("e31", "orders", "a", 16, 20*time.Second)
+		s.untilPhase("e31", "a", wire.Phase_DONE, time.Minute)
+		for _, d := range []string{"d1", "d2"} {
+			_, err := s.turn("e31", d, false, rev[d])
+			qt.Assert(s.t, err, qt.IsNil)
+		}
+		time.Sleep(5 * time.Second)
+		s.mustSubmit("e31", "orders", "b", 16, 20*time.Second)
+		s.mustSubmit("e31", "orders", "c", 16, 20*time.Second)
+		took := s.until(10*time.Second, "both guaranteed gangs", func() bool { return s.running("b") == 4 && s.running("c") == 4 })
+		qt.Assert(s.t, took <= 6700*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", took))
+	})
+}
