Tell a worker stand-in's renewals apart without a race

Ruled out: the daemons; both accesses lie in the stand-in.

Change: renewals are counted, and a timer that is not the newest does nothing.

--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -69,6 +69,7 @@
 	mu      sync.Mutex
 	term    int64
 	lease   *time.Timer
+	renewal int // counts the renewals
 	gangs   map[key]*gang
 	over    map[key]bool // stopped for good
 	version int64
@@ -136,16 +137,16 @@
 	if w.lease != nil {
 		w.lease.Stop()
 	}
-	var t *time.Timer
-	t = time.AfterFunc(span, func() { w.lapse(t) })
-	w.lease = t
+	w.renewal++
+	n := w.renewal
+	w.lease = time.AfterFunc(span, func() { w.lapse(n) })
 }
 
-// lapse stops everything when the lease ran out.
-func (w *Worker) lapse(t *time.Timer) {
+// lapse stops everything when the lease of a renewal ran out.
+func (w *Worker) lapse(renewal int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.lease != t {
+	if w.renewal != renewal {
 		return
 	}
 	for k, g := range w.gangs {
