Keep a stopped attempt in hand until the log has its end

Cause, found by reading: an attempt that was evicted or cancelled before the log had its placement was forgotten at once. The job could then be started again under the same attempt and the same record id, on other workers; the first attempt's records would be taken for the second one's, and its end would requeue a job that runs.

Ruled out: numbering the attempts by the lead (the fold counts them).

Change: the attempt is kept as long as its end is on the way to the log.

--- a/fleet/gang/drive.go
+++ b/fleet/gang/drive.go
@@ -247,21 +247,9 @@
 
 // driveSettled waits until the log has the end, then lets the workers forget.
 func (c *Control) driveSettled(b *board.Board, r *run) {
-	j := b.State.Jobs[r.id]
-	met, _ := b.State.Outcome(r.settleID(b.Lead.Term))
-	if !met && c.placedOrBlind(j, r) {
+	if b.Outbox.Has(r.settleID(b.Lead.Term)) {
 		return
 	}
 	delete(c.runs, r.id)
 	c.syncJob(b, r.id)
 }
-
-func (c *Control) placedOrBlind(j *wire.Job, r *run) bool {
-	if j == nil {
-		return false
-	}
-	if fleet.Attempt(j.Attempt) == r.attempt {
-		return j.Phase == wire.Phase_PLACED
-	}
-	return r.blind && fleet.Attempt(j.Attempt) < r.attempt
-}
