Move the jobs of a domain that is taken out at once

Cause: the round that gives jobs away was due up to 2 s later, as the time of the next was set before the domain was taken out; in the demo 1.08 s passed between the requeue and the move. Ruled out: the log (a record took 2 ms).

--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -23,7 +23,7 @@
 
 // Control is the controller of homes.
 type Control struct {
-	next time.Time
+	last time.Time // when the last round was
 }
 
 // New returns the controller.
@@ -32,10 +32,10 @@
 // Step gives waiting jobs to domains with room and moves guarantees out of
 // domains that are out.
 func (c *Control) Step(b *board.Board) {
-	if b.Now.Before(c.next) || !b.Lead.Mine || b.Log.Blind || b.Leaving {
+	if b.Now.Sub(c.last) < span(b) || !b.Lead.Mine || b.Log.Blind || b.Leaving {
 		return
 	}
-	c.next = b.Now.Add(span(b))
+	c.last = b.Now
 	if b.Lead.Ready {
 		c.give(b)
 	}
