--- /dev/null
+++ b/deckd/daemon/outage_test.go
@@ -0,0 +1,178 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dragonflydeck.example/fleet/core"
+	"dragonflydeck.example/fleet/refuse"
+	"dragonflydeck.example/fleet/wire"
+	"dragonflydeck.example/standin/ledger"
+	qt "github.com/frankban/quicktest"
+)
+
+// A domain that is cut off from the log and all other domains starts nothing a
+// few seconds later, as it cannot know whether it was taken out; what runs
+// there runs on.
+func TestCutOffDomainStartsNothing(t *testing.T) {
+	inSite(t, small, func(s *site) {
+		s.space("e21", "orders")
+		s.mustSubmit("e21", "orders", "long", 4, time.Minute)
+		s.until(10*time.Second, "the gang", func() bool { return s.running("long") == 1 })
+		home := s.job("e21", "long").Home
+		n := home[1:]
+		for i := range 12 { // more than fits, so that some wait everywhere
+			s.mustSubmit("e21", "orders", fmt.Sprint("j", i), 8, 20*time.Second)
+		}
+		for _, o := range []string{"1", "2", "3"} {
+			if o != n {
+				s.part("e"+n, "e"+o, true)
+			}
+		}
+		s.part("e"+n, "log", true)
+		s.part("e"+n, "list", true)
+		cut := time.Now()
+		at := "e11"
+		if home == "d1" {
+			at = "e21"
+		}
+		_, err := s.turn(at, home, true, 0)
+		qt.Assert(s.t, err, qt.IsNil)
+		time.Sleep(50 * time.Second)
+		qt.Assert(s.t, s.startsAfter(home, cut.Add(6*time.Second)), qt.Equals, 0)
+		whole := 0
+		for id, w := range s.workers {
+			for _, st := range w.Stints() {
+				if s.domain[id] == home && st.Job == "long" && (st.Whole || st.To.IsZero()) {
+					whole++
+				}
+			}
+		}
+		qt.Assert(s.t, whole, qt.Equals, 1)
+		s.mend()
+		for i := range 12 {
+			s.untilPhase(at, fmt.Sprint("j", i), wire.Phase_DONE, 5*time.Minute)
+		}
+	})
+}
+
+// While the log is down for all, nobody can take a domain out, so jobs that
+// were accepted before still start.
+func TestLogDownWorkGoesOn(t *testing.T) {
+	inSite(t, small, func(s *site) {
+		s.space("e11", "orders")
+		for i := range 12 {
+			s.mustSubmit("e11", "orders", fmt.Sprint("j", i), 8, 20*time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		s.log.On(ledger.Down, 0)
+		down := time.Now()
+		err := s.submit("e21", "orders", "late", 1, time.Second)
+		qt.Assert(s.t, err, qt.Not(qt.IsNil))
+		time.Sleep(90 * time.Second)
+		started := s.startsAfter("d1", down.Add(10*time.Second)) + s.startsAfter("d2", down.Add(10*time.Second)) + s.startsAfter("d3", down.Add(10*time.Second))
+		qt.Check(s.t, started > 0, qt.IsTrue, qt.Commentf("nothing started while the log was down"))
+		s.log.Off(ledger.Down)
+		for i := range 12 {
+			s.untilPhase("e31", fmt.Sprint("j", i), wire.Phase_DONE, 3*time.Minute)
+		}
+	})
+}
+
+func TestLeadDiesWhileTheLogIsDown(t *testing.T) {
+	inSite(t, small, func(s *site) {
+		s.space("e11", "orders")
+		for i := range 12 {
+			s.mustSubmit("e11", "orders", fmt.Sprint("j", i), 8, 20*time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		s.log.On(ledger.Down, 0)
+		time.Sleep(25 * time.Second)
+		lead := s.leadOf("e11", "d1")
+		s.kill(lead)
+		time.Sleep(25 * time.Second)
+		s.log.Off(ledger.Down)
+		at := s.other(lead, "d1")
+		for i := range 12 {
+			s.untilPhase(at, fmt.Sprint("j", i), wire.Phase_DONE, 5*time.Minute)
+		}
+	})
+}
+
+// Operators reach a domain while the log is down: the order is obeyed at once.
+func TestOutIsHeldWhileTheLogIsDown(t *testing.T) {
+	inSite(t, small, func(s *site) {
+		s.space("e11", "orders")
+		for i := range 12 {
+			s.mustSubmit("e11", "orders", fmt.Sprint("j", i), 8, 15*time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		s.log.On(ledger.Down, 0)
+		time.Sleep(5 * time.Second)
+		reply, err := s.turn("e31", "d1", true, 0)
+		qt.Assert(s.t, err, qt.IsNil)
+		qt.Assert(s.t, reply.Held && !reply.Kept, qt.IsTrue)
+		held := time.Now()
+		time.Sleep(40 * time.Second)
+		qt.Assert(s.t, s.startsAfter("d1", held.Add(5*time.Second)), qt.Equals, 0)
+		s.log.Off(ledger.Down)
+		s.until(15*time.Second, "the record", func() bool {
+			out := false
+			s.board("e21", func(c *core.Core) { out = c.Board.State.Out("d1") })
+			return out
+		})
+		for i := range 12 {
+			s.untilPhase("e31", fmt.Sprint("j", i), wire.Phase_DONE, 5*time.Minute)
+		}
+	})
+}
+
+func TestAnswersLostChangesApplyOnce(t *testing.T) {
+	inSite(t, small, func(s *site) {
+		s.log.On(ledger.Lost, 0)
+		s.space("e11", "orders")
+		s.mustSubmit("e21", "orders", "j", 8, 10*time.Second)
+		s.untilPhase("e31", "j", wire.Phase_DONE, time.Minute)
+		qt.Assert(s.t, s.job("e11", "j").Attempt, qt.Equals, int32(1))
+	})
+}
+
+func TestSlowLog(t *testing.T) {
+	inSite(t, small, func(s *site) {
+		s.space("e11", "orders")
+		s.log.On(ledger.Slow, 0)
+		err := s.submit("e21", "orders", "j", 8, 10*time.Second)
+		for try := 0; err != nil && try < 3; try++ { // told to come back, truthfully
+			qt.Assert(s.t, refuse.From("submit", err).After > 0, qt.IsTrue, qt.Commentf("%v", err))
+			time.Sleep(refuse.From("submit", err).After)
+			err = s.submit("e21", "orders", "j", 8, 10*time.Second)
+		}
+		qt.Assert(s.t, err, qt.IsNil)
+		s.untilPhase("e31", "j", wire.Phase_DONE, 2*time.Minute)
+	})
+}
+
+func TestDaemonThatStartsInAnOutage(t *testing.T) {
+	inSite(t, small, func(s *site) {
+		s.space("e11", "orders")
+		s.log.On(ledger.Down, 0)
+		s.kill("e12")
+		s.kill("e21")
+		s.kill("e22")
+		s.start("e12", "d1", 2)
+		s.until(20*time.Second, "the state from a peer", func() bool {
+			h, err := s.get("e12").Desk().Health(s.t.Context(), &wire.HealthAsk{})
+			return err == nil && h.Ready
+		})
+		s.part("e21", "e", true)
+		s.start("e21", "d2", 2)
+		time.Sleep(20 * time.Second)
+		h, err := s.get("e21").Desk().Health(s.t.Context(), &wire.HealthAsk{})
+		qt.Assert(s.t, err, qt.IsNil)
+		qt.Assert(s.t, h.Ready, qt.IsFalse)
+		qt.Assert(s.t, h.Why, qt.Matches, "the state is not loaded.*")
+		_, err = s.get("e21").Desk().Spaces(s.t.Context(), &wire.SpacesAsk{})
+		qt.Assert(s.t, err, qt.ErrorMatches, ".*not loaded.*")
+	})
+}
