Make one piece of code serve where the change had written several

Read once more as a whole. Dead: Planner.planned, traffic.leaving, a function that only passed a call on. await took an error to hand it back; it does not now.

--- a/deckd/daemon/change.go
+++ b/deckd/daemon/change.go
@@ -18,15 +18,17 @@
 func (d *desk) change(ctx context.Context, op string, entry func(*core.Core) (*wire.Entry, error)) error {
 	asked := time.Now()
 	id, met, err := d.propose(ctx, op, entry)
-	if err == nil || !stale(err) {
-		return d.await(ctx, op, id, met, err)
+	if err != nil && stale(err) {
+		fresh := d.fresh(ctx, asked)
+		id, met, err = d.propose(ctx, op, entry)
+		if err != nil && stale(err) && !fresh {
+			err = refuse.NotRun(op, twirp.Unavailable, FreshSpan, "the log is too slow to tell whether this still holds: %v", err)
+		}
 	}
-	fresh := d.fresh(ctx, asked)
-	id, met, err = d.propose(ctx, op, entry)
-	if err != nil && stale(err) && !fresh {
-		err = refuse.NotRun(op, twirp.Unavailable, FreshSpan, "the log is too slow to tell whether this still holds: %v", err)
+	if err != nil {
+		return err
 	}
-	return d.await(ctx, op, id, met, err)
+	return d.await(ctx, op, id, met)
 }
 
 // changeOnce is change for a caller that names the change, so that it may ask
@@ -104,13 +106,9 @@
 	}
 }
 
-// await waits for the outcome of an entry, unless it was refused. One that was
-// never sent is taken back; of another the outcome is unknown until the log
-// answers.
-func (d *desk) await(ctx context.Context, op string, id fleet.EntryID, met <-chan error, refused error) error {
-	if refused != nil {
-		return refused
-	}
+// await waits for the outcome of an entry. One that was never sent is taken
+// back; of another the outcome is unknown until the log answers.
+func (d *desk) await(ctx context.Context, op string, id fleet.EntryID, met <-chan error) error {
 	limit := time.NewTimer(ChangeSpan)
 	defer limit.Stop()
 	select {
--- a/deckd/daemon/fails_test.go
+++ b/deckd/daemon/fails_test.go
@@ -76,9 +76,7 @@
 		s.space("e11", "orders")
 		lead := s.leadOf("e11", "d1")
 		at := s.other(lead, "d1")
-		for i := range 4 {
-			s.mustSubmit(at, "orders", fmt.Sprint("j", i), 4, 2*time.Minute)
-		}
+		s.submitAll(at, 4, 4, 2*time.Minute)
 		time.Sleep(3 * time.Second)
 		s.part(lead, "e", true)
 		s.part(lead, "log", true)
@@ -89,9 +87,7 @@
 		time.Sleep(time.Minute)
 		s.part(lead, "e", false)
 		s.part(lead, "log", false)
-		for i := range 8 {
-			s.untilPhase(at, fmt.Sprint("j", i), wire.Phase_DONE, 5*time.Minute)
-		}
+		s.untilAll(at, 8, wire.Phase_DONE, 5*time.Minute)
 		s.until(20*time.Second, "the old lead's insight", func() bool { return s.leadOf(lead, "d1") == at })
 		qt.Assert(s.t, s.noted(lead, event.WorkerFenced, "") > 0, qt.IsTrue, qt.Commentf("no worker refused the old lead"))
 	})
--- a/deckd/daemon/fleet_test.go
+++ b/deckd/daemon/fleet_test.go
@@ -221,6 +221,23 @@
 	qt.Assert(s.t, s.submit(at, space, id, tasks, span), qt.IsNil)
 }
 
+// submitAll submits jobs j0, j1 and so on.
+func (s *site) submitAll(at string, n int, tasks int32, span time.Duration) {
+	s.t.Helper()
+	for i := range n {
+		s.mustSubmit(at, "orders", fmt.Sprint("j", i), tasks, span)
+	}
+}
+
+// untilAll waits until each of these jobs is in a phase, at most for the span
+// after the one before it.
+func (s *site) untilAll(at string, n int, p wire.Phase, span time.Duration) {
+	s.t.Helper()
+	for i := range n {
+		s.untilPhase(at, fmt.Sprint("j", i), p, span)
+	}
+}
+
 // job returns a job as a daemon knows it, or nil.
 func (s *site) job(at, id string) *wire.Job {
 	r, err := s.get(at).Desk().Jobs(s.t.Context(), &wire.JobsAsk{Job: id})
--- a/deckd/daemon/outage_test.go
+++ b/deckd/daemon/outage_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -22,9 +21,7 @@
 		s.until(10*time.Second, "the gang", func() bool { return s.running("long") == 1 })
 		home := s.job("e21", "long").Home
 		n := home[1:]
-		for i := range 12 { // more than fits, so that some wait everywhere
-			s.mustSubmit("e21", "orders", fmt.Sprint("j", i), 8, 20*time.Second)
-		}
+		s.submitAll("e21", 12, 8, 20*time.Second) // more than fits, so that some wait everywhere
 		for _, o := range []string{"1", "2", "3"} {
 			if o != n {
 				s.part("e"+n, "e"+o, true)
@@ -51,9 +48,7 @@
 		}
 		qt.Assert(s.t, whole, qt.Equals, 1)
 		s.mend()
-		for i := range 12 {
-			s.untilPhase(at, fmt.Sprint("j", i), wire.Phase_DONE, 5*time.Minute)
-		}
+		s.untilAll(at, 12, wire.Phase_DONE, 5*time.Minute)
 	})
 }
 
@@ -62,9 +57,7 @@
 func TestLogDownWorkGoesOn(t *testing.T) {
 	inSite(t, small, func(s *site) {
 		s.space("e11", "orders")
-		for i := range 12 {
-			s.mustSubmit("e11", "orders", fmt.Sprint("j", i), 8, 20*time.Second)
-		}
+		s.submitAll("e11", 12, 8, 20*time.Second)
 		time.Sleep(2 * time.Second)
 		s.log.On(ledger.Down, 0)
 		down := time.Now()
@@ -74,18 +67,14 @@
 		started := s.startsAfter("d1", down.Add(10*time.Second)) + s.startsAfter("d2", down.Add(10*time.Second)) + s.startsAfter("d3", down.Add(10*time.Second))
 		qt.Check(s.t, started > 0, qt.IsTrue, qt.Commentf("nothing started while the log was down"))
 		s.log.Off(ledger.Down)
-		for i := range 12 {
-			s.untilPhase("e31", fmt.Sprint("j", i), wire.Phase_DONE, 3*time.Minute)
-		}
+		s.untilAll("e31", 12, wire.Phase_DONE, 3*time.Minute)
 	})
 }
 
 func TestLeadDiesWhileTheLogIsDown(t *testing.T) {
 	inSite(t, small, func(s *site) {
 		s.space("e11", "orders")
-		for i := range 12 {
-			s.mustSubmit("e11", "orders", fmt.Sprint("j", i), 8, 20*time.Second)
-		}
+		s.submitAll("e11", 12, 8, 20*time.Second)
 		time.Sleep(2 * time.Second)
 		s.log.On(ledger.Down, 0)
 		time.Sleep(25 * time.Second)
@@ -94,9 +83,7 @@
 		time.Sleep(25 * time.Second)
 		s.log.Off(ledger.Down)
 		at := s.other(lead, "d1")
-		for i := range 12 {
-			s.untilPhase(at, fmt.Sprint("j", i), wire.Phase_DONE, 5*time.Minute)
-		}
+		s.untilAll(at, 12, wire.Phase_DONE, 5*time.Minute)
 	})
 }
 
@@ -104,9 +91,7 @@
 func TestOutIsHeldWhileTheLogIsDown(t *testing.T) {
 	inSite(t, small, func(s *site) {
 		s.space("e11", "orders")
-		for i := range 12 {
-			s.mustSubmit("e11", "orders", fmt.Sprint("j", i), 8, 15*time.Second)
-		}
+		s.submitAll("e11", 12, 8, 15*time.Second)
 		time.Sleep(2 * time.Second)
 		s.log.On(ledger.Down, 0)
 		time.Sleep(5 * time.Second)
@@ -122,9 +107,7 @@
 			s.board("e21", func(c *core.Core) { out = c.Board.State.Out("d1") })
 			return out
 		})
-		for i := range 12 {
-			s.untilPhase("e31", fmt.Sprint("j", i), wire.Phase_DONE, 5*time.Minute)
-		}
+		s.untilAll("e31", 12, wire.Phase_DONE, 5*time.Minute)
 	})
 }
 
--- a/deckd/daemon/tasks_test.go
+++ b/deckd/daemon/tasks_test.go
@@ -84,9 +84,7 @@
 func TestDomainOutMovesItsGangsAndStartsNothing(t *testing.T) {
 	inSite(t, small, func(s *site) {
 		s.space("e11", "orders")
-		for i := range 8 {
-			s.mustSubmit("e11", "orders", fmt.Sprint("j", i), 4, time.Minute)
-		}
+		s.submitAll("e11", 8, 4, time.Minute)
 		s.until(10*time.Second, "all gangs", func() bool { return s.allRunning("j", 8) })
 		reply, err := s.turn("e31", "d1", true, 0)
 		qt.Assert(s.t, err, qt.IsNil)
@@ -145,12 +143,8 @@
 	inSite(t, plan{domains: 1, entries: 2, workers: 4}, func(s *site) {
 		s.space("e11", "orders")
 		s.workers["w11"].On(worker.FailAll, 0)
-		for i := range 12 {
-			s.mustSubmit("e11", "orders", fmt.Sprint("j", i), 1, 20*time.Second)
-		}
-		for i := range 12 {
-			s.untilPhase("e11", fmt.Sprint("j", i), wire.Phase_DONE, 2*time.Minute)
-		}
+		s.submitAll("e11", 12, 1, 20*time.Second)
+		s.untilAll("e11", 12, wire.Phase_DONE, 2*time.Minute)
 		qt.Assert(s.t, s.noted(s.leadOf("e11", "d1"), event.WorkerAside, "w11") > 0, qt.IsTrue)
 		for _, id := range []string{"w12", "w13", "w14"} {
 			qt.Check(s.t, s.noted(s.leadOf("e11", "d1"), event.WorkerAside, id), qt.Equals, 0, qt.Commentf(id))
@@ -225,17 +219,13 @@
 func TestCancelWaveCostsNothingElse(t *testing.T) {
 	inSite(t, small, func(s *site) {
 		s.space("e11", "orders")
-		for i := range 60 {
-			s.mustSubmit("e11", "orders", fmt.Sprint("j", i), 4, time.Hour)
-		}
+		s.submitAll("e11", 60, 4, time.Hour)
 		time.Sleep(5 * time.Second)
 		for i := range 60 {
 			_, err := s.get("e21").Desk().Cancel(s.t.Context(), &wire.CancelAsk{Job: fmt.Sprint("j", i)})
 			qt.Assert(s.t, err, qt.IsNil)
 		}
-		for i := range 60 {
-			s.untilPhase("e31", fmt.Sprint("j", i), wire.Phase_CANCELLED, 20*time.Second)
-		}
+		s.untilAll("e31", 60, wire.Phase_CANCELLED, 20*time.Second)
 		s.mustSubmit("e11", "orders", "after", 16, time.Second)
 		s.untilPhase("e11", "after", wire.Phase_DONE, 20*time.Second)
 	})
--- a/deckd/daemon/traffic.go
+++ b/deckd/daemon/traffic.go
@@ -47,7 +47,6 @@
 	waiting  map[route.RequestID]chan route.Verdict
 	owed     map[route.RequestID]*owed
 	seq      int64
-	leaving  bool
 	isolated bool
 	group    sync.WaitGroup
 
@@ -96,10 +95,8 @@
 func (t *traffic) shares(b *board.Board) []route.Runner {
 	var out []route.Runner
 	clear(t.runners)
-	for id, h := range b.Hosts {
-		if h.Role != wire.Role_RUNNER || h.Domain != string(b.Self.Domain) {
-			continue
-		}
+	for _, h := range b.Own(wire.Role_RUNNER) {
+		id := fleet.HostID(h.Id)
 		t.runners[id] = h.Addr
 		slots := min(seat.Slots(b.Share, h.Slots), seat.Slots(b.Share, h.Conns))
 		out = append(out, route.Runner{ID: id, Slots: int(slots), Leaving: h.Leaving})
--- a/fleet/board/board.go
+++ b/fleet/board/board.go
@@ -187,6 +187,17 @@
 	return nil
 }
 
+// Own returns the listed hosts of the daemon's own failure domain with a role.
+func (b *Board) Own(role wire.Role) []*wire.Host {
+	var out []*wire.Host
+	for _, h := range b.Hosts {
+		if h.Role == role && fleet.DomainID(h.Domain) == b.Self.Domain {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // AddrOf returns the address of a peer, by its own word or the host list.
 func (b *Board) AddrOf(p member.Peer) string {
 	if h := b.Hosts[p.ID]; p.Addr == "" && h != nil {
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -10,7 +10,6 @@
 	"dragonflydeck.example/fleet/board"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/member"
-	"dragonflydeck.example/fleet/state"
 	"dragonflydeck.example/fleet/tail"
 	"dragonflydeck.example/fleet/wire"
 )
@@ -151,11 +150,9 @@
 	if entries, ok := b.Recent.From(from); ok {
 		return &wire.FetchReply{Entries: entries, Next: int64(b.State.Next)}
 	}
-	return &wire.FetchReply{Images: images(b.State), Next: int64(b.State.Next)}
+	return &wire.FetchReply{Images: b.State.Images(), Next: int64(b.State.Next)}
 }
 
-func images(s *state.State) []*wire.Image { return s.Images() }
-
 func (c *Control) judge(b *board.Board) {
 	for _, ch := range b.Members.Check(b.Now) {
 		text := fmt.Sprintf("%s of %s, incarnation %d, was %s", ch.Peer.ID, ch.Peer.Domain, ch.Peer.Inc, ch.Was)
--- a/fleet/lead/lead.go
+++ b/fleet/lead/lead.go
@@ -76,17 +76,6 @@
 	return max(time.Duration(ms)*time.Millisecond, board.MinLease)
 }
 
-// workers counts the workers of the daemon's domain.
-func workers(b *board.Board) int {
-	n := 0
-	for _, h := range b.Hosts {
-		if h.Role == wire.Role_WORKER && fleet.DomainID(h.Domain) == b.Self.Domain {
-			n++
-		}
-	}
-	return n
-}
-
 // ready waits until every worker reported to this term, or its lease from an
 // earlier one has surely lapsed.
 func (c *Control) ready(b *board.Board) {
@@ -94,11 +83,8 @@
 		return
 	}
 	waits := 0
-	for id, h := range b.Hosts {
-		if h.Role != wire.Role_WORKER || fleet.DomainID(h.Domain) != b.Self.Domain {
-			continue
-		}
-		if w := b.Workers[id]; w == nil || !w.Fresh && !w.Lost {
+	for _, h := range b.Own(wire.Role_WORKER) {
+		if w := b.Workers[fleet.HostID(h.Id)]; w == nil || !w.Fresh && !w.Lost {
 			waits++
 		}
 	}
@@ -142,7 +128,7 @@
 	c.asked = fleet.EntryID(id)
 	b.Append(&wire.Entry{Id: id, Kind: &wire.Entry_Claim{Claim: &wire.Claim{
 		Domain: string(b.Self.Domain), Host: string(b.Self.Host), Inc: int64(b.Self.Inc), Prev: int64(prev),
-		Lease: board.LeaseFor(workers(b)).Milliseconds(),
+		Lease: board.LeaseFor(len(b.Own(wire.Role_WORKER))).Milliseconds(),
 	}}})
 }
 
--- a/fleet/lease/lease.go
+++ b/fleet/lease/lease.go
@@ -65,10 +65,8 @@
 		c.term = b.Lead.Term
 		c.links = map[fleet.HostID]*link{}
 	}
-	for id, h := range b.Hosts {
-		if h.Role != wire.Role_WORKER || fleet.DomainID(h.Domain) != b.Self.Domain {
-			continue
-		}
+	for _, h := range b.Own(wire.Role_WORKER) {
+		id := fleet.HostID(h.Id)
 		if b.Workers[id] == nil {
 			b.Workers[id] = &board.Worker{}
 		}
--- a/fleet/place/claim.go
+++ b/fleet/place/claim.go
@@ -68,14 +68,14 @@
 	take := make([]int, len(k.parts))
 	for i, part := range k.parts {
 		n := p.nodes[part.Worker]
-		if !n.usable() || n.refuses(j) {
+		if !n.takes(j) {
 			continue
 		}
 		take[i] = min(left, part.Tasks, n.free().Count(j.Each))
 		left -= take[i]
 	}
 	for i, part := range k.parts {
-		if n := p.nodes[part.Worker]; n.usable() && !n.refuses(j) {
+		if n := p.nodes[part.Worker]; n.takes(j) {
 			more := min(left, part.Tasks-take[i])
 			take[i] += more
 			left -= more
@@ -189,10 +189,7 @@
 		p.lay(o.spot, p.cover(o.spot, o.parts))
 	}
 	o.spot.holder = w.ID
-	g := &gang{Job: w.Job, parts: o.parts, owned: true, spot: o.spot}
-	delete(p.waits, w.ID)
-	p.release(w.ID)
-	p.occupy(g)
+	g := p.assign(w, &gang{parts: o.parts, owned: true, spot: o.spot})
 	var out []Decision
 	for _, v := range o.victims {
 		out = append(out, p.evict(v, w.ID, "its room is guaranteed to "+string(w.Space))...)
@@ -203,8 +200,7 @@
 // evict has a gang stopped. One that has not started yet just waits again.
 func (p *Planner) evict(g *gang, by fleet.JobID, why string) []Decision {
 	if !g.running {
-		p.vacate(g)
-		p.waits[g.ID] = &wait{Job: g.Job, why: why}
+		p.unassign(g, why)
 		return nil
 	}
 	g.leaving = true
--- a/fleet/place/place.go
+++ b/fleet/place/place.go
@@ -87,9 +87,8 @@
 	used    fleet.Res
 	short   bool // some spot has no room
 
-	dirty   bool      // something changed since the last whole plan
-	planned time.Time // when that was
-	wake    time.Time // when time alone calls for the next
+	dirty bool      // something changed since the last whole plan
+	wake  time.Time // when time alone calls for the next
 }
 
 // New returns a planner with no workers, closed for starts.
--- a/fleet/place/plan.go
+++ b/fleet/place/plan.go
@@ -22,7 +22,7 @@
 	if !p.due() {
 		return nil
 	}
-	p.dirty, p.planned, p.wake = false, now, now.Add(PlanSpan)
+	p.dirty, p.wake = false, now.Add(PlanSpan)
 	p.probeDue()
 	p.weighBalance()
 	out := p.drained()
@@ -52,8 +52,7 @@
 			continue
 		}
 		if !p.usableUnder(g) {
-			p.vacate(g)
-			p.waits[g.ID] = &wait{Job: g.Job, why: "a worker of its guarantee went away"}
+			p.unassign(g, "a worker of its guarantee went away")
 			continue
 		}
 		out = append(out, p.begin(g)...)
@@ -137,11 +136,23 @@
 		w.why = p.lacking(w)
 		return nil, false
 	}
-	g := &gang{Job: w.Job, parts: parts}
+	return p.begin(p.assign(w, &gang{parts: parts})), true
+}
+
+// assign makes a waiting job a gang that holds its workers, though evicted ones
+// may still be on them.
+func (p *Planner) assign(w *wait, g *gang) *gang {
+	g.Job = w.Job
 	delete(p.waits, w.ID)
 	p.release(w.ID)
 	p.occupy(g)
-	return p.begin(g), true
+	return g
+}
+
+// unassign has a gang that has not started yet wait again.
+func (p *Planner) unassign(g *gang, why string) {
+	p.vacate(g)
+	p.waits[g.ID] = &wait{Job: g.Job, why: why}
 }
 
 // borrow finds room outside the guarantees, else in idle ones; last where it
@@ -165,7 +176,7 @@
 }
 
 func (p *Planner) roomIn(n *node, room fleet.Res, w *wait, ends time.Time) int {
-	if !n.usable() || n.refuses(&w.Job) {
+	if !n.takes(&w.Job) {
 		return 0
 	}
 	if len(p.holds) > 0 {
@@ -174,27 +185,34 @@
 	return room.Count(w.Each)
 }
 
-// refuses reports whether a job failed on the worker before.
-func (n *node) refuses(j *Job) bool { return slices.Contains(j.Faulty, n.ID) }
+// takes reports whether the job may go to the worker: it is usable, and the job
+// did not fail on it before.
+func (n *node) takes(j *Job) bool { return n.usable() && !slices.Contains(j.Faulty, n.ID) }
 
-func (p *Planner) lacking(w *wait) string {
-	free := 0
+// free counts the tasks for which there is room, without regard to
+// neighbourhood.
+func (p *Planner) free(each fleet.Res) int {
+	n := 0
 	for _, k := range p.racks {
-		for _, n := range k.nodes {
-			if n.usable() {
-				free += n.free().Count(w.Each)
+		for _, w := range k.nodes {
+			if w.usable() {
+				n += w.free().Count(each)
 			}
 		}
 	}
+	return n
+}
+
+func (p *Planner) lacking(w *wait) string {
+	free := p.free(w.Each)
 	if free >= w.Tasks {
 		return fmt.Sprintf("room for %d of its tasks is free, but kept for a gang that waits longer", free)
 	}
 	return fmt.Sprintf("room for %d of its %d tasks is free", free, w.Tasks)
 }
 
-// misses remembers which kinds of gang found no room in this plan. It says nothing
-// of a gang that room is kept for. Room only
-// shrinks while a plan is made.
+// misses remembers which kinds of gang found no room in this plan. Room only
+// shrinks while a plan is made. It says nothing of a gang that room is kept for.
 type misses map[fleet.Res]miss
 
 type miss struct {
--- a/fleet/place/preempt.go
+++ b/fleet/place/preempt.go
@@ -62,10 +62,7 @@
 	if parts == nil {
 		return nil
 	}
-	g := &gang{Job: w.Job, parts: parts}
-	delete(p.waits, w.ID)
-	p.release(w.ID)
-	p.occupy(g)
+	g := p.assign(w, &gang{parts: parts})
 	var out []Decision
 	for _, v := range p.touching(victims, parts) {
 		out = append(out, p.evict(v, w.ID, u.why)...)
@@ -102,7 +99,7 @@
 	k := &clearing{job: w, room: map[fleet.HostID]fleet.Res{}}
 	for _, r := range p.racks {
 		for _, n := range r.nodes {
-			if n.usable() && !n.refuses(&w.Job) {
+			if n.takes(&w.Job) {
 				k.room[n.ID] = p.spare(n, n.free(), &w.Job, false)
 				k.fits += k.room[n.ID].Count(w.Each)
 			}
@@ -159,7 +156,7 @@
 
 // without counts the tasks that fit on a worker when some gangs are gone.
 func (p *Planner) without(n *node, w *wait, gone map[fleet.JobID]bool) int {
-	if !n.usable() || n.refuses(&w.Job) {
+	if !n.takes(&w.Job) {
 		return 0
 	}
 	room := p.spare(n, n.free(), &w.Job, false)
--- a/fleet/place/probe.go
+++ b/fleet/place/probe.go
@@ -17,13 +17,5 @@
 // FitsNow reports whether a gang fits beside what runs, without regard to
 // neighbourhood.
 func (p *Planner) FitsNow(tasks int, each fleet.Res) bool {
-	n := 0
-	for _, k := range p.racks {
-		for _, w := range k.nodes {
-			if w.usable() {
-				n += w.free().Count(each)
-			}
-		}
-	}
-	return n >= tasks
+	return p.free(each) >= tasks
 }
