Give the processes of a test addresses that the kernel hands to nobody else

Cause: freePort asked the kernel for a port, closed it and gave it to a program that listened on it later.

Ruled out: a process of an earlier test that still held the port. They were killed, but not waited for, which is mended too; yet every address was new.

Change: each test process has its own loopback IP number, and ports come one by one from below the range that Linux hands out of itself.

--- a/deckd/e2e/site_test.go
+++ b/deckd/e2e/site_test.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -45,7 +44,7 @@
 	cmd  *exec.Cmd
 	mu   sync.Mutex
 	out  bytes.Buffer
-	done chan error
+	done chan struct{} // closed when it has ended
 }
 
 func (p *proc) Write(b []byte) (int, error) {
@@ -62,14 +61,23 @@
 
 func run(t *testing.T, name string, args ...string) *proc {
 	t.Helper()
-	p := &proc{cmd: exec.Command(filepath.Join(bins, name), args...), done: make(chan error, 1)}
+	p := &proc{cmd: exec.Command(filepath.Join(bins, name), args...), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	qt.Assert(t, p.cmd.Start(), qt.IsNil)
-	go func() { p.done <- p.cmd.Wait() }()
-	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(p.end)
 	return p
 }
 
+// end kills a program and waits until it is gone.
+func (p *proc) end() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
 func (p *proc) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 // status waits for the end of a program, -1 if it does not come.
@@ -92,15 +100,8 @@
 	procs map[string]*proc
 }
 
-func freePort(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 func newSite(t *testing.T) *site {
-	s := &site{t: t, pool: link.NewPool(), log: freePort(t), list: freePort(t), procs: map[string]*proc{}}
+	s := &site{t: t, pool: link.NewPool(), log: freeAddr(t), list: freeAddr(t), procs: map[string]*proc{}}
 	for i := 1; i <= 2; i++ {
 		s.add(&wire.Host{Id: fmt.Sprint("e", i), Role: wire.Role_ENTRY})
 		s.add(&wire.Host{Id: fmt.Sprint("w", i), Role: wire.Role_WORKER, Total: &wire.Res{Cores: 16000, Mem: 65536, Accels: 4}})
@@ -131,7 +132,7 @@
 }
 
 func (s *site) add(h *wire.Host) {
-	h.Domain, h.Addr = "d1", freePort(s.t)
+	h.Domain, h.Addr = "d1", freeAddr(s.t)
 	s.hosts = append(s.hosts, h)
 }
 
