Ask each worker for its room once in a search for a place

By the profile, 43% of a plan's time is fit (12.1 of 30.3 s in reservations), and fit asked every worker twice: once for a whole gang on one, once for the runs of racks.

Change: fit takes the room of all workers once, in rows by rack; both searches read the rows.

--- a/fleet/place/fit.go
+++ b/fleet/place/fit.go
@@ -26,28 +26,55 @@
 // racks, and among those the tightest, so that the large holes stay. It returns
 // nil if the gang does not fit.
 func (p *Planner) fit(tasks int, each fleet.Res, r room) []Part {
-	if part := p.fitOne(tasks, each, r); part != nil {
+	rows := p.rows(r)
+	if part := whole(rows, tasks, each); part != nil {
 		return part
 	}
-	best := p.tightest(tasks, r)
+	best := p.tightest(rows, tasks)
 	if best == nil {
 		return nil
 	}
 	return fill(best.slots, tasks)
 }
 
-// fitOne puts a whole gang on the worker where it spoils least.
-func (p *Planner) fitOne(tasks int, each fleet.Res, r room) []Part {
+// row is the room in one rack during a search.
+type row struct {
+	slots []slot
+	sum   int // tasks that fit
+}
+
+// rows asks for the room of every worker once.
+func (p *Planner) rows(r room) []row {
+	rows := make([]row, len(p.racks))
+	for i, k := range p.racks {
+		rows[i] = k.row(r)
+	}
+	return rows
+}
+
+func (k *rack) row(r room) row {
+	w := row{slots: make([]slot, 0, len(k.nodes))}
+	for _, n := range k.nodes {
+		if t := r(n); t > 0 {
+			w.slots = append(w.slots, slot{n, t})
+			w.sum += t
+		}
+	}
+	return w
+}
+
+// whole puts a gang on the one worker where it spoils least.
+func whole(rows []row, tasks int, each fleet.Res) []Part {
 	var best *node
 	low := 0.0
 	need := each.Times(tasks)
-	for _, k := range p.racks {
-		for _, n := range k.nodes {
-			if n.gone || r(n) < tasks {
+	for _, w := range rows {
+		for _, s := range w.slots {
+			if s.tasks < tasks {
 				continue
 			}
-			if cost := spoil(n, need); best == nil || cost < low {
-				best, low = n, cost
+			if cost := spoil(s.node, need); best == nil || cost < low {
+				best, low = s.node, cost
 			}
 		}
 	}
@@ -73,47 +100,30 @@
 
 // tightest finds the narrowest run of racks that takes the gang and, among
 // those, the one with the least room left.
-func (p *Planner) tightest(tasks int, r room) *span {
-	sums := make([]int, len(p.racks))
-	slots := make([][]slot, len(p.racks))
-	for i, k := range p.racks {
-		slots[i], sums[i] = k.slots(r)
-	}
+func (p *Planner) tightest(rows []row, tasks int) *span {
 	var best *span
 	last, sum := -1, 0
-	for first := range p.racks {
-		for sum < tasks && last+1 < len(p.racks) {
+	for first := range rows {
+		for sum < tasks && last+1 < len(rows) {
 			last++
-			sum += sums[last]
+			sum += rows[last].sum
 		}
 		if sum < tasks {
 			break
 		}
 		width := int(p.racks[last].id-p.racks[first].id) + 1
 		if best == nil || width < best.width || width == best.width && sum < best.sum {
-			best = &span{width: width, sum: sum, slots: join(slots[first : last+1])}
+			best = &span{width: width, sum: sum, slots: join(rows[first : last+1])}
 		}
-		sum -= sums[first]
+		sum -= rows[first].sum
 	}
 	return best
 }
 
-func (k *rack) slots(r room) ([]slot, int) {
-	var s []slot
-	sum := 0
-	for _, n := range k.nodes {
-		if t := r(n); t > 0 {
-			s = append(s, slot{n, t})
-			sum += t
-		}
-	}
-	return s, sum
-}
-
-func join(parts [][]slot) []slot {
+func join(rows []row) []slot {
 	var all []slot
-	for _, s := range parts {
-		all = append(all, s...)
+	for _, w := range rows {
+		all = append(all, w.slots...)
 	}
 	return all
 }
