Count a decision's cost in processor time

Cause: decide is stated as processor time, but the bench took the wall clock, which other programs and the collector lengthen on a busy machine.

Change: both versions are measured by the time of their own thread (getrusage); what is counted is the same.

--- a/fleet/bench/naive_test.go
+++ b/fleet/bench/naive_test.go
@@ -96,8 +96,12 @@
 func (n *naive) took() time.Duration { return n.spent }
 
 func (n *naive) plan(time.Time) []act {
-	begun := time.Now()
-	defer func() { n.spent += time.Since(begun) }()
+	var acts []act
+	n.spent += cpuTime(func() { acts = n.startAll() })
+	return acts
+}
+
+func (n *naive) startAll() []act {
 	var acts []act
 	rest := n.queue[:0]
 	for _, j := range n.queue {
--- a/fleet/bench/ours_test.go
+++ b/fleet/bench/ours_test.go
@@ -217,9 +217,9 @@
 
 // timed adds the processor time of one decision.
 func timed[T any](o *ours, f func() T) T {
-	begun := time.Now()
-	defer func() { o.clock += time.Since(begun) }()
-	return f()
+	var v T
+	o.clock += cpuTime(func() { v = f() })
+	return v
 }
 
 func (o *ours) plan(now time.Time) []act {
