Estimate a gang's end once for a reservation

Ruled out: the search itself; it takes about eight steps.

Change: endTimes leaves the estimate with the gang, and the steps read it.

--- a/fleet/place/gang.go
+++ b/fleet/place/gang.go
@@ -24,6 +24,7 @@
 	leaving bool // an Evict was decided
 	began   time.Time
 	saved   time.Time // last checkpoint
+	ends    time.Time // expected, see endTimes
 }
 
 // Add takes a job that waits. A job already known is left as it is.
--- a/fleet/place/hold.go
+++ b/fleet/place/hold.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -108,17 +109,21 @@
 	return &hold{job: w.ID, each: w.Each, parts: p.fitAt(w, ends[i]), at: ends[i], made: p.now}
 }
 
-// endTimes lists when room is expected to come free, beginning with now.
+// endTimes works out when each gang is expected to end, and lists these times,
+// beginning with now.
 func (p *Planner) endTimes() []time.Time {
 	ends := make([]time.Time, 0, len(p.gangs)+1)
 	ends = append(ends, p.now)
 	for _, g := range p.gangs {
-		ends = append(ends, p.ends(g))
+		g.ends = p.ends(g)
+		ends = append(ends, g.ends)
 	}
-	sort.Slice(ends, func(a, b int) bool { return ends[a].Before(ends[b]) })
+	slices.SortFunc(ends, time.Time.Compare)
 	return ends
 }
 
+// fitAt fits a gang into what is expected to be free at a time, as endTimes left
+// it with the gangs.
 func (p *Planner) fitAt(w *wait, at time.Time) []Part {
 	return p.fit(w.Tasks, w.Each, func(n *node) int {
 		if n.health.aside {
@@ -126,7 +131,7 @@
 		}
 		room := n.free()
 		for _, g := range n.gangs {
-			if !p.ends(g).After(at) {
+			if !g.ends.After(at) {
 				room = room.Add(g.on(n.ID))
 			}
 		}
