Count a waiting job once at its home, and let large ones try the domains in turn

Better compared the load with the job at another domain to the load at home plus the job, which the queue at home already held; a large job saw every other domain as less crowded. Each move voided its reservation, and in the daemon it could follow the last one after 2 s, as a move did not begin the wait at the new home (Job.since).

Ruled out: correcting the sum alone. It ends the moves, but the traces say that they had done good: the gang met a domain that could just be cleared for it.

Change: place.Move is the one decision, for the daemon and the bench. The job is counted once. A job that needs a quarter of its domain or more tries the next domain after a minute until it is 30 min old; then room is kept for it where it is. A move begins the wait at the new home.

--- a/fleet/bench/bench_test.go
+++ b/fleet/bench/bench_test.go
@@ -15,7 +15,7 @@
 )
 
 var order = []string{
-	"completion.mean", "completion.p99", "largewait", "fragment", "domainwork", "reclaim", "decide", "violations",
+	"completion.mean", "completion.p99", "largewait", "fragment", "domainwork", "reclaim", "moves", "decide", "violations",
 }
 
 // TestPlacement holds the planner's promises on the traces; with -full it
--- a/fleet/bench/naive_test.go
+++ b/fleet/bench/naive_test.go
@@ -95,6 +95,8 @@
 
 func (n *naive) took() time.Duration { return n.spent }
 
+func (n *naive) rehomed() int { return 0 }
+
 func (n *naive) plan(time.Time) []act {
 	var acts []act
 	n.spent += cpuTime(func() { acts = n.startAll() })
--- a/fleet/bench/ours_test.go
+++ b/fleet/bench/ours_test.go
@@ -25,6 +25,7 @@
 	ever   map[kind]bool
 	clock  time.Duration // processor time of the decisions
 	moved  time.Time
+	moves  int
 }
 
 func newOurs(t *trace) *ours {
@@ -138,10 +139,14 @@
 		o.claim[j.id] = now // cleared after the next plan unless its guarantee is free
 	}
 	o.view[d].Queued = o.view[d].Queued.Add(j.need())
-	o.plans[d].Add(place.Job{
+	o.plans[d].Add(o.planJob(j))
+}
+
+func (o *ours) planJob(j *tjob) place.Job {
+	return place.Job{
 		ID: j.id, Space: j.space, Tasks: j.tasks, Each: j.each, Declared: j.declared,
 		Spent: o.spent[j.id], Since: start.Add(j.arrive), Faulty: o.faulty[j.id], After: o.after[j.id],
-	})
+	}
 }
 
 func (o *ours) dequeue(j *tjob) {
@@ -215,6 +220,8 @@
 
 func (o *ours) took() time.Duration { return o.clock }
 
+func (o *ours) rehomed() int { return o.moves }
+
 // timed adds the processor time of one decision.
 func timed[T any](o *ours, f func() T) T {
 	var v T
@@ -286,15 +293,14 @@
 	o.moved = now
 	for _, j := range o.waiting() {
 		since, home := o.waits[j.id], o.home[j.id]
-		if o.view[home].Open && now.Sub(since) < 10*time.Second {
+		if o.view[home].Open && now.Sub(since) < place.StaySpan {
 			continue
 		}
 		views := o.views(j)
-		to := timed(o, func() fleet.DomainID { return place.Better(j.need(), home, views) })
-		if to == "" && !o.view[home].Open {
-			to = place.Choose(j.need(), views)
-		}
-		if to != "" && to != home {
+		stay := place.Stay{Need: j.need(), Home: home, Here: now.Sub(since), Age: now.Sub(start.Add(j.arrive))}
+		to := timed(o, func() fleet.DomainID { return place.Move(stay, views) })
+		if to != "" {
+			o.moves++
 			o.dequeue(j)
 			o.queue(j, to, now)
 		}
--- a/fleet/bench/run_test.go
+++ b/fleet/bench/run_test.go
@@ -41,6 +41,7 @@
 	turn(d fleet.DomainID, out bool, now time.Time)
 	plan(now time.Time) []act
 	took() time.Duration // processor time of the decisions so far
+	rehomed() int        // moves of waiting jobs to other domains so far
 }
 
 // live is what is true of a job during a run.
@@ -385,6 +386,7 @@
 		"completion.mean": mean(slow), "completion.p99": quantile(slow, 0.99),
 		"largewait": mean(large), "fragment": mean(r.fragments), "domainwork": r.work,
 		"reclaim": r.reclaim.Seconds(), "violations": float64(len(r.violations)),
+		"moves":  float64(r.v.rehomed()) / float64(len(r.jobs)),
 		"decide": r.v.took().Seconds() * 1000 / float64(max(r.decisions, 1)),
 	}
 }
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -15,8 +15,6 @@
 	RoundSpan = 2 * time.Second
 	// HurrySpan is the time between rounds while the domain is out.
 	HurrySpan = 200 * time.Millisecond
-	// WaitSpan is how long a job waits at home before another domain is weighed.
-	WaitSpan = 10 * time.Second
 	// MaxMoves is how many jobs one round gives away.
 	MaxMoves = 32
 )
@@ -64,8 +62,8 @@
 		if j.Phase != wire.Phase_QUEUED || j.Home != string(b.Self.Domain) {
 			continue
 		}
-		if !out && b.Now.Sub(time.UnixMilli(j.Since)) < WaitSpan {
-			continue
+		if !out && b.Now.Sub(time.UnixMilli(j.Since)) < place.StaySpan {
+			continue // without the cost of a look at the load
 		}
 		if c.move(b, atlas, j) {
 			moved++
@@ -77,11 +75,11 @@
 	need := fleet.ResOf(j.Spec.Each).Times(int(j.Spec.Tasks))
 	views := atlas.For(j.Spec)
 	from := fleet.DomainID(j.Home)
-	to := place.Better(need, from, views)
-	if to == "" && b.State.Out(from) {
-		to = place.Choose(need, views)
-	}
-	if to == "" || to == from {
+	to := place.Move(place.Stay{
+		Need: need, Home: from,
+		Here: b.Now.Sub(time.UnixMilli(j.Since)), Age: b.Now.Sub(time.UnixMilli(j.Begun)),
+	}, views)
+	if to == "" {
 		return false
 	}
 	atlas.views[to].Queued = atlas.views[to].Queued.Add(need)
@@ -90,7 +88,7 @@
 	}
 	return b.Append(&wire.Entry{Id: string(board.MoveID(j)), Kind: &wire.Entry_Move{Move: &wire.Move{
 		Job: j.Spec.Id, Attempt: j.Attempt, From: j.Home, To: string(to),
-		Term: int64(b.State.Term(from)), Why: "less crowded, or its own domain is out",
+		Term: int64(b.State.Term(from)), Why: "it may start there sooner, or its own domain is out",
 	}}})
 }
 
--- a/fleet/place/hold.go
+++ b/fleet/place/hold.go
@@ -12,7 +12,7 @@
 const (
 	// HoldAfter is how long a gang waits before room is kept for it: most get
 	// theirs sooner by preemption, and kept room lies idle.
-	HoldAfter = 10 * time.Minute
+	HoldAfter = 30 * time.Minute
 	// HoldFor is how long a reservation stands before it is weighed again.
 	HoldFor = 5 * time.Second
 )
--- a/fleet/place/home.go
+++ b/fleet/place/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"dragonflydeck.example/fleet"
 )
@@ -16,6 +17,7 @@
 	Claims int       // unclaimed guaranteed gangs that take the job
 	Ever   bool      // the job fits the empty domain
 	Now    bool      // the job fits beside what runs
+	Soon   bool      // the job would get workers at once, if need be by stopping others
 }
 
 // crowd is the load of a domain with the job in it, as a part of its size.
@@ -63,15 +65,47 @@
 	return ca < cb
 }
 
-// moveGain is by how much less crowded another domain must be for a job to
-// wait there instead.
-const moveGain = 0.1
+// Bounds of moves.
+const (
+	// StaySpan is how long a job waits at home before another domain is weighed.
+	StaySpan = 10 * time.Second
+	// TurnSpan is how long a large job waits at one domain before it tries the
+	// next one.
+	TurnSpan = time.Minute
+	// moveGain is by how much less crowded another domain must be for a job to
+	// wait there instead.
+	moveGain = 0.1
+	// largeShare is the part of its domain from which on a job counts as large.
+	largeShare = 0.25
+)
+
+// Stay is a job's waiting at its home.
+type Stay struct {
+	Need fleet.Res
+	Home fleet.DomainID
+	Here time.Duration // since it waits at this home
+	Age  time.Duration // since it was accepted
+}
 
-// Better picks another failure domain for a job that waits at home, or none:
-// one where it can start at once, or one far less crowded.
-func Better(need fleet.Res, home fleet.DomainID, views []View) fleet.DomainID {
-	var at *View
-	var others []View
+// Move picks another failure domain for a job that waits, or none: at once if
+// its home is out; after a while one where it can start or that is far less
+// crowded; and a large job tries one after the other until its home keeps room
+// for it, as which of them can be cleared for it changes all the time.
+func Move(s Stay, views []View) fleet.DomainID {
+	at, others := split(s.Home, views)
+	to := Choose(s.Need, others)
+	switch {
+	case to == "" || at == nil || !at.Open || !at.Ever:
+		return to
+	case s.Here < StaySpan:
+		return ""
+	case s.tries(at) || s.gains(at, others, to):
+		return to
+	}
+	return ""
+}
+
+func split(home fleet.DomainID, views []View) (at *View, others []View) {
 	for i := range views {
 		if views[i].Domain == home {
 			at = &views[i]
@@ -79,17 +113,23 @@
 			others = append(others, views[i])
 		}
 	}
-	id := Choose(need, others)
-	if id == "" || at == nil || !at.Open || !at.Ever {
-		return id
-	}
+	return at, others
+}
+
+// tries reports whether it is time for a large job to try another domain.
+func (s Stay) tries(at *View) bool {
+	return s.Here >= TurnSpan && s.Age < HoldAfter && s.Need.Share(at.Total) >= largeShare
+}
+
+// gains reports whether the job is far better off in another domain.
+func (s Stay) gains(at *View, others []View, to fleet.DomainID) bool {
+	here := at.crowd(fleet.Res{}) // the job is among those queued
 	for i := range others {
-		v := &others[i]
-		if v.Domain == id && (v.fits(need) && !at.Now || v.crowd(need)+moveGain < at.crowd(need)) {
-			return id
+		if v := &others[i]; v.Domain == to {
+			return v.fits(s.Need) && !at.Now || v.crowd(s.Need)+moveGain < here
 		}
 	}
-	return ""
+	return false
 }
 
 // Ever reports whether a gang fits a domain with these workers when nothing
--- a/fleet/state/apply.go
+++ b/fleet/state/apply.go
@@ -45,7 +45,7 @@
 	case *wire.Entry_Settle:
 		return s.settle(at, e.At, k.Settle)
 	case *wire.Entry_Move:
-		return s.move(at, k.Move)
+		return s.move(at, e.At, k.Move)
 	case *wire.Entry_Seat:
 		return s.seat(at, e.At, k.Seat)
 	case *wire.Entry_Image:
--- a/fleet/state/jobs.go
+++ b/fleet/state/jobs.go
@@ -93,7 +93,7 @@
 	return nil
 }
 
-func (s *State) move(at fleet.Offset, m *wire.Move) error {
+func (s *State) move(at fleet.Offset, when int64, m *wire.Move) error {
 	j, err := s.job("move", m.GetJob())
 	if err != nil {
 		return err
@@ -104,7 +104,7 @@
 	if err := s.may("move", m.From, m.Term); err != nil {
 		return err
 	}
-	j.Home, j.Why, j.Rev = m.To, m.Why, int64(at)
+	j.Home, j.Since, j.Why, j.Rev = m.To, when, m.Why, int64(at)
 	s.touch(j)
 	return nil
 }
--- a/fleet/state/state_test.go
+++ b/fleet/state/state_test.go
@@ -166,6 +166,24 @@
 	qt.Assert(t, apply(place(4)), qt.IsNil)
 }
 
+// A job's wait at its home begins anew when it moves; its age does not.
+func TestMoveBeginsTheWaitAtTheNewHome(t *testing.T) {
+	s := state.New()
+	for n, e := range []*wire.Entry{
+		{Kind: &wire.Entry_Space{Space: &wire.Space{Name: "s"}}},
+		{Kind: &wire.Entry_Submit{Submit: &wire.Submit{Spec: &wire.Spec{Id: "j", Space: "s", Tasks: 1}, Home: "d1"}}},
+		{Kind: &wire.Entry_Claim{Claim: &wire.Claim{Domain: "d1", Host: "e"}}},
+		{Kind: &wire.Entry_Move{Move: &wire.Move{Job: "j", From: "d1", To: "d2", Term: 3}}},
+	} {
+		e.Id, e.At = fmt.Sprint("r", n), int64(1000*n)
+		qt.Assert(t, s.Apply(s.Next, e), qt.IsNil)
+	}
+	j := s.Jobs["j"]
+	qt.Assert(t, j.Home, qt.Equals, "d2")
+	qt.Assert(t, j.Since, qt.Equals, int64(3000))
+	qt.Assert(t, j.Begun, qt.Equals, int64(1000))
+}
+
 func TestGapIsNotApplied(t *testing.T) {
 	s := state.New()
 	err := s.Apply(3, &wire.Entry{Id: "x"})
