Keep the order in which gangs may be stopped for a whole plan

Ruled out: keeping the order longer than a plan; urgency changes with time.

Change: lenders are listed once a plan. What a plan starts is too young to be stopped, and what it stops is passed over, so the list holds.

--- a/fleet/place/place.go
+++ b/fleet/place/place.go
@@ -85,7 +85,8 @@
 	balance balance
 	total   fleet.Res
 	used    fleet.Res
-	short   bool // some spot has no room
+	short   bool     // some spot has no room
+	lent    []lender // of this plan, see lenders
 
 	dirty bool      // something changed since the last whole plan
 	wake  time.Time // when time alone calls for the next
--- a/fleet/place/plan.go
+++ b/fleet/place/plan.go
@@ -23,6 +23,7 @@
 		return nil
 	}
 	p.dirty, p.wake = false, now.Add(PlanSpan)
+	p.lent = nil
 	p.probeDue()
 	p.weighBalance()
 	out := p.drained()
--- a/fleet/place/preempt.go
+++ b/fleet/place/preempt.go
@@ -1,8 +1,9 @@
 package place
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -74,11 +75,13 @@
 // them; nil if it never does or the rule forbids so much.
 func (p *Planner) fewest(w *wait, u rule) []*gang {
 	k := p.newClearing(w)
-	for _, g := range p.yielding(u) {
-		if k.fits >= w.Tasks {
+	for _, l := range p.lenders() {
+		if k.fits >= w.Tasks || l.rate >= u.worst {
 			break
 		}
-		k.consider(g, u)
+		if !l.leaving {
+			k.consider(l.gang, u)
+		}
 	}
 	if k.fits < w.Tasks {
 		return nil
@@ -137,20 +140,32 @@
 	return n
 }
 
-// yielding lists the gangs that a rule allows to stop, the least urgent first.
-func (p *Planner) yielding(u rule) []*gang {
-	var list []*gang
-	rates := map[fleet.JobID]float64{}
-	for _, g := range p.inOrder() {
-		if g.owned || !g.running || g.leaving || p.now.Sub(g.began) < Quantum {
+// lender is a gang that may be stopped, and its urgency.
+type lender struct {
+	*gang
+	rate float64
+}
+
+// lenders lists the gangs that may be stopped, the least urgent first. The list
+// holds for the whole plan: what starts in it is too young to be stopped.
+func (p *Planner) lenders() []lender {
+	if p.lent == nil {
+		p.lent = p.listLenders()
+	}
+	return p.lent
+}
+
+func (p *Planner) listLenders() []lender {
+	list := make([]lender, 0, len(p.gangs))
+	for _, g := range p.gangs {
+		if g.owned || !g.running || p.now.Sub(g.began) < Quantum {
 			continue
 		}
-		if rate := p.urgency(&g.Job, p.now.Sub(g.began)); rate < u.worst {
-			rates[g.ID] = rate
-			list = append(list, g)
-		}
+		list = append(list, lender{g, p.urgency(&g.Job, p.now.Sub(g.began))})
 	}
-	sort.SliceStable(list, func(a, b int) bool { return rates[list[a].ID] < rates[list[b].ID] })
+	slices.SortFunc(list, func(a, b lender) int {
+		return cmp.Or(cmp.Compare(a.rate, b.rate), cmp.Compare(a.ID, b.ID))
+	})
 	return list
 }
 
