--- a/fleet/place/gate.go
+++ b/fleet/place/gate.go
@@ -52,17 +52,16 @@
 // worker that leaves.
 func (p *Planner) drained() []Decision {
 	var out []Decision
-	for _, g := range p.inOrder() {
-		if g.leaving || !g.running {
-			continue
-		}
+	leaves := func(g *gang) bool {
+		return g.running && !g.leaving && (p.gate.drain || p.leavingUnder(g) != "")
+	}
+	for _, g := range p.inOrder(leaves) {
 		if p.gate.drain {
 			out = append(out, p.evict(g, "", "its failure domain is taken out")...)
 			continue
 		}
-		if on := p.leavingUnder(g); on != "" {
-			out = append(out, p.evict(g, "", "its worker "+string(on)+" leaves")...)
-		}
+		on := p.leavingUnder(g)
+		out = append(out, p.evict(g, "", "its worker "+string(on)+" leaves")...)
 	}
 	return out
 }
--- a/fleet/place/plan.go
+++ b/fleet/place/plan.go
@@ -48,10 +48,7 @@
 // startClaimed starts the gangs whose evicted predecessors are gone by now.
 func (p *Planner) startClaimed() []Decision {
 	var out []Decision
-	for _, g := range p.inOrder() {
-		if g.running {
-			continue
-		}
+	for _, g := range p.inOrder(func(g *gang) bool { return !g.running }) {
 		if !p.usableUnder(g) {
 			p.unassign(g, "a worker of its guarantee went away")
 			continue
@@ -70,13 +67,16 @@
 	return true
 }
 
-func (p *Planner) inOrder() []*gang {
-	all := make([]*gang, 0, len(p.gangs))
+// inOrder lists the gangs that a test passes, in the order of their ids.
+func (p *Planner) inOrder(pass func(*gang) bool) []*gang {
+	var list []*gang
 	for _, g := range p.gangs {
-		all = append(all, g)
+		if pass(g) {
+			list = append(list, g)
+		}
 	}
-	sort.Slice(all, func(a, b int) bool { return all[a].ID < all[b].ID })
-	return all
+	sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
+	return list
 }
 
 // startWaiting goes through the waiting jobs by their turn.
