--- /dev/null
+++ b/deckd/daemon/moves_test.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/place"
+	"dragonflydeck.example/fleet/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+// No domain can be cleared for the gang that waits. It tries one after the
+// other, but each move is a record of the log: no more than one a minute.
+func TestWaitingGangMovesOnceAMinuteAtMost(t *testing.T) {
+	const watch = 10 * time.Minute
+	inSite(t, small, func(s *site) {
+		s.space("e11", "orders", gpus(3, 16))
+		s.space("e11", "camp")
+		s.submitAll("e11", 3, 16, time.Hour)
+		s.untilAll("e11", 3, wire.Phase_PLACED, 20*time.Second)
+		s.mustSubmit("e11", "camp", "waits", 8, time.Minute)
+		time.Sleep(watch)
+		n := s.moves("waits")
+		qt.Assert(s.t, n >= 3, qt.IsTrue, qt.Commentf("it moved %d times and has not tried every domain", n))
+		qt.Assert(s.t, n <= int(watch/place.TurnSpan), qt.IsTrue, qt.Commentf("it moved %d times", n))
+	})
+}
+
+// moves counts the records that gave a waiting job to another domain.
+func (s *site) moves(job fleet.JobID) int {
+	n := 0
+	reply, err := s.log.Read(s.t.Context(), &wire.ReadAsk{Max: 1 << 20})
+	qt.Assert(s.t, err, qt.IsNil)
+	for _, e := range reply.Entries {
+		if e.GetEntry().GetMove().GetJob() == string(job) {
+			n++
+		}
+	}
+	return n
+}
