Make a plan cheap when little waits

The profile shows 21% in a walk over the map of all workers for those set aside, and 12% in counting active workspaces, also when no job waits.

Change: the walk goes over the racks' lists; order returns at once when nothing waits.

--- a/fleet/place/health.go
+++ b/fleet/place/health.go
@@ -119,10 +119,11 @@
 // probeDue lets workers whose time aside is over take one gang as a test.
 func (p *Planner) probeDue() {
 	back := false
-	for _, n := range p.nodes {
-		h := &n.health
-		if h.aside && !p.now.Before(h.until) {
-			h.aside, h.probe, back = false, true, true
+	for _, r := range p.racks {
+		for _, n := range r.nodes {
+			if h := &n.health; h.aside && !p.now.Before(h.until) {
+				h.aside, h.probe, back = false, true, true
+			}
 		}
 	}
 	if back && p.short {
--- a/fleet/place/plan.go
+++ b/fleet/place/plan.go
@@ -235,6 +235,9 @@
 // order sorts the waiting jobs by turn: urgent ones first, then by how long a
 // job has waited measured by its own length, divided by its workspace's use.
 func (p *Planner) order() []*wait {
+	if len(p.waits) == 0 {
+		return nil
+	}
 	list := make([]*wait, 0, len(p.waits))
 	active := p.active()
 	for _, w := range p.waits {
