Prove that a lead frozen in the midst of a gang's start does no harm

It was listed as not proved: only killed leads were. A site can now freeze a daemon in virtual time: its control loop stands still, what it was about to send goes out after the thaw, even if its time is over, and calls to it wait. The test freezes the lead for a minute at the 1st to 4th reserve and start; another daemon takes over and runs the gang, and the old one's late orders come when the gang has ended.

No fault was found. The hook that acts at the nth order is shared with the test that kills.

--- a/deckd/daemon/edges_test.go
+++ b/deckd/daemon/edges_test.go
@@ -15,6 +15,10 @@
 func over[R any](ctx context.Context, s *site, from, to string, call func() (R, error)) (R, error) {
 	var none R
 	time.Sleep(time.Millisecond)
+	s.thaw(from)
+	if err := s.await(ctx, to); err != nil {
+		return none, err
+	}
 	if s.blocked(from, to) {
 		if to[0] == 'e' && s.get(to) == nil {
 			return none, &link.Error{Op: "dial " + to, Kind: link.Unsent, Err: io.EOF}
@@ -24,6 +28,7 @@
 	}
 	r, err := call()
 	time.Sleep(time.Millisecond)
+	s.thaw(from)
 	if s.blocked(to, from) {
 		<-ctx.Done()
 		return none, &link.Error{Op: "call " + to, Kind: link.Owed, Err: ctx.Err()}
--- a/deckd/daemon/fails_test.go
+++ b/deckd/daemon/fails_test.go
@@ -50,20 +50,9 @@
 func killAt(t *testing.T, step string, nth int) {
 	inSite(t, plan{domains: 1, entries: 2, workers: 4}, func(s *site) {
 		s.space("e11", "orders")
-		var once sync.Once
-		seen := 0
 		lead := s.leadOf("e11", "d1")
 		at := s.other(lead, "d1")
-		s.onOrder = func(_, _, got string) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if got == step {
-				seen++
-			}
-			if seen == nth && got == step {
-				once.Do(func() { go s.kill(lead) })
-			}
-		}
+		s.onOrder = s.atStep(step, nth, func() { s.kill(lead) })
 		s.mustSubmit(at, "orders", "j", 16, 20*time.Second)
 		s.untilPhase(at, "j", wire.Phase_DONE, 3*time.Minute)
 	})
--- a/deckd/daemon/fleet_test.go
+++ b/deckd/daemon/fleet_test.go
@@ -34,6 +34,7 @@
 	mu      sync.Mutex
 	daemons map[string]*Daemon
 	cuts    map[[2]string]bool
+	frozen  map[string]time.Time        // until when
 	onOrder func(from, to, step string) // sees every order to a worker
 }
 
@@ -65,6 +66,7 @@
 		t: t, log: ledger.New(p.log), list: roster.New(time.Second),
 		workers: map[string]*worker.Worker{}, runners: map[string]*runner.Runner{},
 		domain: map[string]string{}, daemons: map[string]*Daemon{}, cuts: map[[2]string]bool{},
+		frozen: map[string]time.Time{},
 	}
 	for d := 1; d <= p.domains; d++ {
 		s.addDomain(fmt.Sprint("d", d), d, p)
--- /dev/null
+++ b/deckd/daemon/freeze_test.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"dragonflydeck.example/fleet/core"
+	"dragonflydeck.example/fleet/link"
+	"dragonflydeck.example/fleet/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+// freezeSpan is longer than another daemon needs to take over.
+const freezeSpan = time.Minute
+
+// freeze holds a daemon still: its control loop, what it sends and what it
+// would receive. A call that it was about to make goes out after the thaw, also
+// if its time is over by then.
+func (s *site) freeze(id string, span time.Duration) {
+	d := s.get(id)
+	s.mu.Lock()
+	s.frozen[id] = time.Now().Add(span)
+	s.mu.Unlock()
+	_ = d.loop.do(context.Background(), "freeze", func(*core.Core) { time.Sleep(span) })
+}
+
+// ice returns how long a host stays frozen.
+func (s *site) ice(id string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Until(s.frozen[id])
+}
+
+// thaw waits until the sender is awake.
+func (s *site) thaw(id string) {
+	if left := s.ice(id); left > 0 {
+		time.Sleep(left)
+	}
+}
+
+// await waits until the receiver is awake or the caller gives up.
+func (s *site) await(ctx context.Context, id string) error {
+	left := s.ice(id)
+	if left <= 0 {
+		return nil
+	}
+	select {
+	case <-time.After(left):
+		return nil
+	case <-ctx.Done():
+		return &link.Error{Op: "call " + id, Kind: link.Owed, Err: ctx.Err()}
+	}
+}
+
+// The lead freezes at every step of bringing a gang up, in turn, and wakes up
+// when another one leads. The order it was about to give is given then.
+func TestLeadFrozenWhileItStartsAGang(t *testing.T) {
+	for _, step := range []string{"reserve", "start"} {
+		for nth := 1; nth <= 4; nth++ {
+			t.Run(fmt.Sprint(step, nth), func(t *testing.T) { freezeAt(t, step, nth) })
+		}
+	}
+}
+
+func freezeAt(t *testing.T, step string, nth int) {
+	inSite(t, plan{domains: 1, entries: 2, workers: 4}, func(s *site) {
+		s.space("e11", "orders")
+		lead := s.leadOf("e11", "d1")
+		at := s.other(lead, "d1")
+		s.onOrder = s.atStep(step, nth, func() { s.freeze(lead, freezeSpan) })
+		s.mustSubmit(at, "orders", "j", 16, 20*time.Second)
+		s.until(freezeSpan-time.Second, "another lead", func() bool { return s.leadOf(at, "d1") == at })
+		s.untilPhase(at, "j", wire.Phase_DONE, 3*time.Minute)
+		s.until(2*freezeSpan, "the old lead's insight", func() bool { return s.leadOf(lead, "d1") == at })
+		time.Sleep(freezeSpan) // for whatever was held up
+		qt.Assert(t, s.running("j"), qt.Equals, 0)
+	})
+}
+
+// atStep does something once, at the nth order of a kind.
+func (s *site) atStep(step string, nth int, do func()) func(from, to, step string) {
+	var once sync.Once
+	seen := 0
+	return func(_, _, got string) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if got == step {
+			seen++
+		}
+		if seen == nth && got == step {
+			once.Do(func() { go do() })
+		}
+	}
+}
