Close a runner's idle connections before its slots are given up

Cause: connections were bounded by requests in flight only. Idle ones stay for 8 s, so a daemon that gave slots back kept the connections that it had used them with, while the next holder opened its own.

Ruled out: a fixed cap of 60 by the number of daemons; no daemon knows how many others there are, and one that holds all slots needs 8.

Change: a change of share counts as settled, which is what a seat is given back on, once requests in flight fit it and idle connections to runners are closed. From then on a daemon has no more connections to a runner than slots, so the sum is within the 8 slots, and so within 60.

Before: TestConnectionsGoWithTheSlots failed, 11 connections for 8 slots, with calls that reuse an idle connection and idle ones that stay. After: it passes; so does the mix of views, which now counts connections too. A test with real connections shows that only idle ones are closed.

--- /dev/null
+++ b/deckd/daemon/conns_test.go
@@ -0,0 +1,60 @@
+package daemon
+
+// conns are the connections of one daemon to one runner: a call takes an idle
+// one, or opens another.
+type conns struct{ open, busy int }
+
+// connTable counts connections to runners by daemon and runner.
+type connTable struct {
+	all  map[[2]string]*conns
+	most int // of all daemons to any one runner, ever
+}
+
+func (t *connTable) begin(from, to string) *conns {
+	k := [2]string{from, to}
+	c := t.all[k]
+	if c == nil {
+		c = &conns{}
+		t.all[k] = c
+	}
+	c.busy++
+	c.open = max(c.open, c.busy)
+	sum := 0
+	for k, c := range t.all {
+		if k[1] == to {
+			sum += c.open
+		}
+	}
+	t.most = max(t.most, sum)
+	return c
+}
+
+func (t *connTable) rest(from, to string) {
+	if c := t.all[[2]string{from, to}]; c != nil {
+		c.open = c.busy
+	}
+}
+
+// drop closes what a daemon had that is gone.
+func (t *connTable) drop(from string) {
+	for k := range t.all {
+		if k[0] == from {
+			delete(t.all, k)
+		}
+	}
+}
+
+func (s *site) beginConn(from, to string) *conns {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.dead(from) {
+		return &conns{}
+	}
+	return s.conns.begin(from, to)
+}
+
+func (s *site) endConn(c *conns) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.busy--
+}
--- a/deckd/daemon/edges.go
+++ b/deckd/daemon/edges.go
@@ -15,4 +15,6 @@
 	Desk(addr string) wire.Desk
 	// Keep drops connections to addresses that are not among these.
 	Keep(used map[string]bool)
+	// Rest closes the connections to an address that no call uses.
+	Rest(addr string)
 }
--- a/deckd/daemon/edges_test.go
+++ b/deckd/daemon/edges_test.go
@@ -52,6 +52,13 @@
 // Keep has nothing to drop.
 func (e *fakeEdges) Keep(map[string]bool) {}
 
+// Rest closes idle connections.
+func (e *fakeEdges) Rest(addr string) {
+	e.s.mu.Lock()
+	defer e.s.mu.Unlock()
+	e.s.conns.rest(e.from, addr)
+}
+
 type fakeLog struct{ *fakeEdges }
 
 func (f *fakeLog) Append(ctx context.Context, q *wire.AppendAsk) (*wire.AppendReply, error) {
@@ -106,6 +113,7 @@
 }
 
 func (f *fakeRunner) Run(ctx context.Context, q *wire.RunAsk) (*wire.RunReply, error) {
+	defer f.s.endConn(f.s.beginConn(f.from, f.to))
 	return over(ctx, f.s, f.from, f.to, func() (*wire.RunReply, error) { return f.s.runners[f.to].Run(ctx, q) })
 }
 
--- a/deckd/daemon/fleet_test.go
+++ b/deckd/daemon/fleet_test.go
@@ -34,7 +34,8 @@
 	mu      sync.Mutex
 	daemons map[string]*Daemon
 	cuts    map[[2]string]bool
-	frozen  map[string]time.Time        // until when
+	frozen  map[string]time.Time // until when
+	conns   connTable
 	onOrder func(from, to, step string) // sees every order to a worker
 }
 
@@ -66,7 +67,7 @@
 		t: t, log: ledger.New(p.log), list: roster.New(time.Second),
 		workers: map[string]*worker.Worker{}, runners: map[string]*runner.Runner{},
 		domain: map[string]string{}, daemons: map[string]*Daemon{}, cuts: map[[2]string]bool{},
-		frozen: map[string]time.Time{},
+		frozen: map[string]time.Time{}, conns: connTable{all: map[[2]string]*conns{}},
 	}
 	for d := 1; d <= p.domains; d++ {
 		s.addDomain(fmt.Sprint("d", d), d, p)
@@ -125,6 +126,7 @@
 	s.mu.Lock()
 	d := s.daemons[id]
 	delete(s.daemons, id)
+	s.conns.drop(id)
 	s.mu.Unlock()
 	d.Close(nil)
 }
--- a/deckd/daemon/reqs_test.go
+++ b/deckd/daemon/reqs_test.go
@@ -96,6 +96,7 @@
 	for id, r := range s.runners {
 		qt.Check(s.t, r.Most() <= 8, qt.IsTrue, qt.Commentf("%s had %d requests at once", id, r.Most()))
 	}
+	qt.Check(s.t, s.conns.most <= 8, qt.IsTrue, qt.Commentf("a runner had %d connections", s.conns.most))
 }
 
 func TestEveryRequestIsAnswered(t *testing.T) {
@@ -250,6 +251,22 @@
 	})
 }
 
+// A daemon that gives slots back closes the connections that go with them: the
+// next holder opens its own.
+func TestConnectionsGoWithTheSlots(t *testing.T) {
+	inSite(t, busy, func(s *site) {
+		s.kill("e12")
+		s.list.Remove("e12")
+		s.until(2*time.Minute, "all slots", func() bool { return s.slots("e11") == 8 })
+		s.load(400, 2*time.Millisecond, false)
+		s.start("e12", "d1", 2)
+		s.list.Put(&wire.Host{Id: "e12", Addr: "e12", Domain: "d1", Role: wire.Role_ENTRY})
+		s.until(2*time.Minute, "half of the slots", func() bool { return s.slots("e12") == 4 })
+		s.load(400, 2*time.Millisecond, false)
+		s.withinSlots()
+	})
+}
+
 func (s *site) slots(at string) int32 {
 	n := int32(0)
 	s.board(at, func(c *core.Core) { n = seat.Slots(c.Board.Share, 8) })
--- a/deckd/daemon/traffic.go
+++ b/deckd/daemon/traffic.go
@@ -85,12 +85,21 @@
 	t.expire(now)
 	t.grant(t.router.Sweep(now))
 	b.Room = int32(t.router.Room(now))
-	if !t.router.Over() {
+	if !t.router.Over() && b.Settled != b.Share.Version {
+		t.rest()
 		b.Settled = b.Share.Version
 	}
 	b.Reach = b.Reach || t.router.Reaches() || now.Sub(t.began) > StartSpan
 }
 
+// rest closes idle connections to runners, so that as many are left as there are
+// requests in flight, which is no more than this daemon's slots.
+func (t *traffic) rest() {
+	for _, addr := range t.runners {
+		t.edges.Rest(addr)
+	}
+}
+
 // shares works out this daemon's slots of every runner of its domain.
 func (t *traffic) shares(b *board.Board) []route.Runner {
 	var out []route.Runner
--- a/fleet/link/client_test.go
+++ b/fleet/link/client_test.go
@@ -5,12 +5,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"dragonflydeck.example/fleet/link"
+	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -97,3 +100,57 @@
 	_, err = post(addr, -time.Second)
 	qt.Assert(t, link.NotSent(err), qt.IsTrue, qt.Commentf("%v", err))
 }
+
+// Rest closes what is idle and leaves what a call uses.
+func TestRestClosesIdleConnections(t *testing.T) {
+	var open atomic.Int64
+	hold := make(chan struct{})
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-hold
+		w.WriteHeader(http.StatusOK)
+	}))
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed:
+			open.Add(-1)
+		}
+	}
+	srv.Start()
+	t.Cleanup(srv.Close)
+	addr := srv.Listener.Addr().String()
+	pool := link.NewPool()
+	call := func(group *sync.WaitGroup) {
+		group.Go(func() {
+			_, _ = pool.Runner(addr).Run(t.Context(), &wire.RunAsk{Id: "a"})
+		})
+	}
+	until := func(n int64) {
+		for open.Load() != n {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	var first, second sync.WaitGroup
+	for range 3 {
+		call(&first)
+	}
+	until(3)
+	for range 3 {
+		hold <- struct{}{}
+	}
+	first.Wait()
+	call(&second)
+	hold <- struct{}{} // it is served on one of the three
+	second.Wait()
+	qt.Assert(t, open.Load(), qt.Equals, int64(3))
+	pool.Rest(addr)
+	until(0)
+
+	call(&second)
+	until(1)
+	pool.Rest(addr)
+	hold <- struct{}{}
+	second.Wait()
+	qt.Assert(t, open.Load(), qt.Equals, int64(1))
+}
--- a/fleet/link/pool.go
+++ b/fleet/link/pool.go
@@ -76,5 +76,14 @@
 	}
 }
 
+// Rest closes the idle connections to an address.
+func (p *Pool) Rest(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conns[addr]; ok {
+		c.Close()
+	}
+}
+
 // Close drops every idle connection.
 func (p *Pool) Close() { p.Keep(nil) }
