--- a/fleet/place/node.go
+++ b/fleet/place/node.go
@@ -21,7 +21,6 @@
 	owned  fleet.Res // gangs that run on a guarantee, also those about to start
 	lent   fleet.Res // all other gangs
 	spots  fleet.Res // guaranteed to workspaces, claimed or not
-	kept   fleet.Res // kept for waiting gangs, see hold
 	gone   bool
 	health health
 	gangs  map[fleet.JobID]*gang
--- a/fleet/place/plan.go
+++ b/fleet/place/plan.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"fmt"
 	"slices"
 	"sort"
 	"time"
@@ -12,9 +11,6 @@
 // PlanSpan is the longest time between two whole plans while jobs wait.
 const PlanSpan = 10 * time.Second
 
-// fairBase weighs how strongly a workspace's use lowers its jobs' turn.
-const fairBase = 0.5
-
 // Plan decides what to do now. Each decision is counted as taken: Start is
 // followed by Done, Fail or End, and Evict by End.
 func (p *Planner) Plan(now time.Time) []Decision {
@@ -95,18 +91,6 @@
 	return out
 }
 
-// look returns the jobs that this plan looks at: the first by turn, and those
-// that have waited longest of all, whatever their turn.
-func (p *Planner) look() []*wait {
-	list := p.order()
-	if len(list) <= p.rules.Depth {
-		return list
-	}
-	rest := list[p.rules.Depth:]
-	sort.Slice(rest, func(a, b int) bool { return rest[a].Since.Before(rest[b].Since) })
-	return list[:p.rules.Depth+min(p.rules.Holds, len(rest))]
-}
-
 // try starts a waiting job if it can. It reports false if only room is lacking.
 func (p *Planner) try(w *wait, tried misses) ([]Decision, bool) {
 	if lacks := p.space(w.Space).over(w.Need()); lacks != "" {
@@ -190,120 +174,6 @@
 // did not fail on it before.
 func (n *node) takes(j *Job) bool { return n.usable() && !slices.Contains(j.Faulty, n.ID) }
 
-// free counts the tasks for which there is room, without regard to
-// neighbourhood.
-func (p *Planner) free(each fleet.Res) int {
-	n := 0
-	for _, k := range p.racks {
-		for _, w := range k.nodes {
-			if w.usable() {
-				n += w.free().Count(each)
-			}
-		}
-	}
-	return n
-}
-
-func (p *Planner) lacking(w *wait) string {
-	free := p.free(w.Each)
-	if free >= w.Tasks {
-		return fmt.Sprintf("room for %d of its tasks is free, but kept for a gang that waits longer", free)
-	}
-	return fmt.Sprintf("room for %d of its %d tasks is free", free, w.Tasks)
-}
-
-// misses remembers which kinds of gang found no room in this plan. Room only
-// shrinks while a plan is made. It says nothing of a gang that room is kept for.
-type misses map[fleet.Res]miss
-
-type miss struct {
-	tasks  int
-	faulty int
-}
-
-func (m misses) hopeless(j *Job) bool {
-	at, ok := m[j.Each]
-	return ok && j.Tasks >= at.tasks && len(j.Faulty) >= at.faulty
-}
-
-func (m misses) miss(j *Job) {
-	if at, ok := m[j.Each]; !ok || j.Tasks < at.tasks {
-		m[j.Each] = miss{j.Tasks, len(j.Faulty)}
-	}
-}
-
-// order sorts the waiting jobs by turn: urgent ones first, then by how long a
-// job has waited measured by its own length, divided by its workspace's use.
-func (p *Planner) order() []*wait {
-	if len(p.waits) == 0 {
-		return nil
-	}
-	list := make([]*wait, 0, len(p.waits))
-	active := p.active()
-	for _, w := range p.waits {
-		if w.After.After(p.now) {
-			w.why = "failed before, is tried again at " + w.After.UTC().Format(time.TimeOnly)
-			p.soon(w.After)
-			continue
-		}
-		w.score = p.turn(w, active)
-		list = append(list, w)
-	}
-	sort.Slice(list, func(a, b int) bool { return earlier(list[a], list[b]) })
-	return list
-}
-
-func earlier(a, b *wait) bool {
-	if a.Urgent != b.Urgent {
-		return a.Urgent
-	}
-	if a.score != b.score {
-		return a.score > b.score
-	}
-	if !a.Since.Equal(b.Since) {
-		return a.Since.Before(b.Since)
-	}
-	return a.ID < b.ID
-}
-
-func (p *Planner) turn(w *wait, active int) float64 {
-	ratio := p.urgency(&w.Job, 0)
-	share := p.space(w.Space).used.Share(p.total)
-	return ratio / (fairBase + share*float64(active))
-}
-
-// active counts the workspaces that run or wait.
-func (p *Planner) active() int {
-	ids := map[fleet.SpaceID]bool{}
-	for _, w := range p.waits {
-		ids[w.Space] = true
-	}
-	for _, g := range p.gangs {
-		ids[g.Space] = true
-	}
-	return len(ids)
-}
-
-// Why tells why a job waits or runs where it does; empty if it is not known.
-func (p *Planner) Why(id fleet.JobID) string {
-	if w, ok := p.waits[id]; ok {
-		if !p.gate.open {
-			return p.gate.why
-		}
-		return w.why
-	}
-	g, ok := p.gangs[id]
-	switch {
-	case !ok:
-		return ""
-	case g.leaving:
-		return "being checkpointed and stopped"
-	case !g.running:
-		return "waits for evicted gangs to stop"
-	}
-	return p.reason(g)
-}
-
 // Saved says that a gang was checkpointed.
 func (p *Planner) Saved(id fleet.JobID, at time.Time) {
 	if g, ok := p.gangs[id]; ok {
--- a/fleet/place/preempt.go
+++ b/fleet/place/preempt.go
@@ -197,14 +197,3 @@
 	}
 	return out
 }
-
-// urgency is the slowdown that a job has come to: the time since it was
-// accepted, less its work, over the work that is left. Ran is how long its
-// present attempt has run.
-func (p *Planner) urgency(j *Job, ran time.Duration) float64 {
-	est := p.space(j.Space).estimate(j.Declared)
-	done := j.Spent + ran
-	rest := max(est-done, est/10, time.Second)
-	waited := max(p.now.Sub(j.Since)-done, 0)
-	return (float64(waited) + float64(est)) / float64(rest)
-}
--- a/fleet/place/probe.go
+++ b/fleet/place/probe.go
@@ -19,3 +19,17 @@
 func (p *Planner) FitsNow(tasks int, each fleet.Res) bool {
 	return p.free(each) >= tasks
 }
+
+// free counts the tasks for which there is room, without regard to
+// neighbourhood.
+func (p *Planner) free(each fleet.Res) int {
+	n := 0
+	for _, k := range p.racks {
+		for _, w := range k.nodes {
+			if w.usable() {
+				n += w.free().Count(each)
+			}
+		}
+	}
+	return n
+}
