Mend what reading the change once more found

Dead: View.Soon, left from a trial. Written again or roundabout: Move looked for the domain that Choose had just found, by its name (now both use best); a function of the bench with one caller. In the tests: the steps at which a lead is killed or frozen (atEachStep), the answers of racing operators (oneWins), the owner's reclaim (reclaim), and a host of another domain (away) stood two or three times each; same bounds, counts and messages.

--- a/deckd/daemon/fails_test.go
+++ b/deckd/daemon/fails_test.go
@@ -40,20 +40,7 @@
 
 // The lead dies at every step of bringing a gang up, in turn.
 func TestLeadKilledWhileItStartsAGang(t *testing.T) {
-	for _, step := range []string{"reserve", "start"} {
-		for nth := 1; nth <= 4; nth++ {
-			t.Run(fmt.Sprint(step, nth), func(t *testing.T) { killAt(t, step, nth) })
-		}
-	}
-}
-
-func killAt(t *testing.T, step string, nth int) {
-	inSite(t, plan{domains: 1, entries: 2, workers: 4}, func(s *site) {
-		s.space("e11", "orders")
-		lead := s.leadOf("e11", "d1")
-		at := s.other(lead, "d1")
-		s.onOrder = s.atStep(step, nth, func() { s.kill(lead) })
-		s.mustSubmit(at, "orders", "j", 16, 20*time.Second)
+	atEachStep(t, (*site).kill, func(s *site, _, at string) {
 		s.untilPhase(at, "j", wire.Phase_DONE, 3*time.Minute)
 	})
 }
@@ -125,15 +112,7 @@
 				won <- err
 			}()
 		}
-		wins := 0
-		for range 6 {
-			if err := <-won; err == nil {
-				wins++
-			} else {
-				qt.Check(s.t, err, qt.ErrorMatches, ".*is at revision.*")
-			}
-		}
-		qt.Assert(s.t, wins, qt.Equals, 1)
+		s.oneWins(6, won, ".*is at revision.*")
 		time.Sleep(2 * time.Second)
 		revs := map[int64]bool{}
 		for id := range s.daemons {
@@ -260,14 +239,21 @@
 				won <- err
 			}()
 		}
-		wins := 0
-		for range 3 {
-			if err := <-won; err == nil {
-				wins++
-			} else {
-				qt.Check(s.t, err, qt.ErrorMatches, ".*1 of 2 gangs of 16 tasks.*")
-			}
-		}
-		qt.Assert(s.t, wins, qt.Equals, 1)
+		s.oneWins(3, won, ".*1 of 2 gangs of 16 tasks.*")
 	})
 }
+
+// oneWins takes the answers of racing operators: one got its way, and the others
+// were told why not.
+func (s *site) oneWins(n int, won <-chan error, lost string) {
+	s.t.Helper()
+	wins := 0
+	for range n {
+		if err := <-won; err == nil {
+			wins++
+		} else {
+			qt.Check(s.t, err, qt.ErrorMatches, lost)
+		}
+	}
+	qt.Assert(s.t, wins, qt.Equals, 1)
+}
--- a/deckd/daemon/fleet_test.go
+++ b/deckd/daemon/fleet_test.go
@@ -369,3 +369,11 @@
 	}
 	return true
 }
+
+// away names a host of another failure domain.
+func away(home string) string {
+	if home == "d1" {
+		return "e21"
+	}
+	return "e11"
+}
--- a/deckd/daemon/freeze_test.go
+++ b/deckd/daemon/freeze_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"sync"
 	"testing"
 	"time"
 
@@ -58,40 +56,12 @@
 // The lead freezes at every step of bringing a gang up, in turn, and wakes up
 // when another one leads. The order it was about to give is given then.
 func TestLeadFrozenWhileItStartsAGang(t *testing.T) {
-	for _, step := range []string{"reserve", "start"} {
-		for nth := 1; nth <= 4; nth++ {
-			t.Run(fmt.Sprint(step, nth), func(t *testing.T) { freezeAt(t, step, nth) })
-		}
-	}
-}
-
-func freezeAt(t *testing.T, step string, nth int) {
-	inSite(t, plan{domains: 1, entries: 2, workers: 4}, func(s *site) {
-		s.space("e11", "orders")
-		lead := s.leadOf("e11", "d1")
-		at := s.other(lead, "d1")
-		s.onOrder = s.atStep(step, nth, func() { s.freeze(lead, freezeSpan) })
-		s.mustSubmit(at, "orders", "j", 16, 20*time.Second)
+	freeze := func(s *site, lead string) { s.freeze(lead, freezeSpan) }
+	atEachStep(t, freeze, func(s *site, lead, at string) {
 		s.until(freezeSpan-time.Second, "another lead", func() bool { return s.leadOf(at, "d1") == at })
 		s.untilPhase(at, "j", wire.Phase_DONE, 3*time.Minute)
 		s.until(2*freezeSpan, "the old lead's insight", func() bool { return s.leadOf(lead, "d1") == at })
 		time.Sleep(freezeSpan) // for whatever was held up
-		qt.Assert(t, s.running("j"), qt.Equals, 0)
+		qt.Assert(s.t, s.running("j"), qt.Equals, 0)
 	})
 }
-
-// atStep does something once, at the nth order of a kind.
-func (s *site) atStep(step string, nth int, do func()) func(from, to, step string) {
-	var once sync.Once
-	seen := 0
-	return func(_, _, got string) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if got == step {
-			seen++
-		}
-		if seen == nth && got == step {
-			once.Do(func() { go do() })
-		}
-	}
-}
--- a/deckd/daemon/outage_test.go
+++ b/deckd/daemon/outage_test.go
@@ -30,10 +30,7 @@
 		s.part("e"+n, "log", true)
 		s.part("e"+n, "list", true)
 		cut := time.Now()
-		at := "e11"
-		if home == "d1" {
-			at = "e21"
-		}
+		at := away(home)
 		_, err := s.turn(at, home, true, 0)
 		qt.Assert(s.t, err, qt.IsNil)
 		time.Sleep(50 * time.Second)
--- a/deckd/daemon/tasks_test.go
+++ b/deckd/daemon/tasks_test.go
@@ -48,9 +48,7 @@
 			s.mustSubmit("e11", "camp", fmt.Sprint("lent", i), 4, time.Hour)
 		}
 		s.until(20*time.Second, "a full site", func() bool { return s.allRunning("lent", 12) })
-		s.mustSubmit("e31", "orders", "owner", 8, 10*time.Second)
-		took := s.until(10*time.Second, "the owner's gang", func() bool { return s.running("owner") == 2 })
-		qt.Assert(s.t, took <= 6700*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", took))
+		s.reclaim("e31")
 		s.untilPhase("e11", "owner", wire.Phase_DONE, 20*time.Second)
 		s.until(30*time.Second, "the lent gangs again", func() bool { return s.allRunning("lent", 12) })
 	})
@@ -66,12 +64,18 @@
 		for _, w := range s.workers {
 			w.On(worker.SlowSave, 0)
 		}
-		s.mustSubmit("e11", "orders", "owner", 8, 10*time.Second)
-		took := s.until(10*time.Second, "the owner's gang", func() bool { return s.running("owner") == 2 })
-		qt.Assert(s.t, took <= 6700*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", took))
+		s.reclaim("e11")
 	})
 }
 
+// reclaim submits the owner's gang, which has to run on two workers in time.
+func (s *site) reclaim(at string) {
+	s.t.Helper()
+	s.mustSubmit(at, "orders", "owner", 8, 10*time.Second)
+	took := s.until(10*time.Second, "the owner's gang", func() bool { return s.running("owner") == 2 })
+	qt.Assert(s.t, took <= 6700*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", took))
+}
+
 func (s *site) allRunning(prefix string, n int) bool {
 	for i := range n {
 		if s.running(fmt.Sprint(prefix, i)) == 0 {
@@ -245,10 +249,7 @@
 				s.workers[id].Restart() // the power is off
 			}
 		}
-		other := "e11"
-		if home == "d1" {
-			other = "e21"
-		}
+		other := away(home)
 		_, err := s.get(other).Desk().TurnDomain(s.t.Context(), &wire.TurnAsk{Name: home, Out: true, Drain: wire.Drain_LOST})
 		qt.Assert(s.t, err, qt.IsNil)
 		s.untilPhase(other, "j", wire.Phase_DONE, 2*time.Minute)
@@ -269,9 +270,7 @@
 			s.mustSubmit("e11", "camp", fmt.Sprint("lent", i), 4, time.Hour)
 		}
 		s.until(30*time.Second, "a full site", func() bool { return s.allRunning("lent", 8) })
-		s.mustSubmit("e31", "orders", "owner", 8, 10*time.Second)
-		took := s.until(10*time.Second, "the owner's gang", func() bool { return s.running("owner") == 2 })
-		qt.Assert(s.t, took <= 6700*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", took))
+		s.reclaim("e31")
 		qt.Assert(s.t, s.job("e31", "owner").Home != home, qt.IsTrue)
 	})
 }
--- a/fleet/bench/ours_test.go
+++ b/fleet/bench/ours_test.go
@@ -139,14 +139,10 @@
 		o.claim[j.id] = now // cleared after the next plan unless its guarantee is free
 	}
 	o.view[d].Queued = o.view[d].Queued.Add(j.need())
-	o.plans[d].Add(o.planJob(j))
-}
-
-func (o *ours) planJob(j *tjob) place.Job {
-	return place.Job{
+	o.plans[d].Add(place.Job{
 		ID: j.id, Space: j.space, Tasks: j.tasks, Each: j.each, Declared: j.declared,
 		Spent: o.spent[j.id], Since: start.Add(j.arrive), Faulty: o.faulty[j.id], After: o.after[j.id],
-	}
+	})
 }
 
 func (o *ours) dequeue(j *tjob) {
--- a/fleet/place/home.go
+++ b/fleet/place/home.go
@@ -17,7 +17,6 @@
 	Claims int       // unclaimed guaranteed gangs that take the job
 	Ever   bool      // the job fits the empty domain
 	Now    bool      // the job fits beside what runs
-	Soon   bool      // the job would get workers at once, if need be by stopping others
 }
 
 // crowd is the load of a domain with the job in it, as a part of its size.
@@ -32,6 +31,13 @@
 // of those with room now the fullest, so that the large holes stay; else the
 // least crowded. The empty answer means that none is fit.
 func Choose(need fleet.Res, views []View) fleet.DomainID {
+	if v := best(need, views); v != nil {
+		return v.Domain
+	}
+	return ""
+}
+
+func best(need fleet.Res, views []View) *View {
 	var best *View
 	for i := range views {
 		v := &views[i]
@@ -42,10 +48,7 @@
 			best = v
 		}
 	}
-	if best == nil {
-		return ""
-	}
-	return best.Domain
+	return best
 }
 
 func better(a, b *View, need fleet.Res) bool {
@@ -93,14 +96,14 @@
 // for it, as which of them can be cleared for it changes all the time.
 func Move(s Stay, views []View) fleet.DomainID {
 	at, others := split(s.Home, views)
-	to := Choose(s.Need, others)
+	to := best(s.Need, others)
 	switch {
-	case to == "" || at == nil || !at.Open || !at.Ever:
-		return to
-	case s.Here < StaySpan:
+	case to == nil:
 		return ""
-	case s.tries(at) || s.gains(at, others, to):
-		return to
+	case at == nil || !at.Open || !at.Ever:
+		return to.Domain
+	case s.Here >= StaySpan && (s.tries(at) || s.gains(at, to)):
+		return to.Domain
 	}
 	return ""
 }
@@ -122,14 +125,9 @@
 }
 
 // gains reports whether the job is far better off in another domain.
-func (s Stay) gains(at *View, others []View, to fleet.DomainID) bool {
+func (s Stay) gains(at, to *View) bool {
 	here := at.crowd(fleet.Res{}) // the job is among those queued
-	for i := range others {
-		if v := &others[i]; v.Domain == to {
-			return v.fits(s.Need) && !at.Now || v.crowd(s.Need)+moveGain < here
-		}
-	}
-	return false
+	return to.fits(s.Need) && !at.Now || to.crowd(s.Need)+moveGain < here
 }
 
 // Ever reports whether a gang fits a domain with these workers when nothing
