--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := fleet standin deckd deck
+MODULES := fleet platform standin deckd deck
 PACKAGES := $(MODULES:%=./%/...)
 BIN := $(CURDIR)/bin
 PREFIX ?= /usr/local
--- a/deckd/daemon/daemon.go
+++ b/deckd/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"dragonflydeck.example/fleet/config"
 	"dragonflydeck.example/fleet/core"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/lines"
 	"dragonflydeck.example/fleet/serve"
 	"dragonflydeck.example/fleet/timer"
 	"dragonflydeck.example/fleet/wire"
@@ -27,7 +28,7 @@
 	loop     *loop
 	exec     *exec
 	traffic  *traffic
-	lines    *lines
+	lines    *lines.Lines
 	timer    *timer.Service
 	cancel   context.CancelFunc
 	desk     *desk
@@ -42,7 +43,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{settings: s, cancel: cancel, timer: timer.New(ctx)}
-	d.lines = newLines(self.Host, s.Level, s.Lines, w)
+	d.lines = lines.New(self.Host, s.Level, s.Lines, w)
 	d.exec = newExec(edges, d.lines)
 	d.traffic = newTraffic(self, edges, d.lines, s)
 	d.loop = newLoop(core.New(self, int32(s.Seats)), d.timer.Every(TickSpan), d.exec, d.traffic)
@@ -116,5 +117,5 @@
 }
 
 func (d *Daemon) tell(code event.Code, text string) {
-	d.lines.write(event.Event{At: time.Now(), Code: code, Host: fleet.HostID(d.settings.Host), About: d.settings.Host, Text: text})
+	d.lines.Write(event.Event{At: time.Now(), Code: code, Host: fleet.HostID(d.settings.Host), About: d.settings.Host, Text: text})
 }
--- a/deckd/daemon/exec.go
+++ b/deckd/daemon/exec.go
@@ -7,6 +7,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/board"
+	"dragonflydeck.example/fleet/lines"
 	"dragonflydeck.example/fleet/wire"
 )
 
@@ -26,11 +27,11 @@
 type exec struct {
 	edges  Edges
 	events chan board.Event
-	lines  *lines
+	lines  *lines.Lines
 	group  sync.WaitGroup
 }
 
-func newExec(edges Edges, l *lines) *exec {
+func newExec(edges Edges, l *lines.Lines) *exec {
 	return &exec{edges: edges, events: make(chan board.Event, EventQueue), lines: l}
 }
 
@@ -38,7 +39,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case board.Note:
-			x.lines.write(a.Event)
+			x.lines.Write(a.Event)
 		case board.ReadLog:
 			x.run(ctx, a.Wait+ReadSlack, func(ctx context.Context) board.Event { return x.read(ctx, a) })
 		case board.AppendLog:
--- a/deckd/daemon/traffic.go
+++ b/deckd/daemon/traffic.go
@@ -11,6 +11,7 @@
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/board"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/lines"
 	"dragonflydeck.example/fleet/member"
 	"dragonflydeck.example/fleet/refuse"
 	"dragonflydeck.example/fleet/route"
@@ -34,7 +35,7 @@
 type traffic struct {
 	self  board.Self
 	edges Edges
-	lines *lines
+	lines *lines.Lines
 	stats *stats
 	began time.Time
 	cut   string // what an isolated domain does with requests
@@ -60,7 +61,7 @@
 	until  time.Time
 }
 
-func newTraffic(self board.Self, edges Edges, l *lines, s *Settings) *traffic {
+func newTraffic(self board.Self, edges Edges, l *lines.Lines, s *Settings) *traffic {
 	rules := route.Defaults()
 	rules.Queue = s.Queue
 	return &traffic{
@@ -247,7 +248,7 @@
 	t.told.Lock()
 	t.chain.Add(e)
 	t.told.Unlock()
-	t.lines.write(e)
+	t.lines.Write(e)
 }
 
 // explain returns what is kept of a request.
--- a/deckd/root.go
+++ b/deckd/root.go
@@ -30,7 +30,7 @@
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
-	for _, add := range []func() (*cobra.Command, error){cmdRun, cmdCheck, cmdVersion} {
+	for _, add := range []func() (*cobra.Command, error){cmdRun, cmdSite, cmdCheck, cmdVersion} {
 		cmd, err := add()
 		if err != nil {
 			return fail(errOut, err)
--- /dev/null
+++ b/deckd/site/carry.go
@@ -0,0 +1,144 @@
+package site
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/elect"
+	"dragonflydeck.example/fleet/helm"
+	"dragonflydeck.example/fleet/wire"
+	"google.golang.org/protobuf/proto"
+)
+
+// topicJobs holds the claims of leads and the jobs. Only a lead writes to it.
+const topicJobs fleet.Topic = "keyed.jobs"
+
+// carrier carries out what the helm wants done, each action in a goroutine that
+// ends with an event.
+type carrier struct {
+	ctx   context.Context
+	site  *Site
+	group sync.WaitGroup
+}
+
+func (c *carrier) carry(actions []helm.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case helm.SendBeat:
+			c.site.air.send(a.Beat)
+		case helm.AnswerHand:
+			c.site.hands.answer(a.Waiter, a.Reply)
+		case helm.AnswerDrop:
+			c.site.drops.answer(a.Waiter, a.Reply)
+		default:
+			c.group.Go(func() { c.call(a) })
+		}
+	}
+}
+
+func (c *carrier) call(a helm.Action) {
+	switch a := a.(type) {
+	case helm.AskPeers:
+		c.askPeers()
+	case helm.Claim:
+		c.site.loop.post(c.claim(a.Known))
+	case helm.Load:
+		records, _, err := newest(c.ctx, c.site.edges.Store, topicJobs)
+		c.site.loop.post(helm.Loaded{Term: a.Term, Records: records, Err: err})
+	case helm.Append:
+		end, err := c.site.edges.Store.Append(c.ctx, topicJobs, a.At, a.Records)
+		c.site.loop.post(helm.Appended{Batch: a.Batch, End: end, Err: err})
+	case helm.Check:
+		b, err := c.site.edges.Store.Read(c.ctx, topicJobs, a.At, 0)
+		c.site.loop.post(helm.Checked{Batch: a.Batch, Records: b.Records, Err: err})
+	case helm.Start:
+		clock, err := c.site.edges.Exec.Start(c.ctx, a.Place, a.Order)
+		c.site.loop.post(helm.Started{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
+	case helm.Stop:
+		clock, err := c.site.edges.Exec.Stop(c.ctx, a.Place, a.Order)
+		c.site.loop.post(helm.Stopped{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
+	case helm.Look:
+		at := time.Now()
+		s, err := c.site.edges.Exec.Look(c.ctx, a.Place, a.Order)
+		c.site.loop.post(helm.Looked{Host: a.Place.Host, Term: a.Order.Term, Taken: a.Order.Taken, At: at, Sight: s, Err: err})
+	}
+}
+
+// newest reads the newest record of every key of a topic, and where it ended
+// when the last page was read.
+func newest(ctx context.Context, store fleet.Store, topic fleet.Topic) ([]fleet.Record, fleet.Offset, error) {
+	var out []fleet.Record
+	after := ""
+	for {
+		p, err := store.Newest(ctx, topic, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		out = append(out, p.Records...)
+		if p.Next == "" {
+			return out, p.End, nil
+		}
+		after = p.Next
+	}
+}
+
+// claim appends a claim where the topic ends, so that of several claims one is
+// taken. A claim newer than the one known is told instead: it may be this
+// daemon's own, whose answer was lost.
+func (c *carrier) claim(known fleet.Term) helm.Claimed {
+	store, self := c.site.edges.Store, c.site.self
+	records, end, err := newest(c.ctx, store, topicJobs)
+	if err != nil {
+		return helm.Claimed{Err: err}
+	}
+	before, at, err := newestLead(records)
+	if err != nil {
+		return helm.Claimed{Err: err}
+	}
+	if fleet.Term(at) > known {
+		return helm.Claimed{Lead: before, Term: fleet.Term(at), End: end}
+	}
+	mine := &wire.Lead{Host: string(self.Host), Addr: self.Addr, Inc: int64(self.Inc), Epoch: before.Epoch + 1}
+	value, err := proto.Marshal(mine)
+	if err != nil {
+		return helm.Claimed{Err: err}
+	}
+	after, err := store.Append(c.ctx, topicJobs, end, []fleet.Record{{Key: helm.LeadKey, Value: value}})
+	if err != nil {
+		return helm.Claimed{Err: err}
+	}
+	return helm.Claimed{Lead: mine, Term: fleet.Term(after - 1), End: after}
+}
+
+// newestLead returns the newest claim and its offset; an empty one before the
+// first.
+func newestLead(records []fleet.Record) (*wire.Lead, fleet.Offset, error) {
+	lead := &wire.Lead{}
+	for _, r := range records {
+		if r.Key == helm.LeadKey {
+			err := proto.Unmarshal(r.Value, lead)
+			return lead, r.Offset, err
+		}
+	}
+	return lead, 0, nil
+}
+
+// askPeers asks every other daemon whether it hears the lead.
+func (c *carrier) askPeers() {
+	var group sync.WaitGroup
+	for _, m := range c.site.members.others(c.site.self.Host) {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(c.ctx, elect.AskSpan)
+			defer cancel()
+			r, err := c.site.pool.Site(m.Addr).Sight(ctx, &wire.SightAsk{})
+			if err != nil {
+				c.site.tellCall("ask whether it hears the lead", m.Host, err)
+				return
+			}
+			c.site.loop.post(helm.Sighted{Reply: r})
+		})
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/deckd/site/intake.go
@@ -0,0 +1,262 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/helm"
+	"dragonflydeck.example/fleet/link"
+	"dragonflydeck.example/fleet/wire"
+	"github.com/twitchtv/twirp"
+)
+
+// Spans of callers' calls.
+const (
+	leadWait  = 1500 * time.Millisecond // a lead is mostly replaced within this
+	leadRetry = 1 * time.Second         // callers come back after this
+	againSpan = 60 * time.Millisecond   // between two tries to reach the lead
+	askSpan   = 1 * time.Second         // for the lead to answer a question
+)
+
+// Enter decides which queue a call is for and whether its key may use it.
+func (s *Site) Enter(host, path, key string) (fleet.Caller, fleet.Access) {
+	c := s.orders.config.Load()
+	if c == nil {
+		return fleet.Caller{}, fleet.NoConfig
+	}
+	q, rest := c.Match(host, path)
+	if q == nil {
+		return fleet.Caller{}, fleet.NoQueue
+	}
+	space, known := c.Holder(key)
+	if !known && !q.Open {
+		return fleet.Caller{}, fleet.UnknownKey
+	}
+	return fleet.Caller{Queue: q.Name, Space: space, Rest: rest}, fleet.Granted
+}
+
+// BodyMost returns the most bytes that a body may have.
+func (s *Site) BodyMost() int {
+	if c := s.orders.config.Load(); c != nil {
+		return c.MaxBody
+	}
+	return 0
+}
+
+// Ready reports whether callers are served well here.
+func (s *Site) Ready() bool {
+	return s.orders.config.Load() != nil && s.heard.Load() && !s.leaving.Load()
+}
+
+// Hand submits a job at the lead. It may be handed in again at another lead, as
+// its id makes it one job.
+func (s *Site) Hand(c fleet.Caller, f *wire.Flow, until time.Time) *wire.HandReply {
+	s.fill(c, f)
+	doubt := false
+	giveUp := earlier(until, leadWait)
+	for {
+		r, sent := s.handOnce(f, until)
+		if r.GetVerdict() != wire.Verdict_ASTRAY && r != nil && (r.Verdict != wire.Verdict_REFUSED || !doubt) {
+			return r
+		}
+		doubt = doubt || sent
+		if time.Now().After(giveUp) {
+			break
+		}
+		time.Sleep(againSpan)
+	}
+	if doubt {
+		return &wire.HandReply{Verdict: wire.Verdict_UNKNOWN, Why: "the lead of the site did not answer"}
+	}
+	return &wire.HandReply{Verdict: wire.Verdict_REFUSED, Retry: leadRetry.Milliseconds(), Why: "the site has no lead at the moment"}
+}
+
+// fill writes into a job what its queue asks for now.
+func (s *Site) fill(c fleet.Caller, f *wire.Flow) {
+	f.Queue, f.Space, f.Domain = c.Queue, string(c.Space), string(s.self.Domain)
+	if q := s.orders.config.Load().Queue(c.Queue); q != nil {
+		f.Service, f.Attempts, f.Priority = q.Service, int32(q.Attempts), int32(q.Priority)
+		f.Slowdown, f.Target = q.Slowdown, q.Target.Milliseconds()
+	}
+}
+
+// handOnce hands a job in at the lead. Sent tells, without an answer, whether
+// the lead may have it.
+func (s *Site) handOnce(f *wire.Flow, until time.Time) (r *wire.HandReply, sent bool) {
+	if s.leading.Load() {
+		return s.handHere(f, until), false
+	}
+	addr := s.leadAddr()
+	if addr == "" {
+		return nil, false
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), earlier(until, leadWait))
+	defer cancel()
+	r, err := s.pool.Site(addr).Hand(ctx, &wire.HandAsk{Flow: f, Limit: time.Until(until).Milliseconds()})
+	if err != nil {
+		s.tellCall("hand job "+f.Id+" in", addr, err)
+		return nil, !link.NotSent(err)
+	}
+	return r, false
+}
+
+// handHere hands a job in at this daemon's own helm.
+func (s *Site) handHere(f *wire.Flow, until time.Time) *wire.HandReply {
+	id, answer := s.hands.add()
+	s.loop.post(helm.HandedIn{Waiter: id, Flow: f, Until: until})
+	return wait(s.hands, id, answer, until, &wire.HandReply{Verdict: wire.Verdict_UNKNOWN, Why: "the job was not stored in time"})
+}
+
+// wait returns a waiter's answer, or another one if there is none in time.
+func wait[T any](w *waits[T], id helm.Waiter, answer <-chan T, until time.Time, none T) T {
+	timer := time.NewTimer(time.Until(until) + answerSlack)
+	defer timer.Stop()
+	select {
+	case a := <-answer:
+		return a
+	case <-timer.C:
+		w.drop(id)
+		return none
+	}
+}
+
+// answerSlack lets the helm answer a waiter at its limit first.
+const answerSlack = 60 * time.Millisecond
+
+// Status asks the lead how far a job has come.
+func (s *Site) Status(c fleet.Caller, id fleet.JobID, until time.Time) *wire.FlowReply {
+	ask := &wire.FlowAsk{Id: string(id), Queue: c.Queue, Space: string(c.Space)}
+	return s.atLead(until, func() *wire.FlowReply { return s.statusHere(ask, until) },
+		func(ctx context.Context, lead wire.Site) (*wire.FlowReply, error) { return lead.Status(ctx, ask) })
+}
+
+// Drop cancels a job at the lead.
+func (s *Site) Drop(c fleet.Caller, id fleet.JobID, until time.Time) *wire.FlowReply {
+	ask := &wire.FlowAsk{Id: string(id), Queue: c.Queue, Space: string(c.Space), Limit: time.Until(until).Milliseconds()}
+	return s.atLead(until, func() *wire.FlowReply { return s.dropHere(ask, until) },
+		func(ctx context.Context, lead wire.Site) (*wire.FlowReply, error) { return lead.Drop(ctx, ask) })
+}
+
+// atLead asks the lead until it answers or the time is over.
+func (s *Site) atLead(until time.Time, here func() *wire.FlowReply, there func(context.Context, wire.Site) (*wire.FlowReply, error)) *wire.FlowReply {
+	giveUp := earlier(until, leadWait)
+	for {
+		r := s.leadOnce(until, here, there)
+		if r != nil && r.Verdict != wire.Verdict_ASTRAY {
+			return r
+		}
+		if time.Now().After(giveUp) {
+			return &wire.FlowReply{Verdict: wire.Verdict_UNKNOWN}
+		}
+		time.Sleep(againSpan)
+	}
+}
+
+func (s *Site) leadOnce(until time.Time, here func() *wire.FlowReply, there func(context.Context, wire.Site) (*wire.FlowReply, error)) *wire.FlowReply {
+	if s.leading.Load() {
+		return here()
+	}
+	addr := s.leadAddr()
+	if addr == "" {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), earlier(until, askSpan))
+	defer cancel()
+	r, err := there(ctx, s.pool.Site(addr))
+	if err != nil {
+		s.tellCall("ask the lead", addr, err)
+		return nil
+	}
+	return r
+}
+
+func (s *Site) statusHere(ask *wire.FlowAsk, until time.Time) *wire.FlowReply {
+	var r *wire.FlowReply
+	if !s.loop.ask(until, func(h *helm.Helm) { r = h.Status(ask) }) {
+		return &wire.FlowReply{Verdict: wire.Verdict_UNKNOWN}
+	}
+	return r
+}
+
+func (s *Site) dropHere(ask *wire.FlowAsk, until time.Time) *wire.FlowReply {
+	id, answer := s.drops.add()
+	s.loop.post(helm.Dropped{Waiter: id, Ask: ask, Until: until})
+	return wait(s.drops, id, answer, until, &wire.FlowReply{Verdict: wire.Verdict_UNKNOWN})
+}
+
+// Backlog asks the lead how many jobs of a queue wait.
+func (s *Site) Backlog(c fleet.Caller, until time.Time) *wire.BacklogReply {
+	ask := &wire.BacklogAsk{Queue: c.Queue}
+	if s.leading.Load() {
+		return s.backlogHere(ask, until)
+	}
+	addr := s.leadAddr()
+	if addr == "" {
+		return &wire.BacklogReply{Verdict: wire.Verdict_UNKNOWN}
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), earlier(until, askSpan))
+	defer cancel()
+	r, err := s.pool.Site(addr).Backlog(ctx, ask)
+	if err != nil {
+		s.tellCall("ask for the backlog", addr, err)
+		return &wire.BacklogReply{Verdict: wire.Verdict_UNKNOWN}
+	}
+	return r
+}
+
+func (s *Site) backlogHere(ask *wire.BacklogAsk, until time.Time) *wire.BacklogReply {
+	var r *wire.BacklogReply
+	if !s.loop.ask(until, func(h *helm.Helm) { r = h.Backlog(ask) }) {
+		return &wire.BacklogReply{Verdict: wire.Verdict_UNKNOWN}
+	}
+	return r
+}
+
+func earlier(until time.Time, span time.Duration) time.Time {
+	if by := time.Now().Add(span); by.Before(until) {
+		return by
+	}
+	return until
+}
+
+// peer is what other daemons ask of this one.
+type peer struct{ site *Site }
+
+var _ wire.Site = peer{}
+
+func (p peer) Hand(_ context.Context, ask *wire.HandAsk) (*wire.HandReply, error) {
+	if ask.Flow == nil || len(ask.Flow.Steps) == 0 {
+		return nil, twirp.RequiredArgumentError("flow")
+	}
+	if !p.site.leading.Load() {
+		return &wire.HandReply{Verdict: wire.Verdict_ASTRAY}, nil
+	}
+	return p.site.handHere(ask.Flow, limit(ask.Limit)), nil
+}
+
+func (p peer) Status(_ context.Context, ask *wire.FlowAsk) (*wire.FlowReply, error) {
+	return p.site.statusHere(ask, limit(askSpan.Milliseconds())), nil
+}
+
+func (p peer) Drop(_ context.Context, ask *wire.FlowAsk) (*wire.FlowReply, error) {
+	return p.site.dropHere(ask, limit(ask.Limit)), nil
+}
+
+func (p peer) Backlog(_ context.Context, ask *wire.BacklogAsk) (*wire.BacklogReply, error) {
+	return p.site.backlogHere(ask, limit(askSpan.Milliseconds())), nil
+}
+
+func (p peer) Sight(context.Context, *wire.SightAsk) (*wire.SightReply, error) {
+	var r *wire.SightReply
+	if !p.site.loop.ask(limit(peerSpan.Milliseconds()), func(h *helm.Helm) { r = h.Sight(time.Now()) }) {
+		return nil, twirp.NewError(twirp.Unavailable, "the control loop is busy")
+	}
+	return r, nil
+}
+
+func (p peer) Orders(_ context.Context, ask *wire.OrdersAsk) (*wire.OrdersReply, error) {
+	return p.site.orders.reply(fleet.Offset(ask.Since)), nil
+}
+
+func limit(ms int64) time.Time { return time.Now().Add(time.Duration(ms) * time.Millisecond) }
--- /dev/null
+++ b/deckd/site/site.go
@@ -0,0 +1,198 @@
+// Package site is the daemon of a site that one lead schedules: it joins the
+// pure control, callers, workers, the store and the other daemons.
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/elect"
+	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/helm"
+	"dragonflydeck.example/fleet/lines"
+	"dragonflydeck.example/fleet/link"
+	"dragonflydeck.example/fleet/serve"
+	"dragonflydeck.example/fleet/timer"
+	"dragonflydeck.example/fleet/wire"
+	"golang.org/x/sync/errgroup"
+)
+
+// Spans of a stop. Together they are shorter than the grace that the platform
+// gives.
+const (
+	lameSpan = 2500 * time.Millisecond // until the balancer has seen that the daemon leaves
+	endSpan  = 2 * time.Second         // for calls that still run
+)
+
+// memoryShare is the part of the host's memory that the heap may grow to
+// before it is collected more often.
+const memoryShare = 0.6
+
+// Site is one daemon.
+type Site struct {
+	settings fleet.SiteSettings
+	self     helm.Self
+	edges    Edges
+	pool     *link.Pool
+	lines    *lines.Lines
+	timer    *timer.Service
+	loop     *loop
+	carrier  *carrier
+	members  *members
+	orders   *orders
+	air      *air
+	hands    *waits[*wire.HandReply]
+	drops    *waits[*wire.FlowReply]
+
+	leading atomic.Bool
+	heard   atomic.Bool // a lead is known and well
+	leaving atomic.Bool
+	lead    atomic.Pointer[string] // its address
+}
+
+// Own are the daemon's own settings.
+type Own struct {
+	Level string `env:"LEVEL" envDefault:"info" validate:"oneof=debug info warn error" help:"least level of log lines"`
+	Lines int    `env:"LINES" envDefault:"200" validate:"min=1,max=100000" help:"log lines a second for each kind of event; the rest is counted"`
+}
+
+// New returns a daemon that has not started. Log lines go to w.
+func New(s fleet.SiteSettings, own Own, edges Edges, w io.Writer) *Site {
+	one := &Site{
+		settings: s, edges: edges, pool: link.NewPool(), members: newMembers(),
+		self: helm.Self{
+			Host: s.Host, Addr: s.Peer, Domain: s.Domain,
+			Inc: fleet.Incarnation(time.Now().UnixMilli()),
+		},
+		hands: newWaits[*wire.HandReply](), drops: newWaits[*wire.FlowReply](),
+		lines: lines.NewAsync(s.Host, own.Level, own.Lines, w),
+	}
+	one.orders = newOrders(one)
+	return one
+}
+
+// Run serves until the context ends, and then stops gracefully.
+func (s *Site) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.settings.Memory) * (1 << 20)))
+	s.tell(event.ProcessStarted, string(s.self.Host), "domain=%s peer=%s front=%s store=%s lease=%s memory=%d", s.self.Domain, s.self.Addr, s.settings.Front, s.settings.Store, s.settings.Lease, s.settings.Memory)
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	servers, err := s.listen()
+	if err != nil {
+		return err
+	}
+	s.start(background)
+	var group errgroup.Group
+	for _, one := range servers {
+		group.Go(one.Run)
+	}
+	<-ctx.Done()
+	s.leave()
+	errs := s.end(servers)
+	cancel()
+	s.air.conn.Close()
+	<-s.loop.ended
+	s.carrier.group.Wait()
+	s.timer.Wait()
+	s.tell(event.ProcessStopped, string(s.self.Host), "")
+	return errors.Join(errs, group.Wait(), s.lines.Close())
+}
+
+// listen opens every address of the daemon.
+func (s *Site) listen() ([]*serve.Server, error) {
+	var err error
+	if s.air, err = listenAir(s, s.settings.Peer); err != nil {
+		return nil, err
+	}
+	front := s.edges.Front(s)
+	site := wire.NewSiteServer(peer{s})
+	peers, err := serve.Listen(s.settings.Peer, []serve.Route{{Prefix: site.PathPrefix(), Handler: site}}, nil)
+	if err != nil {
+		return nil, err
+	}
+	callers, err := serve.Plain(s.settings.Front, front.Handle)
+	if err != nil {
+		return nil, err
+	}
+	ready, err := serve.Plain(s.settings.Ready, front.Readiness)
+	if err != nil {
+		return nil, err
+	}
+	metrics, err := serve.Listen(s.settings.Metrics, nil, []serve.Page{{Path: "/metrics", Body: s.metrics}})
+	if err != nil {
+		return nil, err
+	}
+	return []*serve.Server{callers, ready, peers, metrics}, nil
+}
+
+// start starts the goroutines that run until the daemon has stopped.
+func (s *Site) start(ctx context.Context) {
+	s.timer = timer.New(ctx)
+	limits := helm.Limits{Lease: s.settings.Lease, Stop: s.settings.Stop, Gang: s.settings.Gang, Status: s.settings.Status}
+	s.loop = newLoop(helm.New(s.self, limits, time.Now()), s.timer.Every(tickSpan), s.lines)
+	s.carrier = &carrier{ctx: ctx, site: s}
+	s.loop.carry, s.loop.after = s.carrier.carry, s.mirror
+	go s.loop.run(ctx)
+	go s.air.run(ctx)
+	s.carrier.group.Go(func() { s.enlist(ctx) })
+	s.carrier.group.Go(func() { s.orders.follow(ctx) })
+	s.carrier.group.Go(func() { s.orders.watch(ctx) })
+	s.carrier.group.Go(func() { (&workers{site: s}).follow(ctx) })
+}
+
+// mirror copies what other goroutines need to know from the helm.
+func (s *Site) mirror(h *helm.Helm) {
+	lead := h.Elect.Lead()
+	s.leading.Store(h.Leads())
+	heard := lead.Term > 0 && !lead.Leaving && time.Since(lead.Heard) < 2*elect.SilentSpan
+	if s.heard.Swap(heard) != heard {
+		code := event.ProcessUnready
+		if heard {
+			code = event.ProcessReady
+		}
+		s.tell(code, string(s.self.Host), "lead=%s term=%d heard=%s ago", lead.Host, lead.Term, time.Since(lead.Heard))
+	}
+	if addr := s.lead.Load(); addr == nil || *addr != lead.Addr {
+		s.lead.Store(&lead.Addr)
+	}
+}
+
+func (s *Site) leadAddr() string {
+	if addr := s.lead.Load(); addr != nil && *addr != s.self.Addr {
+		return *addr
+	}
+	return ""
+}
+
+// leave takes the daemon out of use: the lead goes to another daemon, the
+// balancer sends no new callers, and those who are here are served on.
+func (s *Site) leave() {
+	s.leaving.Store(true)
+	s.tell(event.ProcessLeaving, string(s.self.Host), "lead=%t", s.leading.Load())
+	s.loop.post(helm.Leave{})
+	time.Sleep(min(lameSpan, s.settings.Grace/2))
+}
+
+func (s *Site) end(servers []*serve.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), min(endSpan, s.settings.Grace/3))
+	defer cancel()
+	var group errgroup.Group
+	for _, one := range servers {
+		group.Go(func() error { return one.Stop(ctx) })
+	}
+	return group.Wait()
+}
+
+func (s *Site) tell(code event.Code, about, format string, args ...any) {
+	s.lines.Write(event.Event{At: time.Now(), Code: code, Host: s.self.Host, About: about, Text: fmt.Sprintf(format, args...)})
+}
+
+func (s *Site) tellCall(op, to string, err error) {
+	s.tell(event.CallFailed, to, "%s: %v", op, err)
+}
--- a/fleet/lines/lines.go
+++ b/fleet/lines/lines.go
@@ -1,4 +1,6 @@
-package daemon
+// Package lines writes numbered events as structured log lines. Their volume is
+// bounded and a reader that does not read them holds nobody up.
+package lines
 
 import (
 	"io"
@@ -11,14 +13,35 @@
 	"github.com/phuslu/log"
 )
 
-// lines writes numbered events as log lines, at most so many a second of each
+// Lines writes numbered events as log lines, at most so many a second of each
 // kind. A line after a gap says how many were left out.
-type lines struct {
+type Lines struct {
 	host  fleet.HostID
 	out   log.Logger
 	most  int
 	mu    sync.Mutex
 	kinds map[event.Code]*meter
+	async *log.AsyncWriter // nil if lines wait for their reader
+}
+
+// buffered is how many lines wait at most for a slow reader.
+const buffered = 4096
+
+// NewAsync returns lines that never wait for their reader. Lines that it does
+// not take in time are dropped.
+func NewAsync(host fleet.HostID, level string, most int, w io.Writer) *Lines {
+	l := New(host, level, most, w)
+	l.async = &log.AsyncWriter{ChannelSize: buffered, DiscardOnFull: true, Writer: l.out.Writer}
+	l.out.Writer = l.async
+	return l
+}
+
+// Close writes the lines that wait. It does nothing for lines that never do.
+func (l *Lines) Close() error {
+	if l.async == nil {
+		return nil
+	}
+	return l.async.Close()
 }
 
 // meter counts the lines of one kind in the present second.
@@ -28,8 +51,10 @@
 	skipped int
 }
 
-func newLines(host fleet.HostID, level string, most int, w io.Writer) *lines {
-	return &lines{
+// New returns lines of a host from a level on, at most so many a second of each
+// kind of event.
+func New(host fleet.HostID, level string, most int, w io.Writer) *Lines {
+	return &Lines{
 		host: host, most: most, kinds: map[event.Code]*meter{},
 		out: log.Logger{
 			Level: log.ParseLevel(level), TimeFormat: "2006-01-02T15:04:05.000Z07:00",
@@ -38,7 +63,8 @@
 	}
 }
 
-func (l *lines) write(e event.Event) {
+// Write writes one event.
+func (l *Lines) Write(e event.Event) {
 	metrics.GetOrCreateCounter(`deckd_events_total{event="` + e.Code.String() + `"}`).Inc()
 	level := l.level(e)
 	if level < l.out.Level {
@@ -60,7 +86,7 @@
 }
 
 // level is that of the catalogue. Records of other hosts are theirs to tell.
-func (l *lines) level(e event.Event) log.Level {
+func (l *Lines) level(e event.Event) log.Level {
 	if e.Offset > 0 && e.Host != l.host {
 		return log.DebugLevel
 	}
@@ -76,7 +102,7 @@
 	return log.InfoLevel
 }
 
-func (l *lines) allow(c event.Code) (skipped int, ok bool) {
+func (l *Lines) allow(c event.Code) (skipped int, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m, found := l.kinds[c]
--- a/fleet/link/client.go
+++ b/fleet/link/client.go
@@ -21,6 +21,8 @@
 	IdleSpan     = 8 * time.Second  // below the idle limit of our servers
 	MaxReply     = 64 << 20         // bytes
 	MaxConns     = 256
+	ProbeSpan    = 1 * time.Second // of silence before a probe, and between probes; the least that TCP takes
+	probeCount   = 3               // probes without an answer
 )
 
 // Client is an HTTP client for one address, as Twirp's clients want it. It
@@ -33,21 +35,31 @@
 func NewClient(addr string, conns int) *Client {
 	return &Client{host: &fasthttp.HostClient{
 		Addr:                          addr,
-		Dial:                          dial,
+		Dial:                          Dial,
 		MaxConns:                      conns,
 		MaxIdleConnDuration:           IdleSpan,
 		MaxIdemponentCallAttempts:     1,
-		RetryIfErr:                    never,
+		RetryIfErr:                    Never,
 		MaxResponseBodySize:           MaxReply,
 		NoDefaultUserAgentHeader:      true,
 		DisableHeaderNamesNormalizing: true,
 	}}
 }
 
-func never(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+// Never keeps a client from sending a request twice.
+func Never(*fasthttp.Request, int, error) (bool, bool) { return false, false }
 
-func dial(addr string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", addr, DialSpan)
+// dialer probes connections, as one may go silent for good without a reset.
+var dialer = net.Dialer{
+	Timeout: DialSpan,
+	KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: ProbeSpan, Interval: ProbeSpan, Count: probeCount,
+	},
+}
+
+// Dial opens a connection that finds out within seconds when it has gone silent.
+func Dial(addr string) (net.Conn, error) {
+	conn, err := dialer.Dial("tcp", addr)
 	if err != nil {
 		return nil, &Error{Op: "dial " + addr, Kind: Unsent, Err: err}
 	}
--- a/fleet/link/pool.go
+++ b/fleet/link/pool.go
@@ -59,6 +59,11 @@
 	return wire.NewDeskProtobufClient(url(addr), p.client(addr))
 }
 
+// Site returns the daemon at an address as a part of its site.
+func (p *Pool) Site(addr string) wire.Site {
+	return wire.NewSiteProtobufClient(url(addr), p.client(addr))
+}
+
 // Fault returns the switch of a stand-in's failures.
 func (p *Pool) Fault(addr string) wire.Fault {
 	return wire.NewFaultProtobufClient(url(addr), p.client(addr))
--- a/fleet/serve/serve.go
+++ b/fleet/serve/serve.go
@@ -63,6 +63,24 @@
 	}}, nil
 }
 
+// Plain opens the port for a handler of plain requests. A handler that panics
+// fails its own request alone.
+func Plain(addr string, handle fasthttp.RequestHandler) (*Server, error) {
+	s, err := Listen(addr, nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	s.http.Handler = func(ctx *fasthttp.RequestCtx) {
+		defer func() {
+			if p := recover(); p != nil {
+				ctx.Error("internal error", fasthttp.StatusInternalServerError)
+			}
+		}()
+		handle(ctx)
+	}
+	return s, nil
+}
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
