--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -59,6 +59,8 @@
 	FailJob  fleet.JobID
 	Aside    time.Time // not used before
 	asides   int
+	keeper   fleet.JobID // the job that its room is kept for
+	kept     time.Time   // until then
 	used     fleet.Res
 	clockAt  time.Time
 	until    fleet.Ticks // end of the longest lease that was sent
@@ -90,6 +92,21 @@
 	return false
 }
 
+// Keep keeps the worker's room for a job.
+func (w *Worker) Keep(job fleet.JobID, until time.Time) { w.keeper, w.kept = job, until }
+
+// Release ends the keeping of room for a job.
+func (w *Worker) Release(job fleet.JobID) {
+	if w.keeper == job {
+		w.keeper = ""
+	}
+}
+
+// OpenTo reports whether the worker's room is not kept for another job.
+func (w *Worker) OpenTo(job fleet.JobID, now time.Time) bool {
+	return w.keeper == "" || w.keeper == job || !now.Before(w.kept)
+}
+
 // Add puts a run on the worker.
 func (w *Worker) Add(r *Run) {
 	k := Key{r.Task, r.No}
--- a/fleet/helm/plan.go
+++ b/fleet/helm/plan.go
@@ -13,10 +13,14 @@
 
 // Spans of planning.
 const (
-	planSpan   = 250 * time.Millisecond  // between two plans when nothing has changed
-	urgentFar  = 1200 * time.Millisecond // urgent work that waits longer runs spread out rather than late
-	clearAfter = 150 * time.Millisecond  // urgent work waits so long for room before others are stopped for it
-	clearRetry = 800 * time.Millisecond  // what was stopped for it is gone by then
+	savedLoss  = 250 * time.Millisecond // work that keeps checkpoints loses the time of a restore
+	planSpan   = 250 * time.Millisecond // between two plans when nothing has changed
+	owedFar    = 2 * time.Second        // work that is owed room runs spread out rather than later
+	farChains  = 6                      // other work waits so many times its run time before it runs spread out
+	clearAfter = 150 * time.Millisecond // urgent work waits so long for room before others are stopped for it
+	clearRetry = 800 * time.Millisecond // what was stopped for it is gone by then
+	keepSpan   = 900 * time.Millisecond // room is kept a little longer than that
+	owedClear  = 800 * time.Millisecond // a workspace gets what is guaranteed to it within 2.9 s, whatever it costs
 )
 
 // unit is a unit of placement in its order.
@@ -96,7 +100,7 @@
 	if !spec.Tight && spec.Rack == "" {
 		return false
 	}
-	if u.priority == 0 && u.waited > urgentFar || u.waited > 2*u.Step.Span()+urgentFar {
+	if u.waited > max(farChains*u.Step.Span(), owedFar) || u.priority == 0 && u.waited > owedFar && h.owed(u.job) {
 		return true
 	}
 	return !h.site().Holds(u.Unit, true)
@@ -125,6 +129,9 @@
 		return
 	}
 	run := h.next(u.Step)
+	for _, w := range h.crew.Sorted() {
+		w.Release(u.job.ID)
+	}
 	for _, s := range spots {
 		t := u.Step.Task(u.job.ID, s.Index)
 		r := &crew.Run{Task: t, No: run, Each: u.Step.Each(), Phase: crew.Sent, Since: h.now, Moved: h.now}
@@ -155,23 +162,52 @@
 	return max(s.Run, fleet.Run(h.epoch-1)*runsPerEpoch) + 1
 }
 
-// clear stops less urgent runs for urgent work. It answers a burst of urgent
-// jobs against long ones that fill the site.
+// clear stops less urgent runs for urgent work, and keeps their room for it. It
+// answers a burst of urgent jobs against long ones that fill the site: what is
+// thrown away must not be more than the urgent job itself, unless its workspace
+// is owed the room.
 func (h *Helm) clear(site *pack.Site, u unit) {
 	if u.priority != 0 || u.waited < clearAfter || h.now.Sub(u.job.cleared) < clearRetry {
 		return
 	}
-	runs := site.Clear(u.Unit, func(r *crew.Run) float64 { return h.price(u, r) })
-	if len(runs) == 0 {
+	c, ok := site.Clear(u.Unit, func(r *crew.Run) float64 { return h.price(u, r) })
+	if !ok || len(c.Runs) == 0 {
+		return
+	}
+	owed := h.owed(u.job)
+	if c.Cost > work(u) && (!owed || u.waited < owedClear) {
 		return
 	}
 	u.job.cleared = h.now
-	h.note(event.JobEvicted, string(u.job.ID), "runs=%d stopped for it, waited=%s", len(runs), u.waited)
-	for _, r := range runs {
+	h.note(event.JobEvicted, string(u.job.ID), "runs=%d stopped for it, cost=%.0f work=%.0f owed=%t waited=%s", len(c.Runs), c.Cost, work(u), owed, u.waited)
+	for _, w := range c.Workers {
+		w.Keep(u.job.ID, h.now.Add(keepSpan))
+	}
+	for _, r := range c.Runs {
 		h.evict(r)
 	}
 }
 
+// work returns the seconds of a core that a unit takes.
+func work(u unit) float64 {
+	return float64(len(u.Indexes)) * cores(u.Step.Each()) * u.Step.Span().Seconds()
+}
+
+// owed reports whether the urgent jobs of a job's workspace, all together, need
+// no more than is guaranteed to it.
+func (h *Helm) owed(j *job) bool {
+	var need fleet.Accels
+	for _, o := range h.jobs {
+		if o.Over() || o.Spec.Priority != 0 || o.Spec.Space != j.Spec.Space {
+			continue
+		}
+		for _, s := range o.Spec.Steps {
+			need += fleet.Accels(s.Each.GetAccels()) * fleet.Accels(s.Count)
+		}
+	}
+	return need <= h.config.Guaranteed(fleet.SpaceID(j.Spec.Space))
+}
+
 // evict stops a run and the rest of its gang.
 func (h *Helm) evict(r *crew.Run) {
 	j := h.jobs[r.Task.Job]
@@ -198,7 +234,7 @@
 	s := j.Step(r.Task)
 	lost := h.now.Sub(r.Since)
 	if s.Spec.Saves {
-		lost = min(lost, time.Second)
+		lost = min(lost, savedLoss)
 	}
 	cost := lost.Seconds() * cores(r.Each)
 	if s.Spec.Gang {
--- a/fleet/pack/pack.go
+++ b/fleet/pack/pack.go
@@ -72,7 +72,7 @@
 }
 
 func (s *Site) may(u Unit, w *crew.Worker) bool {
-	return w.Service == u.Service && w.Usable(s.Now) && !s.Out[w.Domain] && w.Has(u.Step.Spec.Label)
+	return w.Service == u.Service && w.Usable(s.Now) && !s.Out[w.Domain] && w.Has(u.Step.Spec.Label) && w.OpenTo(u.Job.ID, s.Now)
 }
 
 // fits returns how many tasks of the unit some room of a worker takes.
--- a/fleet/pack/room.go
+++ b/fleet/pack/room.go
@@ -1,6 +1,7 @@
 package pack
 
 import (
+	"slices"
 	"sort"
 
 	"dragonflydeck.example/fleet"
@@ -44,9 +45,16 @@
 // Negative means that the run may not be stopped for the unit.
 type Price func(*crew.Run) float64
 
-// Clear returns the runs to stop so that the unit can start, those that throw
-// away least; nil if that is not possible.
-func (s *Site) Clear(u Unit, price Price) []*crew.Run {
+// Clearing is what makes room for a unit.
+type Clearing struct {
+	Runs    []*crew.Run    // to be stopped
+	Workers []*crew.Worker // that are then to run the unit
+	Cost    float64        // of what is thrown away, in seconds of a core
+}
+
+// Clear returns how the unit gets room at the least cost, and whether that is
+// possible.
+func (s *Site) Clear(u Unit, price Price) (Clearing, bool) {
 	var all []yield
 	for _, w := range s.Crew.Sorted() {
 		if s.may(u, w) {
@@ -54,21 +62,19 @@
 		}
 	}
 	if !u.Step.Spec.Gang || u.Far || (!u.Step.Spec.Tight && u.Step.Spec.Rack == "") {
-		runs, _ := cheapest(all, need(u))
-		return runs
+		return cheapest(all, need(u))
 	}
-	var best []*crew.Run
-	lowest := -1.0
+	var best Clearing
+	found := false
 	for _, on := range byRack(all, yield.rack) {
 		if rack := u.Step.Spec.Rack; rack != "" && on[0].rack() != rack {
 			continue
 		}
-		runs, cost := cheapest(on, need(u))
-		if runs != nil && (lowest < 0 || cost < lowest) {
-			best, lowest = runs, cost
+		if c, ok := cheapest(on, need(u)); ok && (!found || c.Cost < best.Cost) {
+			best, found = c, true
 		}
 	}
-	return best
+	return best, found
 }
 
 func need(u Unit) int {
@@ -137,20 +143,21 @@
 	return price(r) / float64(max(r.Each.Accels, 1))
 }
 
-// cheapest takes the seats that cost least. The result is not nil if there are
-// enough of them.
-func cheapest(all []yield, n int) ([]*crew.Run, float64) {
+// cheapest takes the seats that cost least, if there are enough of them.
+func cheapest(all []yield, n int) (Clearing, bool) {
 	if len(all) < n {
-		return nil, 0
+		return Clearing{}, false
 	}
 	sort.SliceStable(all, func(a, b int) bool { return all[a].cost < all[b].cost })
-	out := []*crew.Run{}
-	cost := 0.0
+	var c Clearing
 	for _, y := range all[:n] {
-		out = append(out, y.runs...)
-		cost += y.cost
+		c.Runs = append(c.Runs, y.runs...)
+		c.Cost += y.cost
+		if !slices.Contains(c.Workers, y.worker) {
+			c.Workers = append(c.Workers, y.worker)
+		}
 	}
-	return out, cost
+	return c, true
 }
 
 // Total returns the accelerators of the workers of a service in the site.
