Let the lease of a worker that is not heard lapse

Ruled out: the start without an answer (it had been adopted by then). A look extends the lease only of a worker heard within 2.5 s, and a run stands still only as of the worker's last answer. Terms begin at 1, as a first claim at offset 0 had the term 0 and nobody heard its beats.

--- a/deckd/site/carry.go
+++ b/deckd/site/carry.go
@@ -93,12 +93,12 @@
 	if err != nil {
 		return helm.Claimed{Err: err}
 	}
-	before, at, err := newestLead(records)
+	before, term, err := newestLead(records)
 	if err != nil {
 		return helm.Claimed{Err: err}
 	}
-	if fleet.Term(at) > known {
-		return helm.Claimed{Lead: before, Term: fleet.Term(at), End: end}
+	if term > known {
+		return helm.Claimed{Lead: before, Term: term, End: end}
 	}
 	mine := &wire.Lead{Host: string(self.Host), Addr: self.Addr, Inc: int64(self.Inc), Epoch: before.Epoch + 1}
 	value, err := proto.Marshal(mine)
@@ -109,17 +109,17 @@
 	if err != nil {
 		return helm.Claimed{Err: err}
 	}
-	return helm.Claimed{Lead: mine, Term: fleet.Term(after - 1), End: after}
+	return helm.Claimed{Lead: mine, Term: fleet.Term(after), End: after}
 }
 
-// newestLead returns the newest claim and its offset; an empty one before the
-// first.
-func newestLead(records []fleet.Record) (*wire.Lead, fleet.Offset, error) {
+// newestLead returns the newest claim and its term, which is where the topic
+// ended after it; zero before the first claim.
+func newestLead(records []fleet.Record) (*wire.Lead, fleet.Term, error) {
 	lead := &wire.Lead{}
 	for _, r := range records {
 		if r.Key == helm.LeadKey {
 			err := proto.Unmarshal(r.Value, lead)
-			return lead, r.Offset, err
+			return lead, fleet.Term(r.Offset + 1), err
 		}
 	}
 	return lead, 0, nil
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -10,9 +10,10 @@
 
 // Spans of looks.
 const (
-	lookWait  = 1500 * time.Millisecond // an answer waits so long for an end; it also bounds how old progress is
-	lookRetry = 250 * time.Millisecond  // after a look that failed
-	storeSpan = 800 * time.Millisecond  // ends that are being stored hold the next look up no longer
+	lookWait   = 1500 * time.Millisecond // an answer waits so long for an end; it also bounds how old progress is
+	lookRetry  = 250 * time.Millisecond  // after a look that failed
+	silentSpan = 2500 * time.Millisecond // a worker unheard for so long has missed a look; its lease is not extended, so that it lapses if it is gone
+	storeSpan  = 800 * time.Millisecond  // ends that are being stored hold the next look up no longer
 )
 
 // looks asks the workers that run something, those whose runs are not known
@@ -23,7 +24,7 @@
 			continue
 		}
 		o := fleet.LookOrder{Term: h.term, Taken: w.Taken}
-		if w.Synced && len(w.Runs) > 0 {
+		if w.Synced && len(w.Runs) > 0 && h.now.Sub(w.Heard) < silentSpan {
 			o.Until = w.Lease(h.limits.Lease, h.now)
 		}
 		if w.Synced && len(w.Runs) > 0 && w.Seen == w.Taken {
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -277,7 +277,7 @@
 		h.stop(w, r, "it is not wanted any more")
 	case r.Phase == crew.Doubtful && !r.Foreign && age >= doubtSpan:
 		h.stop(w, r, "its start got no answer")
-	case r.Phase == crew.Running && h.now.Sub(r.Moved) >= hangSpan && !h.lasting(r):
+	case r.Phase == crew.Running && w.Heard.Sub(r.Moved) >= hangSpan && !h.lasting(r):
 		if w.SetAside(h.now) {
 			h.note(event.WorkerAside, string(w.Place.Host), "until=%s: a run stands still", w.Aside.Sub(h.now))
 		}
--- a/fleet/ids.go
+++ b/fleet/ids.go
@@ -18,7 +18,9 @@
 // Offset is a position in the platform's log. It also serves as a revision.
 type Offset int64
 
-// Term orders the leads of one failure domain. It is the offset of the claim.
+// Term orders the leads of one failure domain, or of a site. In a failure domain
+// it is the offset of the claim, in a site the offset after it, so that no claim
+// has the term 0.
 type Term int64
 
 // Incarnation tells two processes of one host apart. It is the start time in
