--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -62,7 +62,8 @@
 	keeper   fleet.JobID // the job that its room is kept for
 	kept     time.Time   // until then
 	used     fleet.Res
-	clockAt  time.Time
+	clock    fleet.Ticks // as told in the newest answer
+	clockAt  time.Time   // when that arrived
 	until    fleet.Ticks // end of the longest lease that was sent
 	boundAll time.Time   // a lease that another lead gave has lapsed by then
 }
@@ -234,7 +235,7 @@
 // rebirth forgets what belonged to the former process of the worker.
 func (w *Worker) rebirth(now time.Time) {
 	w.Synced, w.Seen, w.Taken, w.Told = false, 0, 0, 0
-	w.until, w.clockAt, w.Clock = 0, time.Time{}, 0
+	w.until, w.clockAt, w.clock = 0, time.Time{}, 0
 	w.Fails, w.Aside, w.asides = 0, time.Time{}, 0
 	w.boundAll = now
 }
--- a/fleet/crew/lease.go
+++ b/fleet/crew/lease.go
@@ -22,8 +22,8 @@
 	if clock <= 0 {
 		return
 	}
-	if w.clockAt.IsZero() || clock >= w.Clock {
-		w.Clock, w.clockAt = clock, now
+	if w.clockAt.IsZero() || clock >= w.clock {
+		w.clock, w.clockAt = clock, now
 	}
 }
 
@@ -34,18 +34,22 @@
 		return 0
 	}
 	passed := now.Sub(w.clockAt)
-	until := w.Clock + fleet.Ticks((passed + span).Milliseconds())
+	until := w.clock + fleet.Ticks((passed + span).Milliseconds())
 	w.until = max(w.until, until)
 	return w.until
 }
 
 // Lapse returns when every lease that may have been granted has surely passed.
+// One that a former lead gave ends before any that we have given since.
 func (w *Worker) Lapse() time.Time {
 	at := w.boundAll
+	if w.Synced && w.until > 0 {
+		at = time.Time{}
+	}
 	if w.clockAt.IsZero() {
 		return at
 	}
-	left := time.Duration(float64(w.until-w.Clock)/slowClock) * time.Millisecond
+	left := time.Duration(float64(w.until-w.clock)/slowClock) * time.Millisecond
 	own := w.clockAt.Add(left + lapseSlack)
 	if own.After(at) {
 		return own
