--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -30,7 +30,7 @@
 
 	Percent int       // progress that the worker last told
 	Moved   time.Time // when that last rose
-	Stopped bool      // a stop has been answered
+	Stopped time.Time // when a stop was answered first; zero before
 	Foreign bool      // a former lead sent it
 }
 
--- a/fleet/crew/lease.go
+++ b/fleet/crew/lease.go
@@ -16,12 +16,13 @@
 	lapseSlack = 500 * time.Millisecond // to end everything once the lease has passed
 )
 
-// Tick notes the worker's clock as told in an answer that arrived now.
+// Tick notes the worker's clock as told in an answer that arrived now. A call
+// that got no answer has no clock and is no sign of life.
 func (w *Worker) Tick(clock fleet.Ticks, now time.Time) {
-	w.Heard = now
 	if clock <= 0 {
 		return
 	}
+	w.Heard = now
 	if w.clockAt.IsZero() || clock >= w.clock {
 		w.clock, w.clockAt = clock, now
 	}
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -91,3 +91,76 @@
 	}
 	return n
 }
+
+// Stops that do not reach a worker are no sign of life.
+func TestGangOfAWorkerThatIsGoneStartsElsewhere(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.lead()
+	f := flow("gang", "long", gang(2, 8, 20*time.Second))
+	spans["gang"] = 20 * time.Second
+	w.accept(f)
+	w.run(time.Second)
+	for _, one := range w.workers {
+		if len(one.runs) > 0 {
+			one.cut, one.unlisted = true, true
+			break
+		}
+	}
+	w.list()
+	for _, one := range w.workers {
+		for k := range one.runs {
+			if !one.cut {
+				one.end(k, fleet.EndBroken, "")
+			}
+		}
+	}
+	w.until(limits.Lease+3*time.Second, "second start", func() bool { return w.starts("gang") == 4 })
+}
+
+// A gang that no rack has room for waits for none while most of the site is
+// free: one small task on each rack must not hold it up.
+func TestTightGangSpreadsOutOnAnIdleSite(t *testing.T) {
+	w := newWorld(t, 2, 4)
+	w.lead()
+	spans["small"], spans["tight"] = time.Hour, 2*time.Second
+	small := flow("small", "bulk", tasks(2, 1, time.Hour))
+	for _, one := range w.workers {
+		one.room = fleet.Res{Cores: 64000, Mem: 131072, Accels: 8}
+	}
+	small.Steps[0].Spread = 1
+	for id, one := range w.workers {
+		one.draining = id != "w0-0" && id != "w1-0"
+	}
+	w.list()
+	w.accept(small)
+	w.run(200 * time.Millisecond)
+	for _, one := range w.workers {
+		one.draining = false
+	}
+	w.list()
+	f := flow("tight", "long", gang(4, 8, 2*time.Second))
+	f.Steps[0].Tight = true
+	w.accept(f)
+	w.until(2*time.Second, "start", func() bool { return w.starts("tight") == 4 })
+}
+
+// A start without an answer is stopped. Once the stop is answered, a look that
+// does not show the run settles it, however long looks may wait.
+func TestStartThatGotNoAnswerIsSettled(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	spans["late"] = time.Second
+	for _, one := range w.workers {
+		one.lateFor = 8 * time.Second
+	}
+	f := flow("late", "bulk", tasks(1, 1, time.Second))
+	w.accept(f)
+	w.run(100 * time.Millisecond)
+	for _, one := range w.workers {
+		one.lateFor = 0
+	}
+	w.until(4*time.Second, "start elsewhere", func() bool { return w.starts("late") == 1 })
+	w.done(f, 2*time.Second)
+	w.run(8 * time.Second)
+	qt.Assert(t, w.starts("late"), qt.Equals, 1)
+}
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -29,6 +29,9 @@
 		}
 		if w.Synced && len(w.Runs) > 0 && w.Seen == w.Taken {
 			o.Wait = lookWait
+			if stopping(w) {
+				o.Wait = 0
+			}
 		}
 		w.Looking++
 		w.Tried = h.now
@@ -49,6 +52,17 @@
 	return len(w.Runs) > 0 || w.Taken > w.Told
 }
 
+// stopping reports whether a stop of a run that may not be there was answered:
+// the next look settles that.
+func stopping(w *crew.Worker) bool {
+	for _, r := range w.Runs {
+		if r.Phase == crew.Stopping && !r.Stopped.IsZero() && !r.Stopped.Before(w.Tried) {
+			return true
+		}
+	}
+	return false
+}
+
 // looked notes what a worker tells of itself.
 func (h *Helm) looked(e Looked) {
 	w, ok := h.crew.Workers[e.Host]
@@ -126,7 +140,7 @@
 	case r.Phase == crew.Running:
 		return r.Since.Before(at)
 	case r.Phase == crew.Stopping:
-		return r.Stopped && r.Since.Before(at)
+		return !r.Stopped.IsZero() && r.Stopped.Before(at)
 	}
 	return false
 }
--- a/fleet/helm/plan.go
+++ b/fleet/helm/plan.go
@@ -15,6 +15,7 @@
 const (
 	savedLoss  = 250 * time.Millisecond // work that keeps checkpoints loses the time of a restore
 	planSpan   = 250 * time.Millisecond // between two plans when nothing has changed
+	idleFar    = time.Second            // on a site with much free room, work that waits longer runs spread out
 	owedFar    = 2 * time.Second        // work that is owed room runs spread out rather than later
 	farChains  = 6                      // other work waits so many times its run time before it runs spread out
 	clearAfter = 150 * time.Millisecond // urgent work waits so long for room before others are stopped for it
@@ -23,6 +24,10 @@
 	owedClear  = 800 * time.Millisecond // a workspace gets what is guaranteed to it within 2.9 s, whatever it costs
 )
 
+// idleLoad is the load of a site below which spreading out costs nobody else
+// his room. The platform asks that work waits for no better place below 0.5.
+const idleLoad = 0.6
+
 // unit is a unit of placement in its order.
 type unit struct {
 	pack.Unit
@@ -100,10 +105,16 @@
 	if !spec.Tight && spec.Rack == "" {
 		return false
 	}
-	if u.waited > max(farChains*u.Step.Span(), owedFar) || u.priority == 0 && u.waited > owedFar && h.owed(u.job) {
+	site := h.site()
+	switch {
+	case u.waited > max(farChains*u.Step.Span(), owedFar):
+		return true
+	case u.priority == 0 && u.waited > owedFar && h.owed(u.job):
+		return true
+	case u.waited > idleFar && site.Load(u.Service) < idleLoad:
 		return true
 	}
-	return !h.site().Holds(u.Unit, true)
+	return !site.Holds(u.Unit, true)
 }
 
 func before(a, b *unit) bool {
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -96,7 +96,9 @@
 	}
 	switch {
 	case e.Err == nil:
-		r.Stopped, r.Since = true, h.now
+		if r.Stopped.IsZero() {
+			r.Stopped = h.now
+		}
 	case fleet.KindOf(e.Err) == fleet.Fenced:
 		h.yield("a worker has seen a newer term", 0)
 	case fleet.KindOf(e.Err) == fleet.Reborn:
@@ -269,8 +271,8 @@
 	age := h.now.Sub(r.Since)
 	switch {
 	case r.Phase == crew.Stopping:
-		if !r.Stopped && age >= stopRetry || age >= stopRetry+h.limits.Stop {
-			r.Since, r.Stopped = h.now, false
+		if r.Stopped.IsZero() && age >= stopRetry {
+			r.Since = h.now
 			h.sendStop(w, r)
 		}
 	case h.unwanted(r):
--- a/fleet/helm/worker_test.go
+++ b/fleet/helm/worker_test.go
@@ -36,6 +36,7 @@
 	pending []func(time.Time) // orders that are carried out late
 	lateFor time.Duration
 	lateAt  time.Time
+	polls   []poll
 }
 
 type running struct {
@@ -202,10 +203,34 @@
 	for len(w.ends) > 0 && w.ends[0].No <= o.Taken {
 		w.ends = w.ends[1:]
 	}
+	return w.sight(now), nil, quick
+}
+
+// sight is what the worker tells of itself.
+func (w *worker) sight(now time.Time) fleet.Sight {
 	s := fleet.Sight{Clock: w.clock(now), Born: w.born, Ends: append([]fleet.EndSeen(nil), w.ends...)}
 	for k, r := range w.runs {
 		done := spans[k.Task.Job] - r.left
 		s.Runs = append(s.Runs, fleet.RunSeen{Task: k.Task, Run: k.No, Percent: int(100 * done / max(spans[k.Task.Job], 1))})
 	}
-	return s, nil, quick + min(o.Wait, 20*time.Millisecond)
+	return s
+}
+
+// poll is a look that waits for an end.
+type poll struct {
+	until  time.Time
+	answer func(fleet.Sight)
+}
+
+// answerPolls answers the looks that have waited long enough.
+func (w *worker) answerPolls(now time.Time) {
+	kept := w.polls[:0]
+	for _, p := range w.polls {
+		if len(w.ends) == 0 && now.Before(p.until) {
+			kept = append(kept, p)
+			continue
+		}
+		p.answer(w.sight(now))
+	}
+	w.polls = kept
 }
--- a/fleet/helm/world_test.go
+++ b/fleet/helm/world_test.go
@@ -165,6 +165,7 @@
 	w.now = w.now.Add(tick)
 	for _, one := range w.workers {
 		one.pass(w.now)
+		one.answerPolls(w.now)
 	}
 	kept := w.later[:0]
 	for _, d := range w.later {
@@ -223,8 +224,7 @@
 		w.after(span, helm.Stopped{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
 	case helm.Look:
 		w.looks++
-		sight, err, span := w.worker(a.Place).look(w.now, a.Order)
-		w.after(span, helm.Looked{Host: a.Place.Host, Term: a.Order.Term, Taken: a.Order.Taken, At: w.now, Sight: sight, Err: err})
+		w.look(a)
 	case helm.AnswerHand:
 		w.hands[a.Waiter] = a.Reply
 	case helm.AnswerDrop:
@@ -232,6 +232,21 @@
 	}
 }
 
+func (w *world) look(a helm.Look) {
+	one := w.worker(a.Place)
+	done := helm.Looked{Host: a.Place.Host, Term: a.Order.Term, Taken: a.Order.Taken, At: w.now}
+	sight, err, span := one.look(w.now, a.Order)
+	if err == nil && a.Order.Wait > 0 {
+		one.polls = append(one.polls, poll{w.now.Add(a.Order.Wait), func(s fleet.Sight) {
+			done.Sight = s
+			w.after(quick, done)
+		}})
+		return
+	}
+	done.Sight, done.Err = sight, err
+	w.after(span, done)
+}
+
 func (w *world) worker(p fleet.Place) *worker { return w.workers[p.Host] }
 
 func (w *world) claim() {
--- a/fleet/pack/room.go
+++ b/fleet/pack/room.go
@@ -170,3 +170,15 @@
 	}
 	return n
 }
+
+// Load returns the part of the workers of a service that is taken, of whichever
+// resource is scarcest.
+func (s *Site) Load(service string) float64 {
+	var used, room fleet.Res
+	for _, w := range s.Crew.Sorted() {
+		if w.Service == service && w.Listed && w.State == fleet.WorkerReady && !s.Out[w.Domain] {
+			used, room = used.Add(w.Used()), room.Add(w.Room)
+		}
+	}
+	return used.Share(room)
+}
