--- a/deckd/cmd_site.go
+++ b/deckd/cmd_site.go
@@ -32,17 +32,20 @@
 			if !ok {
 				return fmt.Errorf("the environment variable %s must name the settings file", platform.SettingsVar)
 			}
-			s, err := platform.ReadSettings(path)
+			read := func() (fleet.SiteSettings, error) { return platform.ReadSettings(path) }
+			s, err := read()
 			if err != nil {
 				return err
 			}
-			return runSite(s, *own)
+			return runSite(s, *own, read)
 		},
 	}
 	return cmd, config.Bind(cmd.Flags(), ownPrefix, own)
 }
 
-func runSite(s fleet.SiteSettings, own site.Own) error {
+func runSite(s fleet.SiteSettings, own site.Own, read func() (fleet.SiteSettings, error)) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	client := platform.NewClient()
@@ -50,7 +53,22 @@
 		Store: platform.NewStore(client, s.Store), Exec: platform.NewWorkers(client), Reader: platform.Reader{},
 		Front: func(i fleet.Intake) site.Front { return platform.NewFront(i) },
 	}, os.Stdout)
-	if err := one.Run(ctx); err != nil {
+	reloaded := make(chan struct{})
+	go func() {
+		defer close(reloaded)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hup:
+				one.Reload(read())
+			}
+		}
+	}()
+	err := one.Run(ctx)
+	stop()
+	<-reloaded
+	if err != nil {
 		return status{err, exitFailed}
 	}
 	return nil
--- a/deckd/site/carry.go
+++ b/deckd/site/carry.go
@@ -44,9 +44,9 @@
 		c.askPeers()
 	case helm.Claim:
 		c.site.loop.post(c.claim(a.Known))
-	case helm.Load:
-		records, _, err := newest(c.ctx, c.site.edges.Store, topicJobs)
-		c.site.loop.post(helm.Loaded{Term: a.Term, Records: records, Err: err})
+	case helm.Probe:
+		_, err := c.site.edges.Store.Newest(c.ctx, topicHosts, "")
+		c.site.loop.post(helm.Probed{Err: err})
 	case helm.Append:
 		end, err := c.site.edges.Store.Append(c.ctx, topicJobs, a.At, a.Records)
 		c.site.loop.post(helm.Appended{Batch: a.Batch, End: end, Err: err})
@@ -66,26 +66,20 @@
 	}
 }
 
-// newest reads the newest record of every key of a topic, and where it ended
-// when the last page was read.
+// newest reads the newest record of every key of a topic, and where the topic
+// ended when the first page was read: the pages are a snapshot if it still does.
 func newest(ctx context.Context, store fleet.Store, topic fleet.Topic) ([]fleet.Record, fleet.Offset, error) {
-	var out []fleet.Record
-	after := ""
-	for {
-		p, err := store.Newest(ctx, topic, after)
-		if err != nil {
-			return nil, 0, err
-		}
+	p, err := store.Newest(ctx, topic, "")
+	out, end := p.Records, p.End
+	for err == nil && p.Next != "" {
+		p, err = store.Newest(ctx, topic, p.Next)
 		out = append(out, p.Records...)
-		if p.Next == "" {
-			return out, p.End, nil
-		}
-		after = p.Next
 	}
+	return out, end, err
 }
 
-// claim appends a claim where the topic ends, so that of several claims one is
-// taken. A claim newer than the one known is told instead: it may be this
+// claim appends a claim where the topic ended when its records were read, so
+// that of several claims one is taken and the records are all there are. A claim newer than the one known is told instead: it may be this
 // daemon's own, whose answer was lost.
 func (c *carrier) claim(known fleet.Term) helm.Claimed {
 	store, self := c.site.edges.Store, c.site.self
@@ -98,7 +92,7 @@
 		return helm.Claimed{Err: err}
 	}
 	if term > known {
-		return helm.Claimed{Lead: before, Term: term, End: end}
+		return helm.Claimed{Lead: before, Term: term, End: end, Records: records}
 	}
 	mine := &wire.Lead{Host: string(self.Host), Addr: self.Addr, Inc: int64(self.Inc), Epoch: before.Epoch + 1}
 	value, err := proto.Marshal(mine)
@@ -109,7 +103,7 @@
 	if err != nil {
 		return helm.Claimed{Err: err}
 	}
-	return helm.Claimed{Lead: mine, Term: fleet.Term(after), End: after}
+	return helm.Claimed{Lead: mine, Term: fleet.Term(after), End: after, Records: records}
 }
 
 // newestLead returns the newest claim and its term, which is where the topic
--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/helm"
 	"dragonflydeck.example/fleet/wire"
@@ -42,12 +43,12 @@
 	return out
 }
 
-func (m *members) ids() []fleet.HostID {
+func (m *members) list() []elect.Member {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	var out []fleet.HostID
-	for id := range m.all {
-		out = append(out, id)
+	var out []elect.Member
+	for id, one := range m.all {
+		out = append(out, elect.Member{Host: id, Power: fleet.Millicores(one.Power)})
 	}
 	return out
 }
@@ -62,7 +63,7 @@
 
 // enlist stores this daemon's own entry and tells the helm of every other.
 func (s *Site) enlist(ctx context.Context) {
-	mine := &wire.Member{Host: string(s.self.Host), Addr: s.self.Addr, Domain: string(s.self.Domain), Inc: int64(s.self.Inc)}
+	mine := &wire.Member{Host: string(s.self.Host), Addr: s.self.Addr, Domain: string(s.self.Domain), Inc: int64(s.self.Inc), Power: int64(s.self.Power)}
 	s.members.put(mine)
 	value, err := proto.Marshal(mine)
 	if err != nil {
@@ -90,7 +91,7 @@
 		}
 		s.members.put(m)
 	}
-	s.loop.post(helm.Members{IDs: s.members.ids()})
+	s.loop.post(helm.Members{All: s.members.list()})
 }
 
 // follower reads a topic from its newest records on.
--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -68,7 +68,7 @@
 		settings: s, edges: edges, pool: link.NewPool(), members: newMembers(),
 		self: helm.Self{
 			Host: s.Host, Addr: s.Peer, Domain: s.Domain,
-			Inc: fleet.Incarnation(time.Now().UnixMilli()),
+			Inc: fleet.Incarnation(time.Now().UnixMilli()), Power: s.Power,
 		},
 		hands: newWaits[*wire.HandReply](), drops: newWaits[*wire.FlowReply](),
 		lines: lines.NewAsync(s.Host, own.Level, own.Lines, w),
@@ -79,7 +79,7 @@
 
 // Run serves until the context ends, and then stops gracefully.
 func (s *Site) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.settings.Memory) * (1 << 20)))
+	setMemory(s.settings.Memory)
 	s.tell(event.ProcessStarted, string(s.self.Host), "domain=%s peer=%s front=%s store=%s lease=%s memory=%d", s.self.Domain, s.self.Addr, s.settings.Front, s.settings.Store, s.settings.Lease, s.settings.Memory)
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -104,6 +104,26 @@
 	return errors.Join(errs, group.Wait(), s.lines.Close())
 }
 
+// Reload puts settings in force that have changed while the daemon runs, if they
+// could be read. Addresses stay as they are until the next start.
+func (s *Site) Reload(to fleet.SiteSettings, err error) {
+	if err != nil {
+		s.tell(event.ReloadFailed, string(s.self.Host), "%v", err)
+		return
+	}
+	s.tell(event.Reloaded, string(s.self.Host), "lease=%s stop=%s status=%s memory=%d", to.Lease, to.Stop, to.Status, to.Memory)
+	setMemory(to.Memory)
+	s.loop.post(helm.Limited{Limits: limitsOf(to)})
+}
+
+func limitsOf(s fleet.SiteSettings) helm.Limits {
+	return helm.Limits{Lease: s.Lease, Stop: s.Stop, Gang: s.Gang, Status: s.Status}
+}
+
+func setMemory(most fleet.Mebibytes) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(most) * (1 << 20)))
+}
+
 // listen opens every address of the daemon.
 func (s *Site) listen() ([]*serve.Server, error) {
 	var err error
@@ -134,8 +154,7 @@
 // start starts the goroutines that run until the daemon has stopped.
 func (s *Site) start(ctx context.Context) {
 	s.timer = timer.New(ctx)
-	limits := helm.Limits{Lease: s.settings.Lease, Stop: s.settings.Stop, Gang: s.settings.Gang, Status: s.settings.Status}
-	s.loop = newLoop(helm.New(s.self, limits, time.Now()), s.timer.Every(tickSpan), s.lines)
+	s.loop = newLoop(helm.New(s.self, limitsOf(s.settings), time.Now()), s.timer.Every(tickSpan), s.lines)
 	s.carrier = &carrier{ctx: ctx, site: s}
 	s.loop.carry, s.loop.after = s.carrier.carry, s.mirror
 	go s.loop.run(ctx)
--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -4,6 +4,7 @@
 package elect
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,50 +17,80 @@
 	BeatSpan   = 150 * time.Millisecond  // between two beats of a lead
 	SilentSpan = 900 * time.Millisecond  // six beats; datagrams are lost at times
 	BlindSpan  = 1200 * time.Millisecond // a lead that the store does not answer so long is replaced
+	ProbeSpan  = 500 * time.Millisecond  // the store has answered a daemon so long before it replaces a blind lead
+	WeakSpan   = 3 * time.Second         // a daemon that could lead much better lets a lead stand so long
 	AskSpan    = 300 * time.Millisecond  // for peers to say whether they hear the lead
 	RankSpan   = 120 * time.Millisecond  // between the claims of two daemons, so that one is first
 	LoneSpan   = 6 * time.Second         // a daemon that reaches no majority waits so long: cuts are mostly shorter
 	RestSpan   = 400 * time.Millisecond  // after a claim that failed
 )
 
+const (
+	weakFactor = 2  // a lead with at most half of a daemon's power is replaced by it
+	rankMost   = 12 // steps of RankSpan that the weakest daemon waits
+)
+
 // Lead is what a daemon believes about the lead of its site.
 type Lead struct {
 	Host  fleet.HostID
 	Addr  string
 	Term  fleet.Term
+	Power fleet.Millicores
 	Heard time.Time // its last beat
 
 	Blind   time.Time // since when it says that the store does not answer it
 	Leaving bool
 }
 
+// Member is a daemon of the site.
+type Member struct {
+	Host  fleet.HostID
+	Power fleet.Millicores
+}
+
+// want is why a site needs another lead.
+type want int
+
+const (
+	content want = iota
+	never        // there was none yet
+	silent       // it is not heard
+	leaving      // it says that it is being stopped
+	blind        // the store does not answer it
+	weak         // this daemon can carry the lead much better
+)
+
 // Elect is one daemon's part in the election.
 type Elect struct {
-	self    fleet.HostID
+	self    Member
 	lead    Lead
-	members []fleet.HostID
+	members []Member // the strongest first
 
-	lost   time.Time // when the lead was first missed
-	asked  time.Time // when the peers were asked
-	rest   time.Time // no claim before
-	hear   int       // peers that hear the lead
-	miss   int       // peers that do not
-	agreed bool
+	want    want
+	since   time.Time // since when the site needs another lead for that reason
+	asked   time.Time // when the peers or the store were asked
+	rest    time.Time // no step before
+	hear    int       // peers that hear the lead
+	miss    int       // peers that do not
+	agreed  bool      // most peers miss the lead too
+	reached time.Time // since when the store answers this daemon
 }
 
 // New returns a daemon's part. The daemon listens for a lead before it claims,
 // unless there was never one.
-func New(self fleet.HostID, now time.Time) *Elect {
+func New(self Member, now time.Time) *Elect {
 	return &Elect{self: self, lead: Lead{Heard: now}}
 }
 
 // Lead returns what is believed about the lead.
 func (e *Elect) Lead() Lead { return e.lead }
 
-// Members sets the daemons of the site.
-func (e *Elect) Members(ids []fleet.HostID) {
-	e.members = ids
-	slices.Sort(e.members)
+// Members sets the daemons of the site. The strongest claim first.
+func (e *Elect) Members(all []Member) {
+	e.members = slices.Clone(all)
+	slices.SortFunc(e.members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(a.Host, b.Host))
+	})
 }
 
 // Claimed notes a claim that the store has taken.
@@ -67,49 +98,65 @@
 	if term <= e.lead.Term {
 		return
 	}
-	e.lead = Lead{Host: host, Addr: addr, Term: term, Heard: now}
+	e.lead = Lead{Host: host, Addr: addr, Term: term, Power: e.powerOf(host), Heard: now}
 	e.calm()
 }
 
+func (e *Elect) powerOf(host fleet.HostID) fleet.Millicores {
+	for _, m := range e.members {
+		if m.Host == host {
+			return m.Power
+		}
+	}
+	return e.self.Power
+}
+
 // Beat notes a beat. It reports whether the beat is of the newest term known.
 func (e *Elect) Beat(b *wire.Beat, now time.Time) bool {
 	term := fleet.Term(b.Term)
 	if term < e.lead.Term {
 		return false
 	}
-	blind := e.lead.Blind
+	since := e.lead.Blind
 	switch {
 	case !b.Blind:
-		blind = time.Time{}
-	case blind.IsZero() || term > e.lead.Term:
-		blind = now
+		since = time.Time{}
+	case since.IsZero() || term > e.lead.Term:
+		since = now
 	}
 	e.lead = Lead{
-		Host: fleet.HostID(b.Host), Addr: b.Addr, Term: term, Heard: now,
-		Blind: blind, Leaving: b.Leaving,
-	}
-	if !e.Missed(now) {
-		e.calm()
+		Host: fleet.HostID(b.Host), Addr: b.Addr, Term: term, Power: fleet.Millicores(b.Power), Heard: now,
+		Blind: since, Leaving: b.Leaving,
 	}
 	return true
 }
 
 func (e *Elect) calm() {
-	e.lost, e.asked, e.hear, e.miss, e.agreed = time.Time{}, time.Time{}, 0, 0, false
+	e.want, e.since, e.asked = content, time.Time{}, time.Time{}
+	e.hear, e.miss, e.agreed, e.reached = 0, 0, false, time.Time{}
 }
 
-// Missed reports whether the lead is of no use any more.
-func (e *Elect) Missed(now time.Time) bool {
+// wanted returns why the site needs another lead.
+func (e *Elect) wanted(now time.Time) want {
 	l := e.lead
-	return l.Term == 0 || l.Leaving || e.silent(now) ||
-		!l.Blind.IsZero() && now.Sub(l.Blind) > BlindSpan
+	switch {
+	case l.Term == 0:
+		return never
+	case l.Leaving:
+		return leaving
+	case now.Sub(l.Heard) > SilentSpan:
+		return silent
+	case !l.Blind.IsZero() && now.Sub(l.Blind) > BlindSpan:
+		return blind
+	case l.Host != e.self.Host && weakFactor*l.Power <= e.self.Power:
+		return weak
+	}
+	return content
 }
 
-func (e *Elect) silent(now time.Time) bool { return now.Sub(e.lead.Heard) > SilentSpan }
-
 // Answer notes a peer's answer to the question whether it hears the lead.
 func (e *Elect) Answer(s *wire.SightReply) {
-	if e.asked.IsZero() {
+	if e.asked.IsZero() || e.want != silent {
 		return
 	}
 	heard := s.Term > int64(e.lead.Term) ||
@@ -121,6 +168,18 @@
 	e.miss++
 }
 
+// Probed notes whether the store answers this daemon.
+func (e *Elect) Probed(ok bool, now time.Time) {
+	switch {
+	case !ok:
+		e.reached = time.Time{}
+	case e.reached.IsZero():
+		e.reached = now
+	}
+	e.asked = time.Time{}
+	e.rest = now.Add(RestSpan / 2)
+}
+
 // Step is what a daemon does next about the lead.
 type Step int
 
@@ -128,24 +187,45 @@
 const (
 	Wait  Step = iota
 	Ask        // ask the peers whether they hear the lead
+	Probe      // ask the store whether it answers this daemon
 	Claim      // append a claim
 )
 
-// Next returns the next step. Blind tells that the store does not answer this
-// daemon, which then cannot claim.
-func (e *Elect) Next(now time.Time, blind bool) Step {
-	if blind || !e.Missed(now) || now.Before(e.rest) {
+// Next returns the next step.
+func (e *Elect) Next(now time.Time) Step {
+	w := e.wanted(now)
+	if w != e.want {
+		e.calm()
+		e.want, e.since = w, now
+	}
+	if w == content || now.Before(e.rest) {
 		return Wait
 	}
-	if e.lost.IsZero() {
-		e.lost = now
+	switch w {
+	case silent:
+		return e.nextSilent(now)
+	case blind:
+		return e.nextBlind(now)
+	case weak:
+		return e.claim(now, WeakSpan)
 	}
-	if e.agreed || !e.doubted(now) {
-		if now.Sub(e.lost) < e.delay() {
-			return Wait
-		}
-		e.rest = now.Add(RestSpan)
-		return Claim
+	return e.claim(now, 0)
+}
+
+// claim claims after a span, and later the weaker the daemon is.
+func (e *Elect) claim(now time.Time, span time.Duration) Step {
+	if now.Sub(e.since) < span+e.delay() {
+		return Wait
+	}
+	e.rest = now.Add(RestSpan)
+	return Claim
+}
+
+// nextSilent asks the peers first: the lead may be well and only this daemon
+// cut off.
+func (e *Elect) nextSilent(now time.Time) Step {
+	if e.agreed {
+		return e.claim(now, 0)
 	}
 	if e.asked.IsZero() {
 		e.asked, e.hear, e.miss = now, 0, 0
@@ -154,7 +234,7 @@
 	if now.Sub(e.asked) < AskSpan && e.hear+e.miss < len(e.members)-1 {
 		return Wait
 	}
-	e.agreed = e.hear <= e.miss && (e.majority() || now.Sub(e.lost) >= LoneSpan)
+	e.agreed = e.hear <= e.miss && (e.majority() || now.Sub(e.since) >= LoneSpan)
 	e.asked = time.Time{}
 	if !e.agreed {
 		e.rest = now.Add(RestSpan)
@@ -162,26 +242,33 @@
 	return Wait
 }
 
+// nextBlind claims only if the store answers this daemon and still not the
+// lead: after an outage for all, the lead goes on.
+func (e *Elect) nextBlind(now time.Time) Step {
+	if !e.reached.IsZero() && now.Sub(e.reached) >= ProbeSpan {
+		return e.claim(now, 0)
+	}
+	if !e.asked.IsZero() {
+		return Wait
+	}
+	e.asked = now
+	return Probe
+}
+
 // majority reports whether more than half of the daemons, this one among them,
 // have answered.
 func (e *Elect) majority() bool { return 2*(e.hear+e.miss+1) > len(e.members) }
 
-// doubted reports whether the lead may be well and only this daemon cut off.
-func (e *Elect) doubted(now time.Time) bool {
-	l := e.lead
-	return l.Term != 0 && !l.Leaving && e.silent(now)
-}
-
 // delay spreads the claims of daemons that miss the lead at the same time.
 func (e *Elect) delay() time.Duration {
 	rank := 0
 	for _, m := range e.members {
-		if m == e.self {
+		if m.Host == e.self.Host {
 			break
 		}
-		if m != e.lead.Host {
+		if m.Host != e.lead.Host {
 			rank++
 		}
 	}
-	return time.Duration(rank) * RankSpan
+	return time.Duration(min(rank, rankMost)) * RankSpan
 }
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -9,6 +9,8 @@
 	ProcessStopped  Code = 104
 	ProcessCut      Code = 105
 	ProcessUnready  Code = 106
+	Reloaded        Code = 107
+	ReloadFailed    Code = 108
 	RequestRouted   Code = 201
 	RequestAnswered Code = 202
 	RequestRefused  Code = 203
@@ -88,6 +90,8 @@
 	{ProcessStopped, "process-stopped", Info, "the graceful stop ended with nothing cut", "nothing"},
 	{ProcessCut, "process-cut", Error, "the stop hit its limit or a second signal; the line lists what was cut", "raise the drain setting if this recurs"},
 	{ProcessUnready, "process-unready", Warn, "callers are better served elsewhere; the line says why", "nothing in a stop; else check the log and the links to peers"},
+	{Reloaded, "reloaded", Info, "changed settings are in force", "nothing"},
+	{ReloadFailed, "reload-failed", Error, "changed settings cannot be used; those before stay in force", "correct the settings file"},
 	{RequestRouted, "request-routed", Debug, "a request was given to a runner, and why to this one", "nothing"},
 	{RequestAnswered, "request-answered", Debug, "the answer went to its caller", "nothing"},
 	{RequestRefused, "request-refused", Warn, "a request was refused; it did not run", "add runners if this lasts"},
--- a/fleet/helm/events.go
+++ b/fleet/helm/events.go
@@ -5,6 +5,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/crew"
+	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/queue"
 	"dragonflydeck.example/fleet/wire"
 )
@@ -22,18 +23,15 @@
 	// Sighted is a peer's answer to whether it hears the lead.
 	Sighted struct{ Reply *wire.SightReply }
 	// Members are the daemons of the site, this one among them.
-	Members struct{ IDs []fleet.HostID }
-	// Claimed is the outcome of a claim: the newest claim in the store and
-	// where the topic ends.
+	Members struct{ All []elect.Member }
+	// Probed tells whether the store answers this daemon.
+	Probed struct{ Err error }
+	// Claimed is the outcome of a claim: the newest claim in the store, where
+	// the topic ends, and the newest record of every key up to there.
 	Claimed struct {
-		Lead *wire.Lead
-		Term fleet.Term
-		End  fleet.Offset
-		Err  error
-	}
-	// Loaded is the content of the store after a claim.
-	Loaded struct {
+		Lead    *wire.Lead
 		Term    fleet.Term
+		End     fleet.Offset
 		Records []fleet.Record
 		Err     error
 	}
@@ -60,6 +58,8 @@
 	Listed struct {
 		Entries map[fleet.HostID]fleet.WorkerEntry
 	}
+	// Limited are bounds of the platform that have changed.
+	Limited struct{ Limits Limits }
 	// Leave asks the daemon to give up the lead for good.
 	Leave struct{}
 )
@@ -118,8 +118,8 @@
 	// Claim appends a claim to lead, unless the newest one is newer than the
 	// term known.
 	Claim struct{ Known fleet.Term }
-	// Load reads the newest record of every key.
-	Load struct{ Term fleet.Term }
+	// Probe reads anything from the store.
+	Probe struct{}
 	// SendBeat sends a beat to every other daemon.
 	SendBeat struct{ Beat *wire.Beat }
 	// Append adds records where the topic is expected to end.
--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -22,6 +22,7 @@
 	Addr   string // where its peers reach it
 	Domain fleet.DomainID
 	Inc    fleet.Incarnation
+	Power  fleet.Millicores // that the daemon may use
 }
 
 // Limits are the bounds that the platform sets.
@@ -38,7 +39,6 @@
 const (
 	follows mode = iota
 	claims       // a claim is on its way
-	loads        // it leads and reads the jobs from the store
 	leads
 )
 
@@ -72,7 +72,7 @@
 // New returns the control of a daemon that follows.
 func New(self Self, limits Limits, now time.Time) *Helm {
 	h := &Helm{
-		self: self, limits: limits, Elect: elect.New(self.Host, now), now: now,
+		self: self, limits: limits, Elect: elect.New(elect.Member{Host: self.Host, Power: self.Power}, now), now: now,
 		out: map[fleet.DomainID]bool{}, listed: map[fleet.HostID]fleet.WorkerEntry{},
 	}
 	h.reset()
@@ -133,11 +133,11 @@
 	case Sighted:
 		h.Elect.Answer(e.Reply)
 	case Members:
-		h.Elect.Members(e.IDs)
+		h.Elect.Members(e.All)
 	case Claimed:
 		h.claimed(e)
-	case Loaded:
-		h.loaded(e)
+	case Probed:
+		h.Elect.Probed(e.Err == nil, h.now)
 	case Appended:
 		h.appended(e)
 	case Checked:
@@ -146,6 +146,8 @@
 		h.ordered(e)
 	case Listed:
 		h.list(e.Entries)
+	case Limited:
+		h.limits = e.Limits
 	case Leave:
 		h.leave()
 	case HandedIn:
--- a/fleet/helm/stand.go
+++ b/fleet/helm/stand.go
@@ -26,10 +26,12 @@
 	if h.mode != follows || h.leaving {
 		return
 	}
-	switch h.Elect.Next(h.now, false) {
+	switch h.Elect.Next(h.now) {
 	case elect.Ask:
 		h.note(event.PeerSuspect, string(h.Elect.Lead().Host), "lead of term %d is silent since %s, asking peers", h.Elect.Lead().Term, h.now.Sub(h.Elect.Lead().Heard))
 		h.do(AskPeers{})
+	case elect.Probe:
+		h.do(Probe{})
 	case elect.Claim:
 		h.mode = claims
 		h.do(Claim{Known: h.Elect.Lead().Term})
@@ -51,24 +53,11 @@
 		return
 	}
 	h.reset()
-	h.mode, h.term, h.epoch = loads, e.Term, e.Lead.Epoch
+	h.mode, h.term, h.epoch = leads, e.Term, e.Lead.Epoch
 	h.box.end = e.End
 	h.note(event.LeadTaken, string(h.self.Host), "term=%d epoch=%d", h.term, h.epoch)
-	h.do(Load{Term: h.term})
 	h.sendBeat()
-}
-
-func (h *Helm) loaded(e Loaded) {
-	if h.mode != loads || e.Term != h.term {
-		return
-	}
-	if e.Err != nil {
-		h.note(event.ClaimFailed, string(h.self.Host), "term=%d: load: %v", h.term, e.Err)
-		h.do(Load{Term: h.term})
-		return
-	}
 	h.restore(e.Records)
-	h.mode = leads
 	h.list(h.listed)
 	for _, w := range h.crew.Sorted() {
 		w.Foreign(h.now)
@@ -149,14 +138,14 @@
 	if fleet.Term(b.Term) > known && fleet.HostID(b.Host) != h.self.Host {
 		h.note(event.LeadSeen, b.Host, "term=%d before=%d", b.Term, known)
 	}
-	if h.mode >= loads && fleet.Term(b.Term) > h.term {
+	if h.mode == leads && fleet.Term(b.Term) > h.term {
 		h.yield("a newer lead sends beats", fleet.Term(b.Term))
 	}
 }
 
 // yield gives the lead up. Callers that wait are told what is true of them.
 func (h *Helm) yield(why string, newer fleet.Term) {
-	if h.mode < loads {
+	if h.mode != leads {
 		return
 	}
 	h.note(event.LeadLost, string(h.self.Host), "term=%d newer=%d: %s", h.term, newer, why)
@@ -169,7 +158,7 @@
 // at once.
 func (h *Helm) leave() {
 	h.leaving = true
-	if h.mode >= loads {
+	if h.mode == leads {
 		h.sendBeat()
 		h.yield("the daemon leaves", 0)
 	}
@@ -185,7 +174,7 @@
 	h.beaten = h.now
 	b := &wire.Beat{
 		Host: string(h.self.Host), Addr: h.self.Addr, Term: int64(h.term),
-		Orders: int64(h.orders), Blind: h.box.stuck(h.now), Leaving: h.leaving,
+		Orders: int64(h.orders), Blind: h.box.stuck(h.now), Leaving: h.leaving, Power: int64(h.self.Power),
 	}
 	h.Elect.Beat(b, h.now)
 	h.do(SendBeat{b})
--- a/fleet/site.go
+++ b/fleet/site.go
@@ -19,5 +19,6 @@
 	Gang   time.Duration `validate:"min=100ms"` // a gang must be whole within this
 	Status time.Duration `validate:"min=1s"`    // an ended job is told for so long
 	Grace  time.Duration `validate:"min=100ms"` // from the signal to stop until the process is killed
+	Power  Millicores    `validate:"min=1"`     // that the process may use
 	Memory Mebibytes     `validate:"min=32"`    // beyond it the process is killed
 }
