--- a/deckd/daemon/steps_test.go
+++ b/deckd/daemon/steps_test.go
@@ -5,6 +5,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"dragonflydeck.example/fleet/wire"
+	qt "github.com/frankban/quicktest"
 )
 
 // atEachStep strikes the lead at the 1st to 4th order of each kind while it
@@ -41,3 +44,30 @@
 		}
 	}
 }
+
+// The lead dies after the record of a placement and before its first order.
+// Another may not go on with that attempt, as an order may still be on its way:
+// the job gets a new one, once, and no task of the first ever starts.
+func TestLeadKilledBetweenPlacementAndFirstOrder(t *testing.T) {
+	inSite(t, plan{domains: 1, entries: 2, workers: 4}, func(s *site) {
+		s.space("e11", "orders")
+		lead := s.leadOf("e11", "d1")
+		at := s.other(lead, "d1")
+		var once sync.Once
+		s.onOrder = func(from, to, _ string) {
+			if from != lead {
+				return
+			}
+			once.Do(func() { go s.kill(lead) })
+			s.cut(from, to, true)
+		}
+		s.mustSubmit(at, "orders", "j", 16, 20*time.Second)
+		s.untilPhase(at, "j", wire.Phase_DONE, 5*time.Minute)
+		qt.Assert(s.t, s.job(at, "j").Attempt, qt.Equals, int32(2))
+		for _, w := range s.workers {
+			for _, st := range w.Stints() {
+				qt.Assert(s.t, st.Attempt, qt.Equals, int32(2))
+			}
+		}
+	})
+}
--- a/deckd/e2e/site_test.go
+++ b/deckd/e2e/site_test.go
@@ -9,11 +9,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/link"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
@@ -194,7 +196,20 @@
 		Id: id, Space: "orders", Tasks: 8, Each: &wire.Res{Cores: 1000, Mem: 1024, Accels: 1}, Span: span.Milliseconds(),
 	}})
 	qt.Assert(s.t, err, qt.IsNil)
-	s.until(30*time.Second, "the gang", func() bool { return s.job(at, id).GetPhase() == wire.Phase_PLACED })
+	s.until(30*time.Second, "the gang", func() bool { return s.runs(at, id) })
+}
+
+// runs reports whether the lead has seen every part of a gang start. That the
+// gang is placed says only that its record is in the log: no order may have
+// been given yet.
+func (s *site) runs(at, id string) bool {
+	ctx, cancel := soon()
+	defer cancel()
+	r, err := s.desk(at).Explain(ctx, &wire.ExplainAsk{Name: id})
+	if err != nil {
+		return false
+	}
+	return slices.ContainsFunc(r.Notes, func(n *wire.Note) bool { return n.Code == int32(event.JobRunning) })
 }
 
 func (s *site) until(most time.Duration, what string, ok func() bool) {
--- a/fleet/helm/worker_test.go
+++ b/fleet/helm/worker_test.go
@@ -123,11 +123,11 @@
 	quick   = 2 * time.Millisecond
 )
 
-func (w *worker) unreached(op string) (fleet.Ticks, error, time.Duration) {
-	return 0, &fleet.Error{Op: op, Kind: fleet.Doubt, Err: errCut}, timeout
+func (w *worker) unreached(op string) (fleet.Ticks, time.Duration, error) {
+	return 0, timeout, &fleet.Error{Op: op, Kind: fleet.Doubt, Err: errCut}
 }
 
-func (w *worker) start(now time.Time, o fleet.StartOrder) (fleet.Ticks, error, time.Duration) {
+func (w *worker) start(now time.Time, o fleet.StartOrder) (fleet.Ticks, time.Duration, error) {
 	if w.cut {
 		return w.unreached("start")
 	}
@@ -140,7 +140,7 @@
 	if w.mute {
 		return w.unreached("start")
 	}
-	return w.clock(now), err, quick
+	return w.clock(now), quick, err
 }
 
 func (w *worker) begin(now time.Time, o fleet.StartOrder) error {
@@ -172,12 +172,12 @@
 	}
 }
 
-func (w *worker) stop(now time.Time, o fleet.StopOrder) (fleet.Ticks, error, time.Duration) {
+func (w *worker) stop(now time.Time, o fleet.StopOrder) (fleet.Ticks, time.Duration, error) {
 	if w.cut {
 		return w.unreached("stop")
 	}
 	if o.Term < w.term {
-		return w.clock(now), &fleet.Error{Op: "stop", Kind: fleet.Fenced}, quick
+		return w.clock(now), quick, &fleet.Error{Op: "stop", Kind: fleet.Fenced}
 	}
 	w.term = o.Term
 	w.closed[o.Task] = max(w.closed[o.Task], o.Run)
@@ -187,23 +187,23 @@
 	if w.mute {
 		return w.unreached("stop")
 	}
-	return w.clock(now), nil, quick
+	return w.clock(now), quick, nil
 }
 
-func (w *worker) look(now time.Time, o fleet.LookOrder) (fleet.Sight, error, time.Duration) {
+func (w *worker) look(now time.Time, o fleet.LookOrder) (fleet.Sight, time.Duration, error) {
 	if w.cut {
-		_, err, span := w.unreached("look")
-		return fleet.Sight{}, err, o.Wait + span
+		_, span, err := w.unreached("look")
+		return fleet.Sight{}, o.Wait + span, err
 	}
 	if o.Term < w.term {
-		return fleet.Sight{}, &fleet.Error{Op: "look", Kind: fleet.Fenced}, quick
+		return fleet.Sight{}, quick, &fleet.Error{Op: "look", Kind: fleet.Fenced}
 	}
 	w.term = o.Term
 	w.extend(now, o.Until)
 	for len(w.ends) > 0 && w.ends[0].No <= o.Taken {
 		w.ends = w.ends[1:]
 	}
-	return w.sight(now), nil, quick
+	return w.sight(now), quick, nil
 }
 
 // sight is what the worker tells of itself.
--- a/fleet/helm/world_test.go
+++ b/fleet/helm/world_test.go
@@ -217,10 +217,10 @@
 		}
 		w.after(callSpan, helm.Checked{Batch: a.Batch, Records: w.store.records[a.At:]})
 	case helm.Start:
-		clock, err, span := w.worker(a.Place).start(w.now, a.Order)
+		clock, span, err := w.worker(a.Place).start(w.now, a.Order)
 		w.after(span, helm.Started{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
 	case helm.Stop:
-		clock, err, span := w.worker(a.Place).stop(w.now, a.Order)
+		clock, span, err := w.worker(a.Place).stop(w.now, a.Order)
 		w.after(span, helm.Stopped{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
 	case helm.Look:
 		w.looks++
@@ -235,7 +235,7 @@
 func (w *world) look(a helm.Look) {
 	one := w.worker(a.Place)
 	done := helm.Looked{Host: a.Place.Host, Term: a.Order.Term, Taken: a.Order.Taken, At: w.now}
-	sight, err, span := one.look(w.now, a.Order)
+	sight, span, err := one.look(w.now, a.Order)
 	if err == nil && a.Order.Wait > 0 {
 		one.polls = append(one.polls, poll{w.now.Add(a.Order.Wait), func(s fleet.Sight) {
 			done.Sight = s
