--- /dev/null
+++ b/deckd/soak/calls_test.go
@@ -0,0 +1,123 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"dragonflydeck.example/standin/engine"
+	"github.com/valyala/fasthttp"
+)
+
+const callSpan = 4 * time.Second
+
+// job is a job that a caller hands in, and what the caller was told of it.
+type job struct {
+	id, queue string
+	body      []byte
+	accepted  bool
+	unknown   bool // a try ended without an answer that says what happened
+	cancelled bool
+	over      bool
+}
+
+// newJob draws a job.
+func newJob(rng *rand.Rand, n int) *job {
+	need := engine.Need{Cores: 1000, Mem: 1024, Accels: 1 << rng.IntN(4), Span: time.Duration(200+rng.IntN(2500)) * time.Millisecond}
+	count := 1 + rng.IntN(4)
+	step := map[string]any{"count": count, "cpu": need.Cores, "memMb": need.Mem, "gpu": need.Accels, "estimateMs": need.Span.Milliseconds()}
+	if rng.IntN(2) == 0 {
+		need.Gang = count
+		step["gang"] = true
+		step["sameRack"] = rng.IntN(2) == 0
+	}
+	data, err := json.Marshal(map[string]any{"spec": need.Spec(), "steps": []any{step}})
+	if err != nil {
+		panic(err) // maps of numbers and strings
+	}
+	queue := []string{"urgent", "long", "bulk"}[rng.IntN(3)]
+	return &job{id: fmt.Sprintf("%016x", rng.Uint64()), queue: queue, body: data}
+}
+
+// call makes one call at a daemon. Status 0 stands for no answer.
+func call(method, front string, j *job, body []byte) (int, []byte) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + front + prefix + j.queue + "/" + j.id)
+	req.UseHostHeader = true
+	req.Header.SetHost(host)
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Deadline-Ms", "3000")
+	req.SetBody(body)
+	if err := fasthttp.DoTimeout(req, resp, callSpan); err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...)
+}
+
+// load is the callers of a run.
+type load struct {
+	rig *rig
+	mu  sync.Mutex
+	all []*job
+}
+
+// run hands jobs in until the time is over.
+func (l *load) run(rng *rand.Rand, until time.Time) {
+	var group sync.WaitGroup
+	for n := 0; time.Now().Before(until); n++ {
+		j := newJob(rng, n)
+		order := rng.Perm(len(l.rig.daemons))
+		cancel := rng.IntN(10) == 0
+		l.all = append(l.all, j)
+		group.Go(func() { l.hand(j, order, cancel) })
+		time.Sleep(time.Duration(50+rng.IntN(250)) * time.Millisecond)
+	}
+	group.Wait()
+}
+
+// hand hands one job in, at other daemons after a failure.
+func (l *load) hand(j *job, order []int, cancel bool) {
+	for _, i := range order {
+		status, _ := call(fasthttp.MethodPost, l.rig.daemons[i].front, j, j.body)
+		l.mu.Lock()
+		switch status {
+		case fasthttp.StatusOK:
+			j.accepted = true
+		case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		default:
+			j.unknown = true
+		}
+		l.mu.Unlock()
+		if status == fasthttp.StatusOK {
+			break
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	if cancel && j.accepted {
+		if status, _ := call(fasthttp.MethodDelete, l.rig.daemons[order[0]].front, j, nil); status == fasthttp.StatusOK {
+			l.mu.Lock()
+			j.cancelled = true
+			l.mu.Unlock()
+		}
+	}
+}
+
+// state asks how far a job has come; empty if there is no answer.
+func (l *load) state(j *job) (int, string) {
+	for _, d := range l.rig.daemons {
+		status, body := call(fasthttp.MethodGet, d.front, j, nil)
+		var s struct{ State string }
+		if status == fasthttp.StatusOK && json.Unmarshal(body, &s) == nil {
+			return status, s.State
+		}
+		if status == fasthttp.StatusGone {
+			return status, ""
+		}
+	}
+	return 0, ""
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,313 @@
+// Package engine is a stand-in of a worker of the platform: it runs tasks of
+// jobs over HTTP under a lease, and tells a ledger what it does.
+package engine
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Options are what an engine has and how it behaves.
+type Options struct {
+	ID     string
+	Zone   string
+	Rack   string
+	Cores  int64 // thousandths of a core
+	Mem    int64 // MiB
+	Accels int64
+	Lease  time.Duration // longest
+	Stop   time.Duration // that a stop takes
+	Gang   time.Duration // that a member waits for the others
+	Ledger *Ledger
+}
+
+// run is one run of a task.
+type run struct {
+	task  string
+	no    int64
+	need  Need
+	begun time.Time
+	whole bool      // it works: it stands alone or its gang is whole
+	works time.Time // since when
+	stop  time.Time // when a stop will have ended it; zero without one
+}
+
+// end is one end as it is listed.
+type end struct {
+	no   int64
+	task string
+	run  int64
+	how  string
+}
+
+// Engine is the stand-in.
+type Engine struct {
+	opts Options
+
+	mu     sync.Mutex
+	born   time.Time
+	fence  int64
+	until  time.Time
+	runs   map[string]*run
+	closed map[string]int64 // newest run of a task that ended or was stopped
+	ends   []end
+	last   int64
+	mute   bool
+	fails  bool
+	hangs  bool
+	gone   bool
+}
+
+// New returns an engine that runs nothing.
+func New(o Options) *Engine {
+	e := &Engine{opts: o}
+	e.reset()
+	return e
+}
+
+func (e *Engine) reset() {
+	e.born, e.fence, e.last, e.ends = time.Now(), 0, 0, nil
+	e.runs, e.closed = map[string]*run{}, map[string]int64{}
+}
+
+// Crash ends the process of the engine and starts another.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.runs {
+		e.opts.Ledger.ended(e.opts.ID, r, "crashed")
+	}
+	e.reset()
+}
+
+// Mute makes the engine carry out orders without answering.
+func (e *Engine) Mute(on bool) { e.set(func() { e.mute = on }) }
+
+// Fail makes everything that runs on the engine fail.
+func (e *Engine) Fail(on bool) { e.set(func() { e.fails = on }) }
+
+// Hang makes everything that runs on the engine stand still.
+func (e *Engine) Hang(on bool) { e.set(func() { e.hangs = on }) }
+
+func (e *Engine) set(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f()
+}
+
+// Entry returns the engine's entry in the service discovery.
+func (e *Engine) Entry(service, addr string) any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return map[string]any{
+		"service": service, "address": addr, "zone": e.opts.Zone, "version": "v1", "slots": 8, "state": "ready",
+		"coldRemainingMs": 0, "seq": 1, "clockMs": e.clock(), "born": e.born.UnixMilli(),
+		"capacity": map[string]int64{"cpu": e.opts.Cores, "memMb": e.opts.Mem, "gpu": e.opts.Accels},
+		"labels":   []string{"a", e.opts.Rack},
+	}
+}
+
+func (e *Engine) clock() int64 { return time.Since(e.born).Milliseconds() + 1 }
+
+// Tick lets time pass for what runs.
+func (e *Engine) Tick() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	for _, r := range e.runs {
+		e.pass(r, now)
+	}
+}
+
+func (e *Engine) pass(r *run, now time.Time) {
+	if !r.whole && e.opts.Ledger.whole(r) {
+		r.whole, r.works = true, now
+	}
+	switch {
+	case now.After(e.until):
+		e.close(r, "lapsed")
+	case !r.stop.IsZero():
+		if now.After(r.stop) {
+			e.close(r, "stopped")
+		}
+	case e.opts.Ledger.broken(r):
+		e.close(r, "broken")
+	case !r.whole:
+		if now.Sub(r.begun) > e.opts.Gang {
+			e.close(r, "alone")
+		}
+	case e.fails:
+		e.close(r, "failed")
+	case !e.hangs && now.Sub(r.works) >= r.need.Span:
+		e.close(r, "done")
+	}
+}
+
+func (e *Engine) close(r *run, how string) {
+	delete(e.runs, r.task)
+	e.closed[r.task] = max(e.closed[r.task], r.no)
+	e.last++
+	e.ends = append(e.ends, end{e.last, r.task, r.no, how})
+	e.opts.Ledger.ended(e.opts.ID, r, how)
+}
+
+// order is the body of every order.
+type order struct {
+	Task         string
+	Run          int64
+	Spec         string
+	UntilMs      int64
+	FencingToken int64
+	LastSeen     int64
+	WaitMs       int64
+}
+
+// Handle answers one order.
+func (e *Engine) Handle(ctx *fasthttp.RequestCtx) {
+	var o order
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	if meant := string(ctx.Request.Header.Peek("Expect-Instance")); meant != "" && meant != e.opts.ID {
+		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
+		return
+	}
+	e.Tick()
+	switch string(ctx.Path()) {
+	case "/run-start":
+		e.answer(ctx, e.start(o))
+	case "/run-stop":
+		e.answer(ctx, e.halt(o))
+	case "/hold":
+		e.hold(ctx, o)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (e *Engine) start(o order) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.FencingToken < e.fence {
+		return "fence"
+	}
+	e.fence = o.FencingToken
+	if r := e.runs[o.Task]; r != nil && r.no == o.Run {
+		return ""
+	}
+	if o.Run <= e.closed[o.Task] || e.runs[o.Task] != nil {
+		return "old"
+	}
+	if o.UntilMs <= e.clock() {
+		return "late"
+	}
+	e.extend(o.UntilMs)
+	r := &run{task: o.Task, no: o.Run, need: ReadNeed(o.Spec), begun: time.Now()}
+	r.whole, r.works = r.need.Gang == 0, r.begun
+	e.runs[o.Task] = r
+	e.opts.Ledger.began(e, r)
+	return ""
+}
+
+// extend prolongs the lease, up to its longest.
+func (e *Engine) extend(untilMs int64) {
+	at := e.born.Add(time.Duration(untilMs) * time.Millisecond)
+	if most := time.Now().Add(e.opts.Lease); at.After(most) {
+		at = most
+	}
+	if untilMs > 0 && at.After(e.until) {
+		e.until = at
+	}
+}
+
+func (e *Engine) halt(o order) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.FencingToken < e.fence {
+		return "fence"
+	}
+	e.fence = o.FencingToken
+	if r := e.runs[o.Task]; r != nil && r.no <= o.Run && r.stop.IsZero() {
+		r.stop = time.Now().Add(e.opts.Stop)
+	}
+	e.closed[o.Task] = max(e.closed[o.Task], o.Run)
+	return ""
+}
+
+// muteSpan is how long an order goes without an answer.
+const muteSpan = 5 * time.Second
+
+func (e *Engine) answer(ctx *fasthttp.RequestCtx, reason string) {
+	e.mu.Lock()
+	mute, clock := e.mute, e.clock()
+	e.mu.Unlock()
+	if mute {
+		time.Sleep(muteSpan)
+		return
+	}
+	body := map[string]any{"clockMs": clock}
+	if reason != "" {
+		ctx.SetStatusCode(fasthttp.StatusConflict)
+		body["reason"] = reason
+	}
+	write(ctx, body)
+}
+
+const waitSlice = 10 * time.Millisecond
+
+func (e *Engine) hold(ctx *fasthttp.RequestCtx, o order) {
+	e.mu.Lock()
+	if o.FencingToken < e.fence {
+		e.mu.Unlock()
+		e.answer(ctx, "fence")
+		return
+	}
+	e.fence = o.FencingToken
+	e.extend(o.UntilMs)
+	for len(e.ends) > 0 && e.ends[0].no <= o.LastSeen {
+		e.ends = e.ends[1:]
+	}
+	e.mu.Unlock()
+	for until := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond); time.Now().Before(until); {
+		e.Tick()
+		e.mu.Lock()
+		some := len(e.ends) > 0
+		e.mu.Unlock()
+		if some {
+			break
+		}
+		time.Sleep(waitSlice)
+	}
+	write(ctx, e.lists())
+}
+
+func (e *Engine) lists() map[string]any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	running, ended := [][]any{}, [][]any{}
+	for _, r := range e.runs {
+		percent := 0
+		if r.whole && !e.hangs {
+			percent = int(100 * time.Since(r.works) / max(r.need.Span, 1))
+		}
+		running = append(running, []any{r.task, r.no, "", min(percent, 100), 0})
+	}
+	for _, f := range e.ends {
+		ended = append(ended, []any{f.no, f.task, f.run, f.how, ""})
+	}
+	return map[string]any{"clockMs": e.clock(), "born": e.born.UnixMilli(), "running": running, "finished": ended}
+}
+
+func write(ctx *fasthttp.RequestCtx, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
--- /dev/null
+++ b/standin/store/sort.go
@@ -0,0 +1,16 @@
+package store
+
+import (
+	"maps"
+	"slices"
+)
+
+// sortedAfter returns the keys that come after one, in order.
+func sortedAfter(all map[string]record, after string) []string {
+	keys := slices.Sorted(maps.Keys(all))
+	i, found := slices.BinarySearch(keys, after)
+	if found {
+		i++
+	}
+	return keys[i:]
+}
--- /dev/null
+++ b/standin/store/store.go
@@ -0,0 +1,251 @@
+// Package store is a stand-in of the platform's store: topics of keyed records
+// over HTTP, with the failures that the store may have.
+package store
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	pageMost  = 500 // records of one page of the newest
+	waitSlice = 5 * time.Millisecond
+	waitMost  = 30 * time.Second
+)
+
+// Mode is how the store answers.
+type Mode int
+
+// The modes of the store.
+const (
+	Well   Mode = iota
+	Silent      // it does nothing and never answers
+	Busy        // it does nothing and says so
+	Lost        // it appends and does not answer
+)
+
+// record is one record of a topic.
+type record struct {
+	key    string
+	value  []byte
+	offset int64
+}
+
+// topic is the records of one topic, the oldest of which may be gone.
+type topic struct {
+	first   int64
+	records []record
+	newest  map[string]record
+}
+
+// Store is the stand-in.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	mode   Mode
+}
+
+// New returns an empty store.
+func New() *Store { return &Store{topics: map[string]*topic{}} }
+
+// Set sets how the store answers everybody.
+func (s *Store) Set(m Mode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+}
+
+// Forget drops the records of a topic but for the newest of each key.
+func (s *Store) Forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first += int64(len(t.records))
+	t.records = nil
+}
+
+// Put appends a record, as the operator and the workers do. A nil value drops
+// the key.
+func (s *Store) Put(name, key string, value any) error {
+	var data []byte
+	if value != nil {
+		var err error
+		if data, err = json.Marshal(value); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topic(name).add(key, data)
+	return nil
+}
+
+func (s *Store) topic(name string) *topic {
+	t, ok := s.topics[name]
+	if !ok {
+		t = &topic{newest: map[string]record{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (t *topic) end() int64 { return t.first + int64(len(t.records)) }
+
+func (t *topic) add(key string, value []byte) {
+	r := record{key, value, t.end()}
+	t.records = append(t.records, r)
+	if len(value) == 0 {
+		delete(t.newest, key)
+		return
+	}
+	t.newest[key] = r
+}
+
+// Handle answers one call.
+func (s *Store) Handle(ctx *fasthttp.RequestCtx) {
+	switch s.now() {
+	case Silent:
+		time.Sleep(waitMost)
+		return
+	case Busy:
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	case Lost:
+		if string(ctx.Path()) == "/log-append" {
+			s.append(ctx)
+			time.Sleep(waitMost)
+			return
+		}
+	}
+	switch string(ctx.Path()) {
+	case "/log-append":
+		s.append(ctx)
+	case "/log-read":
+		s.read(ctx)
+	case "/log-newest":
+		s.page(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Store) now() Mode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mode
+}
+
+func (s *Store) append(ctx *fasthttp.RequestCtx) {
+	records, ok := split(ctx.PostBody())
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(string(ctx.QueryArgs().Peek("topic")))
+	if at := ctx.QueryArgs().Peek("at"); at != nil && string(at) != strconv.FormatInt(t.end(), 10) {
+		reply(ctx, fasthttp.StatusPreconditionFailed, map[string]int64{"end": t.end()})
+		return
+	}
+	offset := t.end()
+	for _, r := range records {
+		t.add(r.key, r.value)
+	}
+	reply(ctx, fasthttp.StatusOK, map[string]int64{"offset": offset, "end": t.end()})
+}
+
+// split reads records that are framed by their lengths.
+func split(body []byte) ([]record, bool) {
+	var out []record
+	for len(body) > 0 {
+		if len(body) < 5 {
+			return nil, false
+		}
+		n := int(binary.BigEndian.Uint32(body))
+		if n < 1 || n > len(body)-4 || 1+int(body[4]) > n {
+			return nil, false
+		}
+		data := body[4 : 4+n]
+		key := 1 + int(data[0])
+		out = append(out, record{key: string(data[1:key]), value: append([]byte(nil), data[key:]...)})
+		body = body[4+n:]
+	}
+	return out, true
+}
+
+func (s *Store) read(ctx *fasthttp.RequestCtx) {
+	name := string(ctx.QueryArgs().Peek("topic"))
+	from := int64(ctx.QueryArgs().GetUintOrZero("from"))
+	until := time.Now().Add(min(time.Duration(ctx.QueryArgs().GetUintOrZero("waitMs"))*time.Millisecond, waitMost))
+	for {
+		if s.readNow(ctx, name, from) || !time.Now().Before(until) {
+			return
+		}
+		time.Sleep(waitSlice)
+	}
+}
+
+// readNow answers with the records from an offset on. It reports whether there
+// was anything to tell.
+func (s *Store) readNow(ctx *fasthttp.RequestCtx, name string, from int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	if from < t.first {
+		reply(ctx, fasthttp.StatusGone, map[string]int64{"first": t.first})
+		return true
+	}
+	out := binary.BigEndian.AppendUint64(nil, uint64(t.end()))
+	out = binary.BigEndian.AppendUint64(out, uint64(t.first))
+	for _, r := range t.records[min(from-t.first, int64(len(t.records))):] {
+		out = binary.BigEndian.AppendUint32(out, uint32(1+len(r.key)+len(r.value)))
+		out = append(append(append(out, byte(len(r.key))), r.key...), r.value...)
+	}
+	ctx.SetStatusCode(fasthttp.StatusOK)
+	ctx.SetBody(out)
+	return from < t.end()
+}
+
+// item is a record on a page of the newest.
+type item struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Offset int64  `json:"offset"`
+}
+
+// page answers with the newest record of each key, in the order of the keys.
+func (s *Store) page(ctx *fasthttp.RequestCtx) {
+	after := string(ctx.QueryArgs().Peek("dependsOn"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(string(ctx.QueryArgs().Peek("topic")))
+	body := struct {
+		Items     []item `json:"items"`
+		Truncated bool   `json:"truncated"`
+		End       int64  `json:"end"`
+	}{Items: []item{}, End: t.end()}
+	for _, key := range sortedAfter(t.newest, after) {
+		if len(body.Items) == pageMost {
+			body.Truncated = true
+			break
+		}
+		body.Items = append(body.Items, item{key, t.newest[key].value, t.newest[key].offset})
+	}
+	reply(ctx, fasthttp.StatusOK, body)
+}
+
+func reply(ctx *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status = fasthttp.StatusInternalServerError
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
