--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -30,6 +30,8 @@
 
 	Percent int       // progress that the worker last told
 	Moved   time.Time // when that last rose
+	From    int       // progress that a checkpoint gave it
+	Learned time.Time // when its progress was last measured
 	Stopped time.Time // when a stop was answered first; zero before
 	Foreign bool      // a former lead sent it
 }
@@ -55,10 +57,10 @@
 	Looking  int       // looks on their way
 	Heard    time.Time // last answer
 	Tried    time.Time // last look sent
-	Fails    int       // fails in a row, over different jobs
-	FailJob  fleet.JobID
+	Fails    int       // fails in a row, of jobs that failed nowhere else
 	Aside    time.Time // not used before
 	asides   int
+	speed    speed
 	keeper   fleet.JobID // the job that its room is kept for
 	kept     time.Time   // until then
 	used     fleet.Res
@@ -236,6 +238,6 @@
 func (w *Worker) rebirth(now time.Time) {
 	w.Synced, w.Seen, w.Taken, w.Told = false, 0, 0, 0
 	w.until, w.clockAt, w.clock = 0, time.Time{}, 0
-	w.Fails, w.Aside, w.asides = 0, time.Time{}, 0
+	w.Fails, w.Aside, w.asides, w.speed = 0, time.Time{}, 0, speed{}
 	w.boundAll = now
 }
--- a/fleet/crew/crew_test.go
+++ b/fleet/crew/crew_test.go
@@ -1,6 +1,7 @@
 package crew_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -66,3 +67,32 @@
 	w.Drop(crew.Key{Task: r.Task, No: 1})
 	qt.Assert(t, w.Free(), qt.Equals, e.Room)
 }
+
+// A worker that turns several times slower is known after two measurements, and
+// forgiven some time after they stop.
+func TestSlowWorkerIsKnownAndForgiven(t *testing.T) {
+	c := crew.New()
+	w, _ := c.Enter(entry(0), "r1", now)
+	qt.Assert(t, w.Pace(now), qt.Equals, crew.Brisk)
+	for i := range 3 {
+		w.Observe(math.Log(6.5), 0.06, now.Add(time.Duration(i)*time.Second))
+	}
+	at := now.Add(2 * time.Second)
+	qt.Assert(t, w.Pace(at), qt.Equals, crew.Crawling)
+	qt.Assert(t, w.Pace(at.Add(5*time.Minute)) < crew.Sluggish, qt.IsTrue)
+	for i := range 4 {
+		w.Observe(0, 0.06, at.Add(time.Duration(i)*time.Second))
+	}
+	qt.Assert(t, w.Pace(at.Add(4*time.Second)) < crew.Sluggish, qt.IsTrue)
+}
+
+func TestWorkerThatFailsDifferentJobsIsSetAside(t *testing.T) {
+	c := crew.New()
+	w, _ := c.Enter(entry(0), "r1", now)
+	w.Synced = true
+	w.State = fleet.WorkerReady
+	qt.Assert(t, w.Failed(now), qt.IsFalse)
+	qt.Assert(t, w.Failed(now), qt.IsTrue)
+	qt.Assert(t, w.Usable(now), qt.IsFalse)
+	qt.Assert(t, w.Usable(now.Add(5*time.Second)), qt.IsTrue)
+}
--- a/fleet/crew/health.go
+++ b/fleet/crew/health.go
@@ -1,26 +1,18 @@
 package crew
 
-import (
-	"time"
-
-	"dragonflydeck.example/fleet"
-)
+import "time"
 
 // When a worker is set aside. It answers a worker that fails whatever it is
 // given: each fail there costs a job one of its few attempts.
 const (
-	failsAside = 2                // fails in a row, of different jobs
+	failsAside = 2                // fails in a row, of jobs that failed nowhere else
 	asideFirst = 4 * time.Second  // then one task tries it again
 	asideMost  = 30 * time.Second // doubled each time up to here
 )
 
-// Failed notes a fail on the worker. It reports whether the worker is set aside
-// by it.
-func (w *Worker) Failed(job fleet.JobID, now time.Time) bool {
-	if w.FailJob == job && w.Fails > 0 {
-		return false
-	}
-	w.FailJob = job
+// Failed notes a fail on the worker of a job that has failed nowhere else. It
+// reports whether the worker is set aside by it.
+func (w *Worker) Failed(now time.Time) bool {
 	w.Fails++
 	if w.Fails < failsAside {
 		return false
@@ -40,4 +32,4 @@
 }
 
 // Well notes that a task ended well on the worker.
-func (w *Worker) Well() { w.Fails, w.FailJob, w.asides = 0, "", 0 }
+func (w *Worker) Well() { w.Fails, w.asides = 0, 0 }
--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -37,6 +37,7 @@
 	Fails int       // of the gang as a whole
 	Saved string    // checkpoint of the gang as a whole
 	Run   fleet.Run // newest start of any task
+	Far   bool      // its newest start is where it is slowed
 
 	left   int
 	failed fleet.Run // newest run that counted as a fail of the gang
--- a/fleet/helm/hand.go
+++ b/fleet/helm/hand.go
@@ -22,7 +22,8 @@
 	stored  bool      // accepted
 	dirty   bool
 	waiters []waiting
-	cleared time.Time // when runs were last stopped for it
+	cleared time.Time             // when runs were last stopped for it
+	failed  map[fleet.HostID]bool // workers on which one of its tasks failed
 }
 
 // waiting is a caller who waits until a job is stored.
@@ -31,7 +32,9 @@
 	until  time.Time
 }
 
-func newJob(f *flow.Job, now time.Time) *job { return &job{Job: f, began: now} }
+func newJob(f *flow.Job, now time.Time) *job {
+	return &job{Job: f, began: now, failed: map[fleet.HostID]bool{}}
+}
 
 // handIn takes a job in, or refuses it at once.
 func (h *Helm) handIn(e HandedIn) {
@@ -162,6 +165,7 @@
 	for id, j := range h.jobs {
 		if j.Over() && h.now.Sub(j.Ended) > h.limits.Status {
 			delete(h.jobs, id)
+			h.forgetPeers(j)
 			h.box.dead = append(h.box.dead, id)
 		}
 	}
--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -12,6 +12,7 @@
 	"dragonflydeck.example/fleet/crew"
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/flow"
 	"dragonflydeck.example/fleet/queue"
 	"dragonflydeck.example/fleet/wire"
 )
@@ -61,6 +62,8 @@
 	jobs    map[fleet.JobID]*job
 	crew    *crew.Crew
 	box     box
+	guesses map[string]*guess // by queue
+	peers   map[*flow.Step]*peers
 	beaten  time.Time
 	planned time.Time
 	changed bool // something that placement depends on has changed
@@ -83,6 +86,8 @@
 	h.jobs = map[fleet.JobID]*job{}
 	h.crew = crew.New()
 	h.box = newBox()
+	h.guesses = map[string]*guess{}
+	h.peers = map[*flow.Step]*peers{}
 }
 
 // Step takes events and the time, and returns what is to be done.
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -154,8 +154,9 @@
 	}
 	r.Foreign = false
 	if r.Phase == crew.Sent || r.Phase == crew.Doubtful {
-		r.Phase, r.Since, r.Moved = crew.Running, h.now, h.now
+		r.Phase, r.Since, r.Moved, r.From = crew.Running, h.now, h.now, seen.Percent
 	}
+	h.learn(w, r)
 	if seen.Percent > r.Percent {
 		r.Percent, r.Moved = seen.Percent, h.now
 	}
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -235,7 +235,9 @@
 
 func (h *Helm) failed(w *crew.Worker, j *job, e fleet.EndSeen) {
 	j.Fail(e.Task, e.Run, h.attempts(j), h.now)
-	if w.Failed(j.ID, h.now) {
+	elsewhere := len(j.failed) > 1 || len(j.failed) == 1 && !j.failed[w.Place.Host]
+	j.failed[w.Place.Host] = true
+	if !elsewhere && w.Failed(h.now) {
 		h.note(event.WorkerAside, string(w.Place.Host), "fails=%d until=%s", w.Fails, w.Aside.Sub(h.now))
 	}
 	if j.Failed {
--- a/fleet/pack/pack.go
+++ b/fleet/pack/pack.go
@@ -3,9 +3,9 @@
 package pack
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"sort"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -19,8 +19,10 @@
 	Job     *flow.Job
 	Step    *flow.Step
 	Service string
-	Indexes []int // tasks of the step that need a worker
-	Far     bool  // it may run away from its data, or on several racks
+	Indexes []int                 // tasks of the step that need a worker
+	Far     bool                  // it may run away from its data, or on several racks
+	Avoid   map[fleet.HostID]bool // workers that failed it: the last to be taken
+	Urgent  bool                  // it is late on workers that are a little slower
 }
 
 // Site is what placement reads.
@@ -46,7 +48,7 @@
 	if rack := u.Step.Spec.Rack; rack != "" && !u.Far {
 		open = onRack(open, rack)
 	}
-	return fill(u, open)
+	return s.fill(u, open)
 }
 
 // seat is a worker with room for some tasks of a unit.
@@ -90,17 +92,20 @@
 func (s *Site) gang(u Unit, open []seat) []Spot {
 	near := u.Step.Spec.Tight || u.Step.Spec.Rack != ""
 	if near && !u.Far {
-		open = bestRack(u, open)
+		open = s.bestRack(u, open)
 	}
-	spots := fill(u, open)
+	spots := s.fill(u, open)
 	if len(spots) < len(u.Indexes) {
 		return nil
 	}
 	return spots
 }
 
-func bestRack(u Unit, open []seat) []seat {
+// bestRack returns the seats of the rack that holds the gang, among those with
+// the briskest workers for it the fullest.
+func (s *Site) bestRack(u Unit, open []seat) []seat {
 	var best []seat
+	var bestPace crew.Pace
 	var bestLeft int64
 	for _, on := range byRack(open, seat.rack) {
 		if total(on) < len(u.Indexes) {
@@ -109,13 +114,29 @@
 		if rack := u.Step.Spec.Rack; rack != "" && on[0].worker.Rack != rack {
 			continue
 		}
-		if left := accels(on); best == nil || left < bestLeft {
-			best, bestLeft = on, left
+		pace, left := s.worst(u, on), accels(on)
+		if best == nil || pace < bestPace || pace == bestPace && left < bestLeft {
+			best, bestPace, bestLeft = on, pace, left
 		}
 	}
 	return best
 }
 
+// worst returns the slowest pace that matters among the workers that a gang
+// would get of some seats.
+func (s *Site) worst(u Unit, on []seat) crew.Pace {
+	worst := crew.Brisk
+	for _, spot := range s.fill(u, on) {
+		worst = max(worst, s.pace(u, spot.Worker))
+	}
+	return worst
+}
+
+// pace returns a worker's pace as far as it matters to the unit.
+func (s *Site) pace(u Unit, w *crew.Worker) crew.Pace {
+	return max(w.Pace(s.Now), crew.Steady)
+}
+
 // byRack splits what belongs to workers by rack, in the order of the names.
 func byRack[T any](all []T, rack func(T) string) [][]T {
 	racks := map[string][]T{}
@@ -155,10 +176,22 @@
 	return n
 }
 
-// fill gives tasks to the fullest workers that still have room, so that whole
-// workers stay free for large tasks.
-func fill(u Unit, open []seat) []Spot {
-	sort.SliceStable(open, func(a, b int) bool { return fuller(open[a].worker, open[b].worker) })
+// fill gives tasks to the briskest workers, among them to the fullest that still
+// have room, so that whole workers stay free for large tasks.
+func (s *Site) fill(u Unit, open []seat) []Spot {
+	open = slices.Clone(open)
+	slices.SortStableFunc(open, func(a, b seat) int {
+		if x, y := u.Avoid[a.worker.Place.Host], u.Avoid[b.worker.Place.Host]; x != y {
+			if x {
+				return 1
+			}
+			return -1
+		}
+		if c := cmp.Compare(s.pace(u, a.worker), s.pace(u, b.worker)); c != 0 {
+			return c
+		}
+		return fuller(a.worker.Free(), b.worker.Free())
+	})
 	var out []Spot
 	for _, o := range open {
 		for range o.count {
@@ -171,10 +204,6 @@
 	return out
 }
 
-func fuller(a, b *crew.Worker) bool {
-	x, y := a.Free(), b.Free()
-	if x.Accels != y.Accels {
-		return x.Accels < y.Accels
-	}
-	return x.Cores < y.Cores
+func fuller(a, b fleet.Res) int {
+	return cmp.Or(cmp.Compare(a.Accels, b.Accels), cmp.Compare(a.Cores, b.Cores))
 }
--- /dev/null
+++ b/fleet/pack/pack_test.go
@@ -0,0 +1,159 @@
+package pack_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/crew"
+	"dragonflydeck.example/fleet/flow"
+	"dragonflydeck.example/fleet/pack"
+	"dragonflydeck.example/fleet/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+var now = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// site returns racks of workers with 8 accelerators each.
+func site(racks, perRack int) (*pack.Site, []*crew.Worker) {
+	c := crew.New()
+	for r := range racks {
+		for i := range perRack {
+			e := fleet.WorkerEntry{
+				Place:   fleet.Place{Host: fleet.HostID(fmt.Sprintf("w%d-%d", r, i))},
+				Service: "desk", State: fleet.WorkerReady, Labels: []string{"a", fmt.Sprint("r", r)},
+				Room: fleet.Res{Cores: 64000, Mem: 131072, Accels: 8},
+			}
+			w, _ := c.Enter(e, fmt.Sprint("r", r), now)
+			w.Synced = true
+		}
+	}
+	return &pack.Site{Now: now, Crew: c}, c.Sorted()
+}
+
+// unit is all tasks of a job of one step.
+func unit(step *wire.Step) pack.Unit {
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step}})
+	u := pack.Unit{Job: j, Step: j.Rounds[0].Steps[0], Service: "desk"}
+	for i := range u.Step.Tasks {
+		u.Indexes = append(u.Indexes, i)
+	}
+	return u
+}
+
+func step(count int32, accels int64) *wire.Step {
+	return &wire.Step{Count: count, Each: &wire.Res{Cores: 1000, Accels: accels}}
+}
+
+func tight(count int32, accels int64) *wire.Step {
+	s := step(count, accels)
+	s.Gang, s.Tight = true, true
+	return s
+}
+
+var serial int
+
+// busy takes room of a worker.
+func busy(w *crew.Worker, accels fleet.Accels) *crew.Run {
+	serial++
+	r := &crew.Run{Task: fleet.Task{Job: fleet.JobID(fmt.Sprint("busy", serial))}, No: 1, Phase: crew.Running, Each: fleet.Res{Accels: accels}}
+	w.Add(r)
+	return r
+}
+
+func racks(spots []pack.Spot) map[string]int {
+	out := map[string]int{}
+	for _, s := range spots {
+		out[s.Worker.Rack]++
+	}
+	return out
+}
+
+func TestGangIsPlacedWholeOrNotAtAll(t *testing.T) {
+	s, all := site(1, 2)
+	busy(all[0], 1)
+	qt.Assert(t, s.Place(unit(tight(2, 8))), qt.HasLen, 0)
+	qt.Assert(t, s.Place(unit(tight(2, 7))), qt.HasLen, 2)
+}
+
+// Load pattern: wide gangs among many small ones. A small gang takes the rack
+// that is in use, so that the other stays whole.
+func TestSmallGangLeavesAnEmptyRackWhole(t *testing.T) {
+	s, all := site(2, 4)
+	busy(all[4], 8)
+	qt.Assert(t, racks(s.Place(unit(tight(2, 8)))), qt.DeepEquals, map[string]int{"r1": 2})
+	qt.Assert(t, racks(s.Place(unit(tight(4, 8)))), qt.DeepEquals, map[string]int{"r0": 4})
+}
+
+func TestSmallTasksFillUsedWorkersFirst(t *testing.T) {
+	s, all := site(1, 3)
+	busy(all[2], 6)
+	spots := s.Place(unit(step(3, 1)))
+	qt.Assert(t, spots[0].Worker, qt.Equals, all[2])
+	qt.Assert(t, spots[1].Worker, qt.Equals, all[2])
+	qt.Assert(t, spots[2].Worker, qt.Not(qt.Equals), all[2])
+}
+
+func TestSpreadBoundsTheTasksOnAWorker(t *testing.T) {
+	s, _ := site(1, 3)
+	two := step(5, 1)
+	two.Spread = 1
+	qt.Assert(t, s.Place(unit(two)), qt.HasLen, 3)
+}
+
+// Load pattern: workers that turn several times slower while they say that they
+// are well.
+func TestSlowWorkersAreTheLastToBeTaken(t *testing.T) {
+	s, all := site(1, 3)
+	busy(all[0], 4)
+	for range 4 {
+		all[0].Observe(math.Log(6), 0.05, now)
+	}
+	spots := s.Place(unit(step(17, 1)))
+	qt.Assert(t, spots, qt.HasLen, 17)
+	qt.Assert(t, spots[0].Worker, qt.Not(qt.Equals), all[0])
+	qt.Assert(t, spots[16].Worker, qt.Equals, all[0])
+}
+
+// A job does not spend its few attempts on the worker that failed it.
+func TestWorkersThatFailedTheJobAreTheLastToBeTaken(t *testing.T) {
+	s, all := site(1, 2)
+	u := unit(step(1, 1))
+	busy(all[0], 4)
+	qt.Assert(t, s.Place(u)[0].Worker, qt.Equals, all[0])
+	u.Avoid = map[fleet.HostID]bool{all[0].Place.Host: true}
+	qt.Assert(t, s.Place(u)[0].Worker, qt.Equals, all[1])
+}
+
+// Load pattern: an urgent gang against long work that fills every rack. The
+// cheapest rack is cleared, and of a worker no more than is needed.
+func TestClearingThrowsAwayLeast(t *testing.T) {
+	s, all := site(2, 2)
+	price := map[*crew.Run]float64{}
+	for i, w := range all {
+		price[busy(w, 4)] = float64(100 * (4 - i))
+		price[busy(w, 4)] = 1000
+	}
+	c, ok := s.Clear(unit(tight(2, 4)), func(r *crew.Run) float64 { return price[r] })
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, c.Cost, qt.Equals, 300.0)
+	qt.Assert(t, c.Workers, qt.HasLen, 2)
+	qt.Assert(t, c.Workers[0].Rack, qt.Equals, "r1")
+}
+
+func TestRoomThatIsKeptGoesToNobodyElse(t *testing.T) {
+	s, all := site(1, 1)
+	all[0].Keep("other", now.Add(time.Second))
+	qt.Assert(t, s.Place(unit(step(1, 1))), qt.HasLen, 0)
+	s.Now = now.Add(2 * time.Second)
+	qt.Assert(t, s.Place(unit(step(1, 1))), qt.HasLen, 1)
+}
+
+func TestFailureDomainThatIsOutGetsNothing(t *testing.T) {
+	s, all := site(1, 1)
+	all[0].Domain = "d1"
+	s.Out = map[fleet.DomainID]bool{"d1": true}
+	qt.Assert(t, s.Place(unit(step(1, 1))), qt.HasLen, 0)
+}
--- a/fleet/pack/room.go
+++ b/fleet/pack/room.go
@@ -28,7 +28,7 @@
 		return total(onRack(open, u.Step.Spec.Rack)) >= need
 	}
 	if near && u.Step.Spec.Tight {
-		return bestRack(u, open) != nil
+		return s.bestRack(u, open) != nil
 	}
 	return total(open) >= need
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -41,6 +41,7 @@
 	task string
 	run  int64
 	how  string
+	at   time.Time
 }
 
 // Engine is the stand-in.
@@ -51,6 +52,7 @@
 	born   time.Time
 	fence  int64
 	until  time.Time
+	lapsed time.Time // newest time at which no lease was in force
 	runs   map[string]*run
 	closed map[string]int64 // newest run of a task that ended or was stopped
 	ends   []end
@@ -117,6 +119,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
+	if now.After(e.until) {
+		e.lapsed = now
+	}
 	for _, r := range e.runs {
 		e.pass(r, now)
 	}
@@ -150,7 +155,7 @@
 	delete(e.runs, r.task)
 	e.closed[r.task] = max(e.closed[r.task], r.no)
 	e.last++
-	e.ends = append(e.ends, end{e.last, r.task, r.no, how})
+	e.ends = append(e.ends, end{e.last, r.task, r.no, how, time.Now()})
 	e.opts.Ledger.ended(e.opts.ID, r, how)
 }
 
@@ -269,6 +274,9 @@
 	e.fence = o.FencingToken
 	e.extend(o.UntilMs)
 	for len(e.ends) > 0 && e.ends[0].no <= o.LastSeen {
+		if f := e.ends[0]; f.how == "done" && f.at.After(e.lapsed) {
+			e.opts.Ledger.noted(f.task)
+		}
 		e.ends = e.ends[1:]
 	}
 	e.mu.Unlock()
--- a/standin/engine/ledger.go
+++ b/standin/engine/ledger.go
@@ -40,7 +40,9 @@
 type Ledger struct {
 	mu      sync.Mutex
 	running map[string]map[string]int64 // engines and runs by task
-	done    map[string]bool             // tasks that ended well
+	done    map[string]bool             // tasks that ended well, which the lead has noted
+	ends    map[string]bool             // tasks that ended well, noted or not
+	again   map[string]string           // starts after such an end
 	gangs   map[string]*gang
 	starts  map[string]int // by job
 	faults  []string
@@ -56,6 +58,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		running: map[string]map[string]int64{}, done: map[string]bool{},
+		ends: map[string]bool{}, again: map[string]string{},
 		gangs: map[string]*gang{}, starts: map[string]int{},
 	}
 }
@@ -96,8 +99,10 @@
 	defer l.mu.Unlock()
 	job, _, _ := strings.Cut(r.task, ".")
 	l.starts[job]++
-	if l.done[r.task] {
-		l.breaks("task %s run %d starts on %s after it ended well", r.task, r.no, e.opts.ID)
+	if again := fmt.Sprintf("task %s run %d starts on %s after it ended well", r.task, r.no, e.opts.ID); l.done[r.task] {
+		l.breaks("%s", again)
+	} else if l.ends[r.task] {
+		l.again[r.task] = again
 	}
 	for on, no := range l.running[r.task] {
 		l.breaks("task %s run %d starts on %s while run %d is on %s", r.task, r.no, e.opts.ID, no, on)
@@ -113,6 +118,19 @@
 	}
 }
 
+// noted says that the lead has noted a good end, and that the engine's lease has
+// not lapsed since. Such an end forbids any other start, also one before it was
+// noted.
+func (l *Ledger) noted(task string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.done[task] = true
+	if again, ok := l.again[task]; ok {
+		l.breaks("%s, and that end was noted", again)
+		delete(l.again, task)
+	}
+}
+
 // room holds what runs on an engine against what it has.
 func (l *Ledger) room(e *Engine) {
 	var used Need
@@ -157,7 +175,7 @@
 	defer l.mu.Unlock()
 	delete(l.running[r.task], id)
 	if how == "done" {
-		l.done[r.task] = true
+		l.ends[r.task] = true
 	}
 	if r.need.Gang > 0 {
 		if g := l.gang(r); g.ended == "" {
