--- a/fleet/crew/speed.go
+++ b/fleet/crew/speed.go
@@ -54,7 +54,7 @@
 	Brisk    Pace = iota // as fast as most
 	Steady               // slower, as hosts of an older kind are
 	Sluggish             // so slow that urgent work is late there
-	Crawling             // so slow that any work is
+	Crawling             // so slow that all work is
 )
 
 // Pace returns how slow the worker is.
--- a/fleet/helm/plan.go
+++ b/fleet/helm/plan.go
@@ -85,7 +85,7 @@
 func (h *Helm) unit(j *job, s *flow.Step, waits []int) unit {
 	due := j.Rounds[s.Round].Due
 	u := unit{
-		Unit: pack.Unit{Job: j.Job, Step: s, Service: j.Spec.Service, Indexes: waits, Urgent: j.Spec.Priority == 0, Avoid: j.failed},
+		Unit: pack.Unit{Job: j.Job, Step: s, Service: j.Spec.Service, Indexes: waits, Avoid: j.failed},
 		job:  j, priority: j.Spec.Priority, waited: h.now.Sub(due),
 	}
 	u.due = due.Add(h.goal(j))
--- a/fleet/pack/pack.go
+++ b/fleet/pack/pack.go
@@ -22,7 +22,6 @@
 	Indexes []int                 // tasks of the step that need a worker
 	Far     bool                  // it may run away from its data, or on several racks
 	Avoid   map[fleet.HostID]bool // workers that failed it: the last to be taken
-	Urgent  bool                  // it is late on workers that are a little slower
 }
 
 // Site is what placement reads.
@@ -127,15 +126,14 @@
 func (s *Site) worst(u Unit, on []seat) crew.Pace {
 	worst := crew.Brisk
 	for _, spot := range s.fill(u, on) {
-		worst = max(worst, s.pace(u, spot.Worker))
+		worst = max(worst, s.pace(spot.Worker))
 	}
 	return worst
 }
 
-// pace returns a worker's pace as far as it matters to the unit.
-func (s *Site) pace(u Unit, w *crew.Worker) crew.Pace {
-	return max(w.Pace(s.Now), crew.Steady)
-}
+// pace returns a worker's pace as far as it matters: workers that are a little
+// slower are not avoided, as that would break up whole ones.
+func (s *Site) pace(w *crew.Worker) crew.Pace { return max(w.Pace(s.Now), crew.Steady) }
 
 // byRack splits what belongs to workers by rack, in the order of the names.
 func byRack[T any](all []T, rack func(T) string) [][]T {
@@ -187,7 +185,7 @@
 			}
 			return -1
 		}
-		if c := cmp.Compare(s.pace(u, a.worker), s.pace(u, b.worker)); c != 0 {
+		if c := cmp.Compare(s.pace(a.worker), s.pace(b.worker)); c != 0 {
 			return c
 		}
 		return fuller(a.worker.Free(), b.worker.Free())
