--- a/deckd/soak/calls_test.go
+++ b/deckd/soak/calls_test.go
@@ -24,7 +24,7 @@
 }
 
 // newJob draws a job.
-func newJob(rng *rand.Rand, n int) *job {
+func newJob(rng *rand.Rand) *job {
 	need := engine.Need{Cores: 1000, Mem: 1024, Accels: 1 << rng.IntN(4), Span: time.Duration(200+rng.IntN(2500)) * time.Millisecond}
 	count := 1 + rng.IntN(4)
 	step := map[string]any{"count": count, "cpu": need.Cores, "memMb": need.Mem, "gpu": need.Accels, "estimateMs": need.Span.Milliseconds()}
@@ -69,8 +69,8 @@
 // run hands jobs in until the time is over.
 func (l *load) run(rng *rand.Rand, until time.Time) {
 	var group sync.WaitGroup
-	for n := 0; time.Now().Before(until); n++ {
-		j := newJob(rng, n)
+	for time.Now().Before(until) {
+		j := newJob(rng)
 		order := rng.Perm(len(l.rig.daemons))
 		cancel := rng.IntN(10) == 0
 		l.all = append(l.all, j)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -275,7 +275,7 @@
 	e.extend(o.UntilMs)
 	for len(e.ends) > 0 && e.ends[0].no <= o.LastSeen {
 		if f := e.ends[0]; f.how == "done" && f.at.After(e.lapsed) {
-			e.opts.Ledger.noted(f.task)
+			e.opts.Ledger.noted(place{e.opts.ID, f.task, f.run})
 		}
 		e.ends = e.ends[1:]
 	}
--- a/standin/engine/ledger.go
+++ b/standin/engine/ledger.go
@@ -41,13 +41,20 @@
 	mu      sync.Mutex
 	running map[string]map[string]int64 // engines and runs by task
 	done    map[string]bool             // tasks that ended well, which the lead has noted
-	ends    map[string]bool             // tasks that ended well, noted or not
-	again   map[string]string           // starts after such an end
+	ends    map[string]place            // good ends that the lead has not noted, by task
+	again   map[place]string            // starts after such an end
 	gangs   map[string]*gang
 	starts  map[string]int // by job
 	faults  []string
 }
 
+// place is one run of a task on an engine.
+type place struct {
+	engine string
+	task   string
+	no     int64
+}
+
 // gang is one run of a gang.
 type gang struct {
 	here  map[string]bool // members that are there
@@ -58,7 +65,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		running: map[string]map[string]int64{}, done: map[string]bool{},
-		ends: map[string]bool{}, again: map[string]string{},
+		ends: map[string]place{}, again: map[place]string{},
 		gangs: map[string]*gang{}, starts: map[string]int{},
 	}
 }
@@ -101,8 +108,8 @@
 	l.starts[job]++
 	if again := fmt.Sprintf("task %s run %d starts on %s after it ended well", r.task, r.no, e.opts.ID); l.done[r.task] {
 		l.breaks("%s", again)
-	} else if l.ends[r.task] {
-		l.again[r.task] = again
+	} else if p, ok := l.ends[r.task]; ok {
+		l.again[p] = again
 	}
 	for on, no := range l.running[r.task] {
 		l.breaks("task %s run %d starts on %s while run %d is on %s", r.task, r.no, e.opts.ID, no, on)
@@ -121,13 +128,13 @@
 // noted says that the lead has noted a good end, and that the engine's lease has
 // not lapsed since. Such an end forbids any other start, also one before it was
 // noted.
-func (l *Ledger) noted(task string) {
+func (l *Ledger) noted(p place) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.done[task] = true
-	if again, ok := l.again[task]; ok {
+	l.done[p.task] = true
+	if again, ok := l.again[p]; ok {
 		l.breaks("%s, and that end was noted", again)
-		delete(l.again, task)
+		delete(l.again, p)
 	}
 }
 
@@ -175,7 +182,7 @@
 	defer l.mu.Unlock()
 	delete(l.running[r.task], id)
 	if how == "done" {
-		l.ends[r.task] = true
+		l.ends[r.task] = place{id, r.task, r.no}
 	}
 	if r.need.Gang > 0 {
 		if g := l.gang(r); g.ended == "" {
