Judge a lease only by starts that have left

Ruled out: flapping workers (they begin at 5.9 s). TestIdleWorkerIsNotLostAtItsNextStart failed first.

--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -34,6 +34,7 @@
 	Learned time.Time // when its progress was last measured
 	Stopped time.Time // when a stop was answered first; zero before
 	Foreign bool      // a former lead sent it
+	Left    bool      // its start has left this daemon
 }
 
 // Key names a run on a worker.
@@ -130,6 +131,17 @@
 	w.used = w.used.Sub(r.Each)
 }
 
+// Leased reports whether a lease was given for something on the worker. A start
+// that has not left yet brings its own.
+func (w *Worker) Leased() bool {
+	for _, r := range w.Runs {
+		if r.Left || r.Foreign {
+			return true
+		}
+	}
+	return false
+}
+
 // Count returns how many runs of a round of a step the worker has.
 func (w *Worker) Count(t fleet.Task) int {
 	n := 0
--- a/fleet/helm/box.go
+++ b/fleet/helm/box.go
@@ -214,7 +214,7 @@
 		return
 	}
 	j := h.jobs[st.run.Task.Job]
-	st.run.Since = h.now
+	st.run.Since, st.run.Left = h.now, true
 	h.do(Start{
 		Place: w.Place, Key: crew.Key{Task: st.run.Task, No: st.run.No},
 		Order: fleet.StartOrder{
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -164,3 +164,20 @@
 	w.run(8 * time.Second)
 	qt.Assert(t, w.starts("late"), qt.Equals, 1)
 }
+
+// A worker that was idle for longer than a lease has none in force. That says
+// nothing about a start that has not left yet.
+func TestIdleWorkerIsNotLostAtItsNextStart(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	spans["first"], spans["second"] = 200*time.Millisecond, 200*time.Millisecond
+	f := flow("first", "bulk", tasks(1, 1, 200*time.Millisecond))
+	w.accept(f)
+	w.done(f, time.Second)
+	w.run(2 * limits.Lease)
+	w.lag = 50 * time.Millisecond
+	s := flow("second", "bulk", tasks(1, 1, 200*time.Millisecond))
+	w.accept(s)
+	w.done(s, time.Second)
+	qt.Assert(t, w.count(event.WorkerLost), qt.Equals, 0)
+}
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -152,7 +152,7 @@
 		h.stray(w, seen)
 		return
 	}
-	r.Foreign = false
+	r.Foreign, r.Left = false, true
 	if r.Phase == crew.Sent || r.Phase == crew.Doubtful {
 		r.Phase, r.Since, r.Moved, r.From = crew.Running, h.now, h.now, seen.Percent
 	}
@@ -167,7 +167,7 @@
 
 // stray stops a run that the records do not know.
 func (h *Helm) stray(w *crew.Worker, seen fleet.RunSeen) {
-	r := &crew.Run{Task: seen.Task, No: seen.Run, Phase: crew.Running, Since: h.now, Moved: h.now}
+	r := &crew.Run{Task: seen.Task, No: seen.Run, Phase: crew.Running, Since: h.now, Moved: h.now, Left: true}
 	if j, ok := h.jobs[seen.Task.Job]; ok {
 		if s := j.Step(seen.Task); s != nil {
 			r.Each = s.Each()
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -257,7 +257,7 @@
 // without an answer, runs that stand still or are not wanted any more.
 func (h *Helm) tend() {
 	for _, w := range h.crew.Sorted() {
-		if len(w.Runs) > 0 && h.now.After(w.Lapse()) {
+		if w.Leased() && h.now.After(w.Lapse()) {
 			h.lose(w, "its lease has lapsed")
 			w.Synced = false
 			continue
--- a/fleet/helm/world_test.go
+++ b/fleet/helm/world_test.go
@@ -47,6 +47,7 @@
 	drops   map[helm.Waiter]*wire.FlowReply
 	waiters helm.Waiter
 	looks   int
+	lag     time.Duration // that appends take longer
 }
 
 // delayed is an event that arrives at some time.
@@ -195,6 +196,7 @@
 	w.later = append(w.later, delayed{w.now.Add(span), e})
 }
 
+// callSpan is how long a call to the store takes when it is well.
 const callSpan = 4 * time.Millisecond
 
 func (w *world) carry(a helm.Action) {
@@ -209,7 +211,7 @@
 		w.after(callSpan, helm.Probed{Err: err})
 	case helm.Append:
 		end, err := w.store.append(a.At, a.Records)
-		w.after(callSpan, helm.Appended{Batch: a.Batch, End: end, Err: err})
+		w.after(callSpan+w.lag, helm.Appended{Batch: a.Batch, End: end, Err: err})
 	case helm.Check:
 		if w.store.down {
 			w.after(time.Second, helm.Checked{Batch: a.Batch, Err: &fleet.Error{Op: "check", Kind: fleet.Doubt}})
