--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -71,6 +71,7 @@
 	WorkerFenced    Code = 604
 	WorkerGone      Code = 605
 	LookFailed      Code = 606
+	WorkerLeaves    Code = 607
 )
 
 // Entry describes one code of the catalogue.
@@ -152,6 +153,7 @@
 	{WorkerFenced, "worker-fenced", Warn, "a worker refused an order of an older term", "nothing"},
 	{WorkerGone, "worker-gone", Info, "a worker has no entry in the service discovery any more", "nothing"},
 	{LookFailed, "look-failed", Warn, "a worker did not tell what it runs", "look at the worker named if this lasts"},
+	{WorkerLeaves, "worker-leaves", Info, "a worker says that it leaves; runs that would not end in time are moved", "nothing"},
 }
 
 // Lookup returns the catalogue's entry for a code.
--- a/fleet/exec.go
+++ b/fleet/exec.go
@@ -125,6 +125,7 @@
 	Service string
 	Domain  DomainID
 	State   WorkerState
+	Left    time.Duration // while it drains: until it may be gone, at least
 	Room    Res
 	Labels  []string // its kind and its rack, among others
 	Born    Incarnation
--- a/fleet/flow/apply.go
+++ b/fleet/flow/apply.go
@@ -17,7 +17,7 @@
 
 // Clear notes that a run of a task is no longer anywhere. It reports whether
 // that was the newest run.
-func (j *Job) Clear(t fleet.Task, run fleet.Run) bool {
+func (j *Job) Clear(t fleet.Task, run fleet.Run, now time.Time) bool {
 	s := j.Step(t)
 	if s == nil {
 		return false
@@ -27,6 +27,7 @@
 		return false
 	}
 	k.At = ""
+	s.Freed = now
 	return true
 }
 
--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -38,6 +38,7 @@
 	Saved string    // checkpoint of the gang as a whole
 	Run   fleet.Run // newest start of any task
 	Far   bool      // its newest start is where it is slowed
+	Freed time.Time // when a run of it last ended without success
 
 	left   int
 	failed fleet.Run // newest run that counted as a fail of the gang
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -181,3 +181,26 @@
 	w.done(s, time.Second)
 	qt.Assert(t, w.count(event.WorkerLost), qt.Equals, 0)
 }
+
+// A worker that leaves takes its runs with it: what would not end in time is
+// started elsewhere before.
+func TestRunsLeaveAWorkerThatLeaves(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	spans["leaves"], spans["stays"] = 10*time.Second, time.Second
+	long := flow("leaves", "bulk", tasks(1, 1, 10*time.Second))
+	long.Steps[0].Saves = true
+	short := flow("stays", "bulk", tasks(1, 1, time.Second))
+	w.accept(long)
+	w.accept(short)
+	w.run(300 * time.Millisecond)
+	for _, one := range w.workers {
+		if len(one.runs) > 0 {
+			one.draining, one.left = true, 2*time.Second
+		}
+	}
+	w.list()
+	w.until(2*time.Second, "start elsewhere", func() bool { return w.starts("leaves") == 2 })
+	w.done(short, 2*time.Second)
+	qt.Assert(t, w.starts("stays"), qt.Equals, 1)
+}
--- a/fleet/helm/plan.go
+++ b/fleet/helm/plan.go
@@ -88,6 +88,9 @@
 		Unit: pack.Unit{Job: j.Job, Step: s, Service: j.Spec.Service, Indexes: waits, Avoid: j.failed},
 		job:  j, priority: j.Spec.Priority, waited: h.now.Sub(due),
 	}
+	if s.Freed.After(due) {
+		u.waited = h.now.Sub(s.Freed)
+	}
 	u.due = due.Add(h.goal(j))
 	u.Far = h.far(u)
 	return u
@@ -196,7 +199,7 @@
 		w.Keep(u.job.ID, h.now.Add(keepSpan))
 	}
 	for _, r := range c.Runs {
-		h.evict(r)
+		h.evict(r, "urgent work needs the room")
 	}
 }
 
@@ -221,7 +224,7 @@
 }
 
 // evict stops a run and the rest of its gang.
-func (h *Helm) evict(r *crew.Run) {
+func (h *Helm) evict(r *crew.Run, why string) {
 	j := h.jobs[r.Task.Job]
 	s := j.Step(r.Task)
 	for i := range s.Tasks {
@@ -231,7 +234,7 @@
 		}
 		w := h.crew.Workers[k.At]
 		if o := w.Runs[crew.Key{Task: s.Task(j.ID, i), No: k.Run}]; o != nil {
-			h.stop(w, o, "urgent work needs the room")
+			h.stop(w, o, why)
 		}
 	}
 }
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -10,11 +10,13 @@
 
 // Spans of runs.
 const (
-	doubtSpan = 400 * time.Millisecond // a start without an answer may show up in a look so long, then it is stopped
-	stopRetry = 300 * time.Millisecond // between two stops of one run
-	hangSpan  = 5 * time.Second        // without progress: the slowest sound task of the sites moves a percent in 2 s
-	busyRest  = 500 * time.Millisecond // a worker that refused a start is left alone so long
-	endsMost  = 500                    // ends that a worker lists at one time
+	doubtSpan      = 400 * time.Millisecond // a start without an answer may show up in a look so long, then it is stopped
+	stopRetry      = 300 * time.Millisecond // between two stops of one run
+	hangSpan       = 5 * time.Second        // without progress: the slowest sound task of the sites moves a percent in 2 s
+	busyRest       = 500 * time.Millisecond // a worker that refused a start is left alone so long
+	leaveSlack     = 2 * time.Second        // workers mostly stay a little longer than they say
+	tellingPercent = 10                     // progress that tells more than an estimate
+	endsMost       = 500                    // ends that a worker lists at one time
 )
 
 func key(r *crew.Run) crew.Key { return crew.Key{Task: r.Task, No: r.No} }
@@ -38,6 +40,9 @@
 		if !known || state != e.State {
 			h.changed = true
 		}
+		if known && state != e.State && e.State == fleet.WorkerDraining {
+			h.move(w)
+		}
 	}
 	for id, w := range h.crew.Workers {
 		if _, ok := entries[id]; !ok && w.Listed {
@@ -47,6 +52,35 @@
 	}
 }
 
+// move stops the runs of a worker that leaves if they would not end before it
+// has left: those that keep checkpoints lose next to nothing, the others would
+// lose more later.
+func (h *Helm) move(w *crew.Worker) {
+	h.note(event.WorkerLeaves, string(w.Place.Host), "runs=%d left=%s", len(w.Runs), w.Left)
+	for _, r := range w.Sorted() {
+		j, ok := h.jobs[r.Task.Job]
+		if !ok || r.Phase != crew.Running || j.Step(r.Task) == nil {
+			continue
+		}
+		need, left := h.remaining(j, r), w.Left
+		if !j.Step(r.Task).Spec.Saves {
+			left += leaveSlack
+		}
+		if need > left {
+			h.evict(r, "its worker leaves")
+		}
+	}
+}
+
+// remaining estimates how long a run still takes.
+func (h *Helm) remaining(j *job, r *crew.Run) time.Duration {
+	elapsed := h.now.Sub(r.Since)
+	if done := r.Percent - r.From; done >= tellingPercent {
+		return elapsed * time.Duration(100-r.Percent) / time.Duration(done)
+	}
+	return max(h.span(j, j.Step(r.Task))-elapsed, 0)
+}
+
 // rackOf returns the rack among a worker's labels: the second one.
 func rackOf(labels []string) string {
 	if len(labels) < 2 {
@@ -133,7 +167,7 @@
 	w.Drop(key(r))
 	h.changed = true
 	j, ok := h.jobs[r.Task.Job]
-	if !ok || !j.Clear(r.Task, r.No) {
+	if !ok || !j.Clear(r.Task, r.No, h.now) {
 		return
 	}
 	h.box.mark(j)
@@ -211,7 +245,7 @@
 		return
 	}
 	h.note(event.RunEnded, string(j.ID), "task=%d.%d.%d run=%d worker=%s end=%s no=%d", e.Task.Round, e.Task.Step, e.Task.Index, e.Run, w.Place.Host, e.How, e.No)
-	newest := j.Clear(e.Task, e.Run)
+	newest := j.Clear(e.Task, e.Run, h.now)
 	if newest || e.How == fleet.EndDone {
 		h.box.mark(j)
 	}
--- a/fleet/helm/worker_test.go
+++ b/fleet/helm/worker_test.go
@@ -16,10 +16,11 @@
 	epoch    time.Time // when its clock began
 	unlisted bool
 	draining bool
-	cut      bool // nothing reaches it
-	mute     bool // orders take effect, their answers are lost
-	fails    bool // whatever starts here fails
-	hangs    bool // whatever starts here stands still
+	left     time.Duration // as it says while it drains
+	cut      bool          // nothing reaches it
+	mute     bool          // orders take effect, their answers are lost
+	fails    bool          // whatever starts here fails
+	hangs    bool          // whatever starts here stands still
 	room     fleet.Res
 	taken    fleet.Res
 	over     bool // it was given more than it has room for
@@ -63,7 +64,7 @@
 	}
 	return fleet.WorkerEntry{
 		Place: fleet.Place{Host: w.id, Addr: string(w.id) + ":1"}, Service: service, Domain: w.domain,
-		State: state, Room: w.room, Labels: []string{"a", w.rack}, Born: w.born,
+		State: state, Room: w.room, Labels: []string{"a", w.rack}, Born: w.born, Left: w.left,
 	}
 }
 
