--- a/deckd/site/carry.go
+++ b/deckd/site/carry.go
@@ -48,24 +48,33 @@
 		_, err := c.site.edges.Store.Newest(c.ctx, topicHosts, "")
 		c.site.loop.post(helm.Probed{Err: err})
 	case helm.Append:
-		end, err := c.site.edges.Store.Append(c.ctx, topicJobs, a.At, a.Records)
+		end, err := timed("append", func() (fleet.Offset, error) { return c.site.edges.Store.Append(c.ctx, topicJobs, a.At, a.Records) })
 		c.site.loop.post(helm.Appended{Batch: a.Batch, End: end, Err: err})
 	case helm.Check:
 		b, err := c.site.edges.Store.Read(c.ctx, topicJobs, a.At, 0)
 		c.site.loop.post(helm.Checked{Batch: a.Batch, Records: b.Records, Err: err})
 	case helm.Start:
-		clock, err := c.site.edges.Exec.Start(c.ctx, a.Place, a.Order)
+		clock, err := timed("start", func() (fleet.Ticks, error) { return c.site.edges.Exec.Start(c.ctx, a.Place, a.Order) })
 		c.site.loop.post(helm.Started{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
 	case helm.Stop:
-		clock, err := c.site.edges.Exec.Stop(c.ctx, a.Place, a.Order)
+		clock, err := timed("stop", func() (fleet.Ticks, error) { return c.site.edges.Exec.Stop(c.ctx, a.Place, a.Order) })
 		c.site.loop.post(helm.Stopped{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
 	case helm.Look:
 		at := time.Now()
-		s, err := c.site.edges.Exec.Look(c.ctx, a.Place, a.Order)
+		s, err := timed("look", func() (fleet.Sight, error) { return c.site.edges.Exec.Look(c.ctx, a.Place, a.Order) })
 		c.site.loop.post(helm.Looked{Host: a.Place.Host, Term: a.Order.Term, Taken: a.Order.Taken, At: at, Sight: s, Err: err})
 	}
 }
 
+// timed makes a call and notes how long it took and how it ended.
+func timed[T any](name string, call func() (T, error)) (T, error) {
+	begun := time.Now()
+	v, err := call()
+	outSeconds(name).UpdateDuration(begun)
+	outCount(name, err)
+	return v, err
+}
+
 // newest reads the newest record of every key of a topic, and where the topic
 // ended when the first page was read: the pages are a snapshot if it still does.
 func newest(ctx context.Context, store fleet.Store, topic fleet.Topic) ([]fleet.Record, fleet.Offset, error) {
--- a/deckd/site/intake.go
+++ b/deckd/site/intake.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/helm"
 	"dragonflydeck.example/fleet/link"
 	"dragonflydeck.example/fleet/wire"
@@ -27,15 +28,22 @@
 	}
 	q, rest := c.Match(host, path)
 	if q == nil {
+		s.turned(path, "no queue has this host and path", c.Version)
 		return fleet.Caller{}, fleet.NoQueue
 	}
 	space, known := c.Holder(key)
 	if !known && !q.Open {
+		s.turned(path, "the key is not known", c.Version)
 		return fleet.Caller{}, fleet.UnknownKey
 	}
 	return fleet.Caller{Queue: q.Name, Space: space, Rest: rest}, fleet.Granted
 }
 
+// turned tells of a call that the configuration does not allow.
+func (s *Site) turned(path, why string, version int64) {
+	s.tell(event.CallRefused, path, "version=%d: %s", version, why)
+}
+
 // BodyMost returns the most bytes that a body may have.
 func (s *Site) BodyMost() int {
 	if c := s.orders.config.Load(); c != nil {
@@ -49,10 +57,26 @@
 	return s.orders.config.Load() != nil && s.heard.Load() && !s.leaving.Load()
 }
 
-// Hand submits a job at the lead. It may be handed in again at another lead, as
-// its id makes it one job.
+// Hand submits a job at the lead.
 func (s *Site) Hand(c fleet.Caller, f *wire.Flow, until time.Time) *wire.HandReply {
+	begun := time.Now()
 	s.fill(c, f)
+	r := s.handUntil(f, until)
+	s.told("hand", f.Id, r.Verdict, begun, r.Why)
+	return r
+}
+
+// told logs and counts the answer to a call about a job.
+func (s *Site) told(call, id string, v wire.Verdict, begun time.Time, why string) {
+	took := time.Since(begun)
+	callSeconds(call).UpdateDuration(begun)
+	callCount(call, v).Inc()
+	s.tell(event.CallAnswered, id, "call=%s verdict=%s lead=%s here=%t took=%s %s", call, v, s.leadAddr(), s.leading.Load(), took, why)
+}
+
+// handUntil hands a job in until a lead has answered. It may be handed in again
+// at another lead, as its id makes it one job.
+func (s *Site) handUntil(f *wire.Flow, until time.Time) *wire.HandReply {
 	doubt := false
 	giveUp := earlier(until, leadWait)
 	for {
@@ -134,8 +158,11 @@
 // Drop cancels a job at the lead.
 func (s *Site) Drop(c fleet.Caller, id fleet.JobID, until time.Time) *wire.FlowReply {
 	ask := &wire.FlowAsk{Id: string(id), Queue: c.Queue, Space: string(c.Space), Limit: time.Until(until).Milliseconds()}
-	return s.atLead(until, func() *wire.FlowReply { return s.dropHere(ask, until) },
+	begun := time.Now()
+	r := s.atLead(until, func() *wire.FlowReply { return s.dropHere(ask, until) },
 		func(ctx context.Context, lead wire.Site) (*wire.FlowReply, error) { return lead.Drop(ctx, ask) })
+	s.told("drop", ask.Id, r.Verdict, begun, "")
+	return r
 }
 
 // atLead asks the lead until it answers or the time is over.
--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +39,7 @@
 // Site is one daemon.
 type Site struct {
 	settings fleet.SiteSettings
+	own      Own
 	self     helm.Self
 	edges    Edges
 	pool     *link.Pool
@@ -58,14 +61,15 @@
 
 // Own are the daemon's own settings.
 type Own struct {
-	Level string `env:"LEVEL" envDefault:"info" validate:"oneof=debug info warn error" help:"least level of log lines"`
-	Lines int    `env:"LINES" envDefault:"200" validate:"min=1,max=100000" help:"log lines a second for each kind of event; the rest is counted"`
+	Level   string `env:"LEVEL" envDefault:"info" validate:"oneof=debug info warn error" help:"least level of log lines"`
+	Metrics int    `env:"METRICS" envDefault:"9464" validate:"min=1,max=65535" help:"port of the metrics page, on the host's address"`
+	Lines   int    `env:"LINES" envDefault:"200" validate:"min=1,max=100000" help:"log lines a second for each kind of event; the rest is counted"`
 }
 
 // New returns a daemon that has not started. Log lines go to w.
 func New(s fleet.SiteSettings, own Own, edges Edges, w io.Writer) *Site {
 	one := &Site{
-		settings: s, edges: edges, pool: link.NewPool(), members: newMembers(),
+		settings: s, own: own, edges: edges, pool: link.NewPool(), members: newMembers(),
 		self: helm.Self{
 			Host: s.Host, Addr: s.Peer, Domain: s.Domain,
 			Inc: fleet.Incarnation(time.Now().UnixMilli()), Power: s.Power,
@@ -144,7 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
-	metrics, err := serve.Listen(s.settings.Metrics, nil, []serve.Page{{Path: "/metrics", Body: s.metrics}})
+	metrics, err := serve.Listen(net.JoinHostPort(s.settings.IP, strconv.Itoa(s.own.Metrics)), nil, []serve.Page{{Path: "/metrics", Body: s.metrics}})
 	if err != nil {
 		return nil, err
 	}
--- a/deckd/soak/rig_test.go
+++ b/deckd/soak/rig_test.go
@@ -72,10 +72,11 @@
 
 // daemon is one process and the relay between it and the store.
 type daemon struct {
-	name  string
-	front string
-	link  *relay.Relay
-	path  string // of the settings file
+	name    string
+	front   string
+	metrics string // port
+	link    *relay.Relay
+	path    string // of the settings file
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -91,7 +92,7 @@
 }
 
 func (d *daemon) start(t *testing.T) {
-	cmd := exec.Command(binary, "site", "--lines", "100000")
+	cmd := exec.Command(binary, "site", "--lines", "100000", "--metrics", d.metrics)
 	cmd.Env = append(os.Environ(), "DRAGONFLYDECK_SETTINGS="+d.path)
 	cmd.Stdout, cmd.Stderr = d, d
 	if err := cmd.Start(); err != nil {
@@ -259,7 +260,9 @@
 	qt.Assert(r.t, err, qt.IsNil)
 	ip, port, err := net.SplitHostPort(at[0])
 	qt.Assert(r.t, err, qt.IsNil)
-	d := &daemon{name: name, front: at[2], link: link, path: filepath.Join(r.t.TempDir(), name+".conf")}
+	_, metrics, err := net.SplitHostPort(at[5])
+	qt.Assert(r.t, err, qt.IsNil)
+	d := &daemon{name: name, front: at[2], metrics: metrics, link: link, path: filepath.Join(r.t.TempDir(), name+".conf")}
 	lines := []string{
 		"nodeName=" + name, "zone=d0", "ip=" + ip, "portRange=" + port + "," + port,
 		"listen.frontend=" + at[2], "listen.ready=" + at[3], "platform.address=" + at[4],
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -21,6 +21,8 @@
 	AnswerLate      Code = 208
 	RunnerSuspended Code = 209
 	RunnerRestored  Code = 210
+	CallRefused     Code = 211
+	CallAnswered    Code = 212
 	JobAccepted     Code = 301
 	JobPlaced       Code = 302
 	JobRunning      Code = 303
@@ -103,6 +105,8 @@
 	{AnswerLate, "answer-late", Info, "an answer came after its caller's limit; a ticket keeps it", "nothing"},
 	{RunnerSuspended, "runner-suspended", Warn, "a runner failed in a row or is far slower than the rest", "look at the runner named"},
 	{RunnerRestored, "runner-restored", Info, "a suspended runner answers well again", "nothing"},
+	{CallRefused, "call-refused", Info, "a call that the configuration in force does not allow was refused, and why", "compare the version in the line with the operator's"},
+	{CallAnswered, "call-answered", Info, "what a caller was told about a job, by which lead and after how long", "nothing"},
 	{JobAccepted, "job-accepted", Info, "a job is in the log", "nothing"},
 	{JobPlaced, "job-placed", Info, "where an attempt runs, and why there", "nothing"},
 	{JobRunning, "job-running", Info, "every part of the gang started", "nothing"},
--- a/fleet/site.go
+++ b/fleet/site.go
@@ -8,11 +8,11 @@
 	Host   HostID   `validate:"required"`
 	Domain DomainID `validate:"required"`
 
-	Front   string `validate:"tcp_addr"` // where callers connect
-	Ready   string `validate:"tcp_addr"` // where readiness is asked for
-	Peer    string `validate:"tcp_addr"` // where other daemons connect, and where beats arrive
-	Metrics string `validate:"tcp_addr"`
-	Store   string `validate:"tcp_addr"`
+	Front string `validate:"tcp_addr"` // where callers connect
+	Ready string `validate:"tcp_addr"` // where readiness is asked for
+	Peer  string `validate:"tcp_addr"` // where other daemons connect, and where beats arrive
+	IP    string `validate:"ip"`
+	Store string `validate:"tcp_addr"`
 
 	Lease  time.Duration `validate:"min=1s"`    // longest lease of a worker
 	Stop   time.Duration `validate:"min=1ms"`   // a stop takes at most so long
