--- a/deckd/site/carry.go
+++ b/deckd/site/carry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,8 +52,7 @@
 		end, err := timed("append", func() (fleet.Offset, error) { return c.site.edges.Store.Append(c.ctx, topicJobs, a.At, a.Records) })
 		c.site.loop.post(helm.Appended{Batch: a.Batch, End: end, Err: err})
 	case helm.Check:
-		b, err := c.site.edges.Store.Read(c.ctx, topicJobs, a.At, 0)
-		c.site.loop.post(helm.Checked{Batch: a.Batch, Records: b.Records, Err: err})
+		c.site.loop.post(c.check(a))
 	case helm.Start:
 		clock, err := timed("start", func() (fleet.Ticks, error) { return c.site.edges.Exec.Start(c.ctx, a.Place, a.Order) })
 		c.site.loop.post(helm.Started{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
@@ -87,6 +87,18 @@
 	return out, end, err
 }
 
+// check reads what lies where an append was tried. If the store has forgotten
+// that, the newest record of each key tells enough.
+func (c *carrier) check(a helm.Check) helm.Checked {
+	b, err := c.site.edges.Store.Read(c.ctx, topicJobs, a.At, 0)
+	if err == nil || fleet.KindOf(err) != fleet.Forgotten {
+		return helm.Checked{Batch: a.Batch, Records: b.Records, End: b.Next, Err: err}
+	}
+	all, end, err := newest(c.ctx, c.site.edges.Store, topicJobs)
+	since := slices.DeleteFunc(all, func(r fleet.Record) bool { return r.Offset < a.At })
+	return helm.Checked{Batch: a.Batch, Records: since, End: end, Err: err}
+}
+
 // claim appends a claim where the topic ended when its records were read, so
 // that of several claims one is taken and the records are all there are. A claim newer than the one known is told instead: it may be this
 // daemon's own, whose answer was lost.
--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -148,11 +148,14 @@
 	if err != nil {
 		return nil, err
 	}
+	servers := []*serve.Server{callers, ready, peers}
 	metrics, err := serve.Listen(net.JoinHostPort(s.settings.IP, strconv.Itoa(s.own.Metrics)), nil, []serve.Page{{Path: "/metrics", Body: s.metrics}})
 	if err != nil {
-		return nil, err
+		// Callers are served without it.
+		s.tell(event.NoMetrics, string(s.self.Host), "%v", err)
+		return servers, nil
 	}
-	return []*serve.Server{callers, ready, peers, metrics}, nil
+	return append(servers, metrics), nil
 }
 
 // start starts the goroutines that run until the daemon has stopped.
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -11,6 +11,7 @@
 	ProcessUnready  Code = 106
 	Reloaded        Code = 107
 	ReloadFailed    Code = 108
+	NoMetrics       Code = 109
 	RequestRouted   Code = 201
 	RequestAnswered Code = 202
 	RequestRefused  Code = 203
@@ -95,6 +96,7 @@
 	{ProcessUnready, "process-unready", Warn, "callers are better served elsewhere; the line says why", "nothing in a stop; else check the log and the links to peers"},
 	{Reloaded, "reloaded", Info, "changed settings are in force", "nothing"},
 	{ReloadFailed, "reload-failed", Error, "changed settings cannot be used; those before stay in force", "correct the settings file"},
+	{NoMetrics, "no-metrics", Error, "the metrics page has no address to listen on; callers are served without it", "free the port or set another"},
 	{RequestRouted, "request-routed", Debug, "a request was given to a runner, and why to this one", "nothing"},
 	{RequestAnswered, "request-answered", Debug, "the answer went to its caller", "nothing"},
 	{RequestRefused, "request-refused", Warn, "a request was refused; it did not run", "add runners if this lasts"},
--- a/fleet/helm/box.go
+++ b/fleet/helm/box.go
@@ -1,7 +1,7 @@
 package helm
 
 import (
-	"bytes"
+	"slices"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -157,7 +157,7 @@
 }
 
 // checked tells an append of ours whose answer was lost from the claim of
-// another lead.
+// another lead: whoever else appends has claimed before.
 func (h *Helm) checked(e Checked) {
 	b := &h.box
 	if b.sent == nil || e.Batch != b.serial {
@@ -167,22 +167,14 @@
 		h.retry("check", e.Err)
 		return
 	}
-	if n := len(b.sent.records); len(e.Records) >= n && same(b.sent.records, e.Records[:n]) {
-		h.commit(b.sent.at + fleet.Offset(n))
+	claimed := slices.ContainsFunc(e.Records, func(r fleet.Record) bool { return r.Key == LeadKey })
+	if end := b.sent.at + fleet.Offset(len(b.sent.records)); !claimed && e.End >= end {
+		h.commit(end)
 		return
 	}
 	h.yield("another daemon has appended", 0)
 }
 
-func same(a, b []fleet.Record) bool {
-	for i := range a {
-		if a[i].Key != b[i].Key || !bytes.Equal(a[i].Value, b[i].Value) {
-			return false
-		}
-	}
-	return true
-}
-
 // commit lets what is now stored take effect.
 func (h *Helm) commit(end fleet.Offset) {
 	b := &h.box
--- a/fleet/helm/events.go
+++ b/fleet/helm/events.go
@@ -41,10 +41,13 @@
 		End   fleet.Offset
 		Err   error
 	}
-	// Checked are the records found where an append was tried.
+	// Checked are the records found from where an append was tried on, or of
+	// each key the newest of them if older ones are gone, and where the topic
+	// ends.
 	Checked struct {
 		Batch   uint64
 		Records []fleet.Record
+		End     fleet.Offset
 		Err     error
 	}
 	// Ordered is the operator's configuration and the failure domains that
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -204,3 +204,53 @@
 	w.done(short, 2*time.Second)
 	qt.Assert(t, w.starts("stays"), qt.Equals, 1)
 }
+
+// An append whose answer was lost is found, also once the store keeps only the
+// newest record of each key.
+func TestAppendWithoutAnswerIsFound(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	spans["lost"] = time.Second
+	w.store.lost = true
+	f := flow("lost", "bulk", tasks(1, 1, time.Second))
+	id := w.hand(f)
+	w.run(100 * time.Millisecond)
+	w.store.lost = false
+	w.until(2*time.Second, "answer", func() bool { return w.hands[id] != nil })
+	qt.Assert(t, w.hands[id].Verdict, qt.Equals, wire.Verdict_OK)
+	w.done(f, 2*time.Second)
+	qt.Assert(t, w.starts("lost"), qt.Equals, 1)
+}
+
+// Whoever finds another's claim where an append was tried no longer leads, and
+// says nothing about what was being stored.
+func TestAppendBehindAnothersClaimEndsTheLead(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	w.store.records = append(w.store.records, fleet.Record{Key: helm.LeadKey, Value: []byte("other"), Offset: fleet.Offset(len(w.store.records))})
+	id := w.hand(flow("late", "bulk", tasks(1, 1, time.Second)))
+	w.until(time.Second, "answer", func() bool { return w.hands[id] != nil })
+	qt.Assert(t, w.hands[id].Verdict, qt.Equals, wire.Verdict_UNKNOWN)
+	qt.Assert(t, w.helm.Leads(), qt.IsFalse)
+}
+
+// A start that is on its way when a worker's process is replaced may be carried
+// out by the new one: its room is taken until that is known.
+func TestStartThatMayReachAReplacedProcessKeepsItsRoom(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	spans["early"], spans["wide"] = time.Minute, time.Second
+	var one *worker
+	for _, one = range w.workers {
+		one.lateFor = 700 * time.Millisecond
+	}
+	w.accept(flow("early", "bulk", tasks(1, 4, time.Minute)))
+	w.run(20 * time.Millisecond)
+	pending := one.pending
+	one.crash(w.now)
+	one.pending, one.lateFor = pending, 0
+	w.list()
+	w.accept(flow("wide", "urgent", tasks(1, 8, time.Second)))
+	w.run(3 * time.Second)
+	qt.Assert(t, one.most <= 8, qt.IsTrue, qt.Commentf("%d accelerators were taken", one.most))
+}
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -83,7 +83,7 @@
 			entry := w.WorkerEntry
 			entry.Born = s.Born
 			h.crew.Enter(entry, w.Rack, h.now)
-			h.lose(w, "the worker's process is another one")
+			h.reborn(w)
 		}
 		w.Born = s.Born
 	}
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -35,7 +35,7 @@
 		}
 		w, reborn := h.crew.Enter(e, rackOf(e.Labels), h.now)
 		if reborn {
-			h.lose(w, "the worker's process is another one")
+			h.reborn(w)
 		}
 		if !known || state != e.State {
 			h.changed = true
@@ -162,6 +162,21 @@
 	}
 }
 
+// reborn closes the runs of a worker that has started anew. A start without an
+// answer may still be carried out by the new process.
+func (h *Helm) reborn(w *crew.Worker) {
+	h.note(event.WorkerLost, string(w.Place.Host), "runs=%d heard=%s ago: its process is another one", len(w.Runs), h.now.Sub(w.Heard))
+	for _, r := range w.Sorted() {
+		switch {
+		case r.Phase == crew.Sent && !r.Left:
+		case r.Phase == crew.Sent || r.Phase == crew.Doubtful && !r.Foreign:
+			r.Phase, r.Since = crew.Doubtful, h.now
+		default:
+			h.close(w, r, "the worker's process is another one")
+		}
+	}
+}
+
 // close notes that a run is no longer on its worker and did not end there.
 func (h *Helm) close(w *crew.Worker, r *crew.Run, why string) {
 	w.Drop(key(r))
--- a/fleet/helm/worker_test.go
+++ b/fleet/helm/worker_test.go
@@ -22,8 +22,7 @@
 	fails    bool          // whatever starts here fails
 	hangs    bool          // whatever starts here stands still
 	room     fleet.Res
-	taken    fleet.Res
-	over     bool // it was given more than it has room for
+	most     int64 // accelerators that were ever taken at one time
 
 	term    fleet.Term
 	until   time.Time
@@ -49,6 +48,9 @@
 // spans is how long the tasks of a job really run.
 var spans = map[fleet.JobID]time.Duration{}
 
+// needs is the accelerators that each task of a job takes.
+var needs = map[fleet.JobID]int64{}
+
 func newWorker(id fleet.HostID, rack string, now time.Time) *worker {
 	return &worker{
 		id: id, rack: rack, domain: "d1", born: fleet.Incarnation(now.UnixMilli()), epoch: now.Add(-time.Hour),
@@ -160,6 +162,11 @@
 	w.extend(now, o.Until)
 	w.runs[k] = &running{order: o, left: spans[o.Task.Job]}
 	w.begun[o.Task.Job]++
+	used := int64(0)
+	for k := range w.runs {
+		used += needs[k.Task.Job]
+	}
+	w.most = max(w.most, used)
 	return nil
 }
 
--- a/fleet/helm/world_test.go
+++ b/fleet/helm/world_test.go
@@ -217,7 +217,7 @@
 			w.after(time.Second, helm.Checked{Batch: a.Batch, Err: &fleet.Error{Op: "check", Kind: fleet.Doubt}})
 			return
 		}
-		w.after(callSpan, helm.Checked{Batch: a.Batch, Records: w.store.records[a.At:]})
+		w.after(callSpan, helm.Checked{Batch: a.Batch, Records: w.store.records[a.At:], End: fleet.Offset(len(w.store.records))})
 	case helm.Start:
 		clock, span, err := w.worker(a.Place).start(w.now, a.Order)
 		w.after(span, helm.Started{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
@@ -270,6 +270,7 @@
 
 // flow returns a job of one step.
 func flow(id, queueName string, step *wire.Step) *wire.Flow {
+	needs[fleet.JobID(id)] = step.GetEach().GetAccels()
 	f := &wire.Flow{Id: id, Queue: queueName, Space: "a", Service: service, Steps: []*wire.Step{step}, Spec: "spec"}
 	switch queueName {
 	case "urgent":
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -36,7 +36,8 @@
 
 	mu    sync.Mutex
 	mode  Mode
-	conns map[net.Conn]bool
+	conns map[net.Conn]bool // false once they are silent for good
+	done  bool
 	group sync.WaitGroup
 }
 
@@ -76,6 +77,7 @@
 func (r *Relay) Close() {
 	_ = r.ln.Close()
 	r.mu.Lock()
+	r.done = true
 	for c := range r.conns {
 		_ = c.Close()
 	}
@@ -163,9 +165,9 @@
 	for {
 		r.mu.Lock()
 		live, open := r.conns[from]
-		m := r.mode
+		m, done := r.mode, r.done
 		r.mu.Unlock()
-		if !open || live && m != Silent && (m != NoReply || !reply) {
+		if done || !open || live && m != Silent && (m != NoReply || !reply) {
 			return
 		}
 		time.Sleep(stallSpan)
