--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -244,8 +244,8 @@
 	for _, one = range w.workers {
 		one.lateFor = 700 * time.Millisecond
 	}
-	w.accept(flow("early", "bulk", tasks(1, 4, time.Minute)))
-	w.run(20 * time.Millisecond)
+	w.accept(flow("early", "bulk", tasks(1, 8, time.Minute)))
+	w.until(time.Second, "start on its way", func() bool { return len(one.pending) > 0 })
 	pending := one.pending
 	one.crash(w.now)
 	one.pending, one.lateFor = pending, 0
