Bound the lease of a run that no record names

A worker that was replaced has no lease of ours, so a stray run found there was taken for lapsed at once and its room given away while it was being stopped.

--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -251,5 +251,5 @@
 	w.Synced, w.Seen, w.Taken, w.Told = false, 0, 0, 0
 	w.until, w.clockAt, w.clock = 0, time.Time{}, 0
 	w.Fails, w.Aside, w.asides, w.speed = 0, time.Time{}, 0, speed{}
-	w.boundAll = now
+	w.Bound(now)
 }
--- a/fleet/crew/lease.go
+++ b/fleet/crew/lease.go
@@ -61,5 +61,8 @@
 // Foreign notes that a former lead may have given leases until now.
 func (w *Worker) Foreign(now time.Time) {
 	w.Synced = false
-	w.boundAll = now.Add(MaxForeign)
+	w.Bound(now)
 }
+
+// Bound notes that something holds a lease that is not known, given by now.
+func (w *Worker) Bound(now time.Time) { w.boundAll = now.Add(MaxForeign) }
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -174,6 +174,7 @@
 		}
 	}
 	w.Add(r)
+	w.Bound(h.now)
 	h.note(event.JobOrphan, string(seen.Task.Job), "task=%d.%d.%d run=%d worker=%s", seen.Task.Round, seen.Task.Step, seen.Task.Index, seen.Run, w.Place.Host)
 	h.stop(w, r, "no record names it")
 }
--- a/fleet/helm/worker_test.go
+++ b/fleet/helm/worker_test.go
@@ -76,6 +76,10 @@
 	w.epoch, w.term, w.ends, w.ended = now, 0, nil, 0
 	w.runs, w.closed = map[crew.Key]*running{}, map[fleet.Task]fleet.Run{}
 	w.pending = nil
+	for _, p := range w.polls {
+		p.fail()
+	}
+	w.polls = nil
 }
 
 func (w *worker) clock(now time.Time) fleet.Ticks {
@@ -228,6 +232,7 @@
 type poll struct {
 	until  time.Time
 	answer func(fleet.Sight)
+	fail   func()
 }
 
 // answerPolls answers the looks that have waited long enough.
--- a/fleet/helm/world_test.go
+++ b/fleet/helm/world_test.go
@@ -239,10 +239,11 @@
 	done := helm.Looked{Host: a.Place.Host, Term: a.Order.Term, Taken: a.Order.Taken, At: w.now}
 	sight, span, err := one.look(w.now, a.Order)
 	if err == nil && a.Order.Wait > 0 {
-		one.polls = append(one.polls, poll{w.now.Add(a.Order.Wait), func(s fleet.Sight) {
-			done.Sight = s
-			w.after(quick, done)
-		}})
+		one.polls = append(one.polls, poll{
+			until:  w.now.Add(a.Order.Wait),
+			answer: func(s fleet.Sight) { done.Sight = s; w.after(quick, done) },
+			fail:   func() { done.Err = errCut; w.after(quick, done) },
+		})
 		return
 	}
 	done.Sight, done.Err = sight, err
