--- a/fleet/helm/admit.go
+++ b/fleet/helm/admit.go
@@ -1,6 +1,7 @@
 package helm
 
 import (
+	"fmt"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -37,7 +38,7 @@
 	if ahead <= late {
 		return 0, ""
 	}
-	return min(max(ahead-late, retryLeast), retryMost), "too much work waits before it"
+	return min(max(ahead-late, retryLeast), retryMost), fmt.Sprintf("work for %s waits before it, it can wait %s", ahead.Round(time.Millisecond), late.Round(time.Millisecond))
 }
 
 func whole(j *job, s *flow.Step) pack.Unit {
--- a/fleet/helm/hand.go
+++ b/fleet/helm/hand.go
@@ -15,6 +15,8 @@
 	leadRetry = 1000 * time.Millisecond // while the site has no lead: its replacement takes about so long
 )
 
+const storeAway = "the store does not answer"
+
 // job is a job and what only the present lead knows of it.
 type job struct {
 	*flow.Job
@@ -51,7 +53,7 @@
 		return
 	}
 	if h.box.stuck(h.now) {
-		h.refuse(e, awayRetry, "the store does not answer")
+		h.refuse(e, awayRetry, storeAway)
 		return
 	}
 	e.Flow.At = h.now.UnixMilli()
@@ -66,10 +68,19 @@
 }
 
 func (h *Helm) refuse(e HandedIn, retry time.Duration, why string) {
-	h.note(event.JobRefused, e.Flow.Id, "queue=%s space=%s retry=%s: %s", e.Flow.Queue, e.Flow.Space, retry, why)
+	h.noteRefused(e.Flow, retry, why)
 	h.do(AnswerHand{e.Waiter, &wire.HandReply{Verdict: wire.Verdict_REFUSED, Retry: retry.Milliseconds(), Why: why}})
 }
 
+// noteRefused tells why a job was refused, and on what the decision rests.
+func (h *Helm) noteRefused(f *wire.Flow, retry time.Duration, why string) {
+	away := time.Duration(0)
+	if s := h.box.sent; s != nil {
+		away = h.now.Sub(s.first)
+	}
+	h.note(event.JobRefused, f.Id, "queue=%s space=%s term=%d orders=%d jobs=%d append=%s retry=%s: %s", f.Queue, f.Space, h.term, h.orders, len(h.jobs), away, retry, why)
+}
+
 func (h *Helm) answerHand(j *job, r *wire.HandReply) {
 	for _, w := range j.waiters {
 		h.do(AnswerHand{w.waiter, r})
@@ -175,8 +186,8 @@
 // of them has been sent to the store.
 func (h *Helm) turnAway() {
 	for _, j := range h.box.accepts {
-		h.note(event.JobRefused, string(j.ID), "queue=%s space=%s retry=%s: the store does not answer", j.Spec.Queue, j.Spec.Space, awayRetry)
-		h.answerHand(j, &wire.HandReply{Verdict: wire.Verdict_REFUSED, Retry: awayRetry.Milliseconds(), Why: "the store does not answer"})
+		h.noteRefused(j.Spec, awayRetry, storeAway)
+		h.answerHand(j, &wire.HandReply{Verdict: wire.Verdict_REFUSED, Retry: awayRetry.Milliseconds(), Why: storeAway})
 		delete(h.jobs, j.ID)
 	}
 	h.box.accepts = nil
