Give the command line jobs of steps, and traces from log lines alone

deck flow submits, shows and drops jobs at the lead; deck trace orders the lines about a job from the logs of all hosts. End-to-end tests run the real programs against stand-ins of the platform, one through the loss of the lead.

--- a/deck/root.go
+++ b/deck/root.go
@@ -61,7 +61,7 @@
 		fmt.Fprintln(errOut, "deck:", err)
 		return exitUsage
 	}
-	root.AddCommand(cmdSpace(a), cmdJob(a), cmdRequest(a), cmdDomain(a), cmdHosts(a),
+	root.AddCommand(cmdSpace(a), cmdJob(a), cmdFlow(a), cmdTrace(a), cmdRequest(a), cmdDomain(a), cmdHosts(a),
 		cmdExplain(a), cmdHistory(a), cmdHealth(a), cmdVersion(a))
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(errOut, "deck:", err)
--- a/deckd/site/intake.go
+++ b/deckd/site/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -105,6 +106,16 @@
 	}
 }
 
+// fillBare fills a job that an operator's tool hands in. It reports whether
+// there is such a queue.
+func (s *Site) fillBare(f *wire.Flow) bool {
+	if s.orders.config.Load().Queue(f.Queue) == nil {
+		return false
+	}
+	s.fill(fleet.Caller{Queue: f.Queue, Space: fleet.SpaceID(f.Space)}, f)
+	return true
+}
+
 // handOnce hands a job in at the lead. Sent tells, without an answer, whether
 // the lead may have it.
 func (s *Site) handOnce(f *wire.Flow, until time.Time) (r *wire.HandReply, sent bool) {
@@ -259,6 +270,9 @@
 	if !p.site.leading.Load() {
 		return &wire.HandReply{Verdict: wire.Verdict_ASTRAY}, nil
 	}
+	if ask.Flow.Service == "" && !p.site.fillBare(ask.Flow) {
+		return &wire.HandReply{Verdict: wire.Verdict_REFUSED, Why: fmt.Sprintf("queue %q does not exist", ask.Flow.Queue)}, nil
+	}
 	return p.site.handHere(ask.Flow, limit(ask.Limit)), nil
 }
 
--- a/deckd/soak/rig_test.go
+++ b/deckd/soak/rig_test.go
@@ -38,16 +38,19 @@
 	leaseSpan = 6 * time.Second
 )
 
-var binary string
+// The programs, built for this run.
+var binary, deck string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		panic(err)
 	}
-	binary = filepath.Join(dir, "deckd")
-	if out, err := exec.Command("go", "build", "-o", binary, "dragonflydeck.example/deckd").CombinedOutput(); err != nil {
-		panic(string(out))
+	binary, deck = filepath.Join(dir, "deckd"), filepath.Join(dir, "deck")
+	for path, module := range map[string]string{binary: "dragonflydeck.example/deckd", deck: "dragonflydeck.example/deck"} {
+		if out, err := exec.Command("go", "build", "-o", path, module).CombinedOutput(); err != nil {
+			panic(string(out))
+		}
 	}
 	code := m.Run()
 	_ = os.RemoveAll(dir)
@@ -75,6 +78,7 @@
 	name    string
 	front   string
 	metrics string // port
+	peer    string
 	link    *relay.Relay
 	path    string // of the settings file
 
@@ -262,7 +266,7 @@
 	qt.Assert(r.t, err, qt.IsNil)
 	_, metrics, err := net.SplitHostPort(at[5])
 	qt.Assert(r.t, err, qt.IsNil)
-	d := &daemon{name: name, front: at[2], metrics: metrics, link: link, path: filepath.Join(r.t.TempDir(), name+".conf")}
+	d := &daemon{name: name, front: at[2], metrics: metrics, peer: at[0], link: link, path: filepath.Join(r.t.TempDir(), name+".conf")}
 	lines := []string{
 		"nodeName=" + name, "zone=d0", "ip=" + ip, "portRange=" + port + "," + port,
 		"listen.frontend=" + at[2], "listen.ready=" + at[3], "platform.address=" + at[4],
--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -182,5 +182,5 @@
 // Sight returns what the daemon knows about the lead, for its peers.
 func (h *Helm) Sight(now time.Time) *wire.SightReply {
 	l := h.Elect.Lead()
-	return &wire.SightReply{Term: int64(l.Term), Age: now.Sub(l.Heard).Milliseconds()}
+	return &wire.SightReply{Term: int64(l.Term), Age: now.Sub(l.Heard).Milliseconds(), Host: string(l.Host), Addr: l.Addr}
 }
