Let long tasks be, and look over runs at a fixed pace

Causes, found by measuring the lead at the two-year size: a task of an hour shows no whole percent for 36 s and was taken for hanging after 5 s, so every long task was started again and again (TestLongTaskDoesNotStandStill failed first); all runs were sorted and looked over at every event. Ruled out: placement (0.08 of a core).

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,7 @@
 # Measures the slopes of docs/CAPACITY.md.
 slopes:
 	go test ./fleet/bench -run 'Slopes|Budgets' -count=1 -v -slopes | grep '^slope:'
+	go test ./fleet/helm -run Slopes -count=1 -v -slopes | grep -o 'slope:.*'
 	go test ./fleet/member -run Budget -count=1 -v | grep -o 'slope:.*'
 
 # Looks for inputs that break the fold, the planner, the seats and the tickets.
--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -3,6 +3,8 @@
 package crew
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -61,6 +63,7 @@
 	Fails    int       // fails in a row, of jobs that failed nowhere else
 	Aside    time.Time // not used before
 	asides   int
+	order    []*Run // Runs in order, nil if they have changed
 	speed    speed
 	keeper   fleet.JobID // the job that its room is kept for
 	kept     time.Time   // until then
@@ -117,7 +120,7 @@
 	if _, ok := w.Runs[k]; ok {
 		return
 	}
-	w.Runs[k] = r
+	w.Runs[k], w.order = r, nil
 	w.used = w.used.Add(r.Each)
 }
 
@@ -128,6 +131,7 @@
 		return
 	}
 	delete(w.Runs, k)
+	w.order = nil
 	w.used = w.used.Sub(r.Each)
 }
 
@@ -153,14 +157,14 @@
 	return n
 }
 
-// Sorted returns the runs in a fixed order.
+// Sorted returns the runs in a fixed order. The result stays as it is when runs
+// are added or dropped.
 func (w *Worker) Sorted() []*Run {
-	out := make([]*Run, 0, len(w.Runs))
-	for _, r := range w.Runs {
-		out = append(out, r)
+	if w.order == nil && len(w.Runs) > 0 {
+		w.order = slices.Collect(maps.Values(w.Runs))
+		sort.Slice(w.order, func(a, b int) bool { return less(w.order[a], w.order[b]) })
 	}
-	sort.Slice(out, func(a, b int) bool { return less(out[a], out[b]) })
-	return out
+	return w.order
 }
 
 func less(a, b *Run) bool {
--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -43,6 +43,10 @@
 	leads
 )
 
+// tendSpan is the span between two looks over all runs and callers for what has
+// become due: well below every limit that they wait for.
+const tendSpan = 100 * time.Millisecond
+
 // Helm is the control state of one daemon.
 type Helm struct {
 	self   Self
@@ -66,6 +70,7 @@
 	peers   map[*flow.Step]*peers
 	beaten  time.Time
 	planned time.Time
+	tended  time.Time
 	changed bool // something that placement depends on has changed
 
 	actions []Action
@@ -99,8 +104,11 @@
 	h.stand()
 	if h.mode == leads {
 		h.beat()
-		h.expire()
-		h.tend()
+		if h.now.Sub(h.tended) >= tendSpan {
+			h.tended = h.now
+			h.expire()
+			h.tend()
+		}
 		h.plan()
 		h.looks()
 		h.flush()
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -254,3 +254,28 @@
 	w.run(3 * time.Second)
 	qt.Assert(t, one.most <= 8, qt.IsTrue, qt.Commentf("%d accelerators were taken", one.most))
 }
+
+// Progress is told in whole percents: a task of an hour shows none for half a
+// minute, and does not stand still.
+func TestLongTaskDoesNotStandStill(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	spans["hour"] = time.Hour
+	w.accept(flow("hour", "bulk", tasks(1, 1, time.Hour)))
+	w.run(2 * time.Minute)
+	qt.Assert(t, w.starts("hour"), qt.Equals, 1)
+}
+
+// A task that stands still is started elsewhere, and its worker is set aside.
+func TestTaskThatStandsStillIsStartedElsewhere(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	spans["still"] = 10 * time.Second
+	w.accept(flow("still", "bulk", tasks(1, 1, 10*time.Second)))
+	w.run(time.Second)
+	for _, one := range w.workers {
+		one.hangs = len(one.runs) > 0
+	}
+	w.until(10*time.Second, "second start", func() bool { return w.starts("still") == 2 })
+	qt.Assert(t, w.count(event.WorkerAside), qt.Equals, 1)
+}
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -13,6 +13,7 @@
 	doubtSpan      = 400 * time.Millisecond // a start without an answer may show up in a look so long, then it is stopped
 	stopRetry      = 300 * time.Millisecond // between two stops of one run
 	hangSpan       = 5 * time.Second        // without progress: the slowest sound task of the sites moves a percent in 2 s
+	hangPercents   = 5                      // of a task's run time without progress; a sound one shows each percent
 	busyRest       = 500 * time.Millisecond // a worker that refused a start is left alone so long
 	leaveSlack     = 2 * time.Second        // workers mostly stay a little longer than they say
 	tellingPercent = 10                     // progress that tells more than an estimate
@@ -330,7 +331,7 @@
 		h.stop(w, r, "it is not wanted any more")
 	case r.Phase == crew.Doubtful && !r.Foreign && age >= doubtSpan:
 		h.stop(w, r, "its start got no answer")
-	case r.Phase == crew.Running && w.Heard.Sub(r.Moved) >= hangSpan && !h.lasting(r):
+	case r.Phase == crew.Running && h.hangs(w, r):
 		if w.SetAside(h.now) {
 			h.note(event.WorkerAside, string(w.Place.Host), "until=%s: a run stands still", w.Aside.Sub(h.now))
 		}
@@ -351,7 +352,17 @@
 	return s.Tasks[r.Task.Index].Done && !s.Spec.Gang
 }
 
-func (h *Helm) lasting(r *crew.Run) bool {
+// hangs reports whether a run has shown no progress for too long. Progress is
+// told in whole percents, so that a long task shows none for a while.
+func (h *Helm) hangs(w *crew.Worker, r *crew.Run) bool {
+	still := w.Heard.Sub(r.Moved)
+	if still < hangSpan {
+		return false
+	}
 	j, ok := h.jobs[r.Task.Job]
-	return ok && j.Step(r.Task).Spec.Lasting
+	if !ok {
+		return false
+	}
+	s := j.Step(r.Task)
+	return !s.Spec.Lasting && still >= hangPercents*h.span(j, s)/100
 }
--- a/fleet/helm/world_test.go
+++ b/fleet/helm/world_test.go
@@ -47,6 +47,9 @@
 	drops   map[helm.Waiter]*wire.FlowReply
 	waiters helm.Waiter
 	looks   int
+	appends int
+	bytes   int           // of records appended
+	cost    time.Duration // of real time that the helm took
 	lag     time.Duration // that appends take longer
 }
 
@@ -179,7 +182,10 @@
 	w.later = kept
 	events := w.events
 	w.events = nil
-	for _, a := range w.helm.Step(w.now, events) {
+	begun := time.Now()
+	actions := w.helm.Step(w.now, events)
+	w.cost += time.Since(begun)
+	for _, a := range actions {
 		w.carry(a)
 	}
 	w.notes = append(w.notes, w.helm.Notes()...)
@@ -210,6 +216,10 @@
 		}
 		w.after(callSpan, helm.Probed{Err: err})
 	case helm.Append:
+		w.appends++
+		for _, r := range a.Records {
+			w.bytes += len(r.Key) + len(r.Value)
+		}
 		end, err := w.store.append(a.At, a.Records)
 		w.after(callSpan+w.lag, helm.Appended{Batch: a.Batch, End: end, Err: err})
 	case helm.Check:
