Tell ends while the store is away, and settle stops beside looks that wait

Ruled out: room (2 of 242 urgent jobs waited more than 0.5 s). TestEndIsToldWhileTheStoreIsAway and TestStopIsSettledBesideALookThatWaits failed first.

--- a/fleet/helm/hand.go
+++ b/fleet/helm/hand.go
@@ -131,12 +131,18 @@
 	switch {
 	case j == nil:
 		return &wire.FlowReply{Verdict: wire.Verdict_ABSENT}
-	case !j.stored || j.Over() && j.dirty:
+	case !j.stored || j.Over() && j.dirty && !h.keeps(j):
 		return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: h.before(j)}
 	}
 	return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: j.Stage()}
 }
 
+// keeps reports whether the end of a job may be told before it is stored: while
+// the store is away, the workers keep the ends that it rests on until they are.
+func (h *Helm) keeps(j *job) bool {
+	return !j.Cancelled && h.box.stuck(h.now)
+}
+
 // before returns the stage of a job whose end is not stored yet.
 func (h *Helm) before(j *job) wire.Stage {
 	if j.Begun() {
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -279,3 +279,46 @@
 	w.until(10*time.Second, "second start", func() bool { return w.starts("still") == 2 })
 	qt.Assert(t, w.count(event.WorkerAside), qt.Equals, 1)
 }
+
+// Load pattern: the store goes away while urgent jobs run. Their ends are told at
+// once, as the workers keep them until they are stored.
+func TestEndIsToldWhileTheStoreIsAway(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	spans["ends"] = time.Second
+	f := flow("ends", "urgent", gang(2, 2, time.Second))
+	w.accept(f)
+	w.run(300 * time.Millisecond)
+	w.store.down = true
+	waits := w.hand(flow("refused", "urgent", gang(2, 2, time.Second)))
+	w.until(2*time.Second, "end", func() bool { return w.stage(f) == wire.Stage_COMPLETED })
+	for _, one := range w.workers {
+		if one.ended > 0 {
+			qt.Assert(t, one.ends, qt.HasLen, int(one.ended), qt.Commentf("%s may not forget an end that is not stored", one.id))
+		}
+	}
+	w.store.down = false
+	w.run(4 * time.Second)
+	qt.Assert(t, w.hands[waits], qt.IsNotNil)
+	qt.Assert(t, w.starts("ends"), qt.Equals, 2)
+	for _, one := range w.workers {
+		qt.Assert(t, one.ends, qt.HasLen, 0)
+	}
+}
+
+// A look that waits for an end does not hold up the one that settles a stop.
+func TestStopIsSettledBesideALookThatWaits(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	spans["long"], spans["late"] = time.Minute, time.Second
+	w.accept(flow("long", "bulk", tasks(1, 1, time.Minute)))
+	w.run(300 * time.Millisecond)
+	var one *worker
+	for _, one = range w.workers {
+		one.lateFor = 8 * time.Second
+	}
+	w.accept(flow("late", "bulk", tasks(1, 1, time.Second)))
+	w.run(100 * time.Millisecond)
+	one.lateFor = 0
+	w.until(timeout+600*time.Millisecond, "second start", func() bool { return w.starts("late") == 1 })
+}
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -11,6 +11,7 @@
 // Spans of looks.
 const (
 	lookWait   = 1500 * time.Millisecond // an answer waits so long for an end; it also bounds how old progress is
+	settleGap  = 50 * time.Millisecond   // between two looks that settle stops
 	lookRetry  = 250 * time.Millisecond  // after a look that failed
 	silentSpan = 2500 * time.Millisecond // a worker unheard for so long has missed a look; its lease is not extended, so that it lapses if it is gone
 	storeSpan  = 800 * time.Millisecond  // ends that are being stored hold the next look up no longer
@@ -20,7 +21,7 @@
 // yet, and those with ends that they may now forget.
 func (h *Helm) looks() {
 	for _, w := range h.crew.Sorted() {
-		if w.Looking > 0 || w.Place.Addr == "" || !h.due(w) {
+		if w.Place.Addr == "" || !h.due(w) {
 			continue
 		}
 		o := fleet.LookOrder{Term: h.term, Taken: w.Taken}
@@ -39,9 +40,13 @@
 	}
 }
 
+// due reports whether it is time for a look. One that waits for an end does not
+// hold up another that settles a stop.
 func (h *Helm) due(w *crew.Worker) bool {
 	since := h.now.Sub(w.Tried)
 	switch {
+	case w.Looking > 0:
+		return w.Looking == 1 && w.Synced && since >= settleGap && stopping(w)
 	case !w.Synced:
 		return (w.Listed || len(w.Runs) > 0) && since >= lookRetry
 	case w.Heard.Before(w.Tried) && since < lookRetry:
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -10,7 +10,7 @@
 
 // Spans of runs.
 const (
-	doubtSpan      = 400 * time.Millisecond // a start without an answer may show up in a look so long, then it is stopped
+	doubtSpan      = 150 * time.Millisecond // a start without an answer may show up in a look so long, then it is stopped
 	stopRetry      = 300 * time.Millisecond // between two stops of one run
 	hangSpan       = 5 * time.Second        // without progress: the slowest sound task of the sites moves a percent in 2 s
 	hangPercents   = 5                      // of a task's run time without progress; a sound one shows each percent
