--- /dev/null
+++ b/fleet/flow/flow_test.go
@@ -0,0 +1,129 @@
+package flow_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/flow"
+	"dragonflydeck.example/fleet/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+var now = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func step(count int32, after ...int32) *wire.Step {
+	return &wire.Step{Count: count, Span: 1000, After: after}
+}
+
+func task(round, stepIndex, index int) fleet.Task {
+	return fleet.Task{Job: "j", Round: round, Step: stepIndex, Index: index}
+}
+
+func open(j *flow.Job, at time.Time) []string {
+	var out []string
+	j.Each(at, func(s *flow.Step) { out = append(out, fmt.Sprintf("%d.%d", s.Round, s.Index)) })
+	return out
+}
+
+func ExampleJob_Chain() {
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(4), step(1), step(2, 0, 1), step(1)}})
+	fmt.Println(j.Chain())
+	// Output: 2s
+}
+
+func TestStepsOpenInOrder(t *testing.T) {
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(2), step(1, 0), step(1)}})
+	qt.Assert(t, open(j, now), qt.DeepEquals, []string{"0.0", "0.2"})
+	j.Done(task(0, 0, 0), now)
+	qt.Assert(t, open(j, now), qt.DeepEquals, []string{"0.0", "0.2"})
+	j.Done(task(0, 0, 1), now)
+	qt.Assert(t, open(j, now), qt.DeepEquals, []string{"0.1", "0.2"})
+	j.Done(task(0, 1, 0), now)
+	j.Done(task(0, 2, 0), now)
+	qt.Assert(t, j.Stage(), qt.Equals, wire.Stage_COMPLETED)
+}
+
+func TestRoundsOpenAtTheirTimesAndOverlap(t *testing.T) {
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(1)}, Repeat: &wire.Repeat{Count: 3, First: now.UnixMilli(), Every: 2000}})
+	qt.Assert(t, open(j, now.Add(-time.Millisecond)), qt.HasLen, 0)
+	qt.Assert(t, open(j, now), qt.DeepEquals, []string{"0.0"})
+	qt.Assert(t, open(j, now.Add(2*time.Second)), qt.DeepEquals, []string{"0.0", "1.0"})
+	j.Done(task(1, 0, 0), now)
+	qt.Assert(t, open(j, now.Add(5*time.Second)), qt.DeepEquals, []string{"0.0", "2.0"})
+}
+
+func TestLastingTasksNeitherEndNorFailTheirJob(t *testing.T) {
+	s := step(1)
+	s.Lasting = true
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{s}})
+	for run := range 20 {
+		j.Start(task(0, 0, 0), fleet.Run(run+1), "w")
+		j.Clear(task(0, 0, 0), fleet.Run(run+1), now)
+		j.Fail(task(0, 0, 0), fleet.Run(run+1), 3, now)
+		j.Done(task(0, 0, 0), now)
+	}
+	qt.Assert(t, j.Over(), qt.IsFalse)
+	qt.Assert(t, open(j, now), qt.HasLen, 1)
+}
+
+func TestGangEndsTogetherAndFailsOnceARun(t *testing.T) {
+	s := step(3)
+	s.Gang = true
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{s}})
+	for i := range 3 {
+		j.Start(task(0, 0, i), 1, "w")
+	}
+	for i := range 3 {
+		j.Fail(task(0, 0, i), 1, 2, now)
+	}
+	qt.Assert(t, j.Failed, qt.IsFalse)
+	j.Fail(task(0, 0, 0), 2, 2, now)
+	qt.Assert(t, j.Failed, qt.IsTrue)
+
+	k := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{s}})
+	qt.Assert(t, k.Done(task(0, 0, 1), now), qt.IsTrue)
+	qt.Assert(t, k.Over(), qt.IsTrue)
+}
+
+func TestTasksThatAJobDoesNotHaveAreIgnored(t *testing.T) {
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(1)}})
+	for _, odd := range []fleet.Task{task(1, 0, 0), task(0, 1, 0), task(0, 0, 1), task(0, 0, -1), task(-1, 0, 0)} {
+		qt.Check(t, j.Step(odd), qt.IsNil)
+		qt.Check(t, j.Done(odd, now), qt.IsFalse)
+		qt.Check(t, j.Clear(odd, 1, now), qt.IsFalse)
+		j.Save(odd, "x")
+		j.Fail(odd, 1, 1, now)
+	}
+	qt.Assert(t, j.Over(), qt.IsFalse)
+}
+
+// What is stored of a job's progress brings the same job back.
+func TestTrackBringsAJobBack(t *testing.T) {
+	gang := step(2, 0)
+	gang.Gang, gang.Saves = true, true
+	spec := &wire.Flow{Id: "j", Steps: []*wire.Step{step(3), gang}}
+	j := flow.New(spec)
+	j.Start(task(0, 0, 0), 1, "w1")
+	j.Start(task(0, 0, 1), 1, "w2")
+	j.Start(task(0, 0, 2), 1, "w2")
+	j.Done(task(0, 0, 0), now)
+	j.Clear(task(0, 0, 0), 1, now)
+	j.Clear(task(0, 0, 1), 1, now)
+	j.Fail(task(0, 0, 1), 1, 3, now)
+	j.Save(task(0, 0, 1), "five")
+	j.Save(task(0, 1, 1), "gang")
+	k := flow.New(spec)
+	k.Resume(j.Track())
+	qt.Assert(t, k.Track().String(), qt.Equals, j.Track().String())
+	qt.Assert(t, k.Rounds[0].Steps[0].Left(), qt.Equals, 2)
+	qt.Assert(t, k.Rounds[0].Steps[0].SavedOf(1), qt.Equals, "five")
+	qt.Assert(t, k.Rounds[0].Steps[1].SavedOf(0), qt.Equals, "gang")
+	qt.Assert(t, k.Begun(), qt.IsTrue)
+
+	j.Cancel(now)
+	k = flow.New(spec)
+	k.Resume(j.Track())
+	qt.Assert(t, k.Stage(), qt.Equals, wire.Stage_WITHDRAWN)
+}
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -322,3 +322,28 @@
 	one.lateFor = 0
 	w.until(timeout+600*time.Millisecond, "second start", func() bool { return w.starts("late") == 1 })
 }
+
+// Rounds start at their times, and a lasting task is started again however it
+// ends.
+func TestRoundsAndLastingTasks(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	spans["timed"], spans["lasting"] = time.Second, 500*time.Millisecond
+	timed := flow("timed", "bulk", tasks(1, 1, time.Second))
+	timed.Repeat = &wire.Repeat{Count: 3, First: w.now.Add(2 * time.Second).UnixMilli(), Every: 2000}
+	lasting := flow("lasting", "bulk", tasks(1, 1, time.Second))
+	lasting.Steps[0].Lasting = true
+	w.accept(timed)
+	w.accept(lasting)
+	w.run(1900 * time.Millisecond)
+	qt.Assert(t, w.starts("timed"), qt.Equals, 0)
+	w.run(300 * time.Millisecond)
+	qt.Assert(t, w.starts("timed"), qt.Equals, 1)
+	w.done(timed, 6*time.Second)
+	qt.Assert(t, w.starts("timed"), qt.Equals, 3)
+	qt.Assert(t, w.starts("lasting") > 6, qt.IsTrue)
+	qt.Assert(t, w.stage(lasting), qt.Equals, wire.Stage_RUNS)
+	w.cancel(lasting)
+	w.run(time.Second)
+	qt.Assert(t, w.running("lasting"), qt.Equals, 0)
+}
--- /dev/null
+++ b/fleet/queue/queue_test.go
@@ -0,0 +1,60 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/queue"
+	qt "github.com/frankban/quicktest"
+)
+
+func config() *queue.Config {
+	return queue.New(queue.Config{
+		Version: 3,
+		Queues: []queue.Queue{
+			{Name: "all", Host: "a.example", Prefix: "/"},
+			{Name: "jobs", Host: "a.example", Prefix: "/jobs/"},
+			{Name: "other", Host: "b.example", Prefix: "/jobs/"},
+		},
+		Spaces:   []queue.Space{{Name: "s", Keys: []string{"k1", "k2"}, Accels: 16}},
+		Services: []queue.Service{{Name: "desk", Guards: true}},
+	})
+}
+
+func ExampleConfig_Match() {
+	q, rest := config().Match("A.example:8080", "/jobs/17")
+	fmt.Println(q.Name, rest)
+	// Output: jobs 17
+}
+
+func TestMatch(t *testing.T) {
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/jobs/1", "jobs"},
+		{"a.example", "/jobs", "all"},
+		{"b.example", "/jobs/1", "other"},
+		{"b.example", "/", ""},
+		{"c.example", "/jobs/1", ""},
+	} {
+		q, _ := config().Match(c.host, c.path)
+		name := ""
+		if q != nil {
+			name = q.Name
+		}
+		qt.Check(t, name, qt.Equals, c.want, qt.Commentf("%s%s", c.host, c.path))
+	}
+}
+
+func TestKeysAndGuarantees(t *testing.T) {
+	c := config()
+	space, ok := c.Holder("k2")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, c.Guaranteed(space), qt.Equals, fleet.Accels(16))
+	_, ok = c.Holder("")
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, c.Guaranteed("nobody"), qt.Equals, fleet.Accels(0))
+	qt.Assert(t, c.Guards("desk"), qt.IsTrue)
+	qt.Assert(t, c.Guards("other"), qt.IsFalse)
+	var none *queue.Config
+	qt.Assert(t, none.Queue("jobs"), qt.IsNil)
+}
