Let one control loop serve both daemons, and split the helm's files by idea

Behaviour stays: a call that comes after the end is told as not run, one that was taken as in doubt.

--- a/deckd/daemon/daemon.go
+++ b/deckd/daemon/daemon.go
@@ -25,7 +25,7 @@
 // Daemon is one entry host's process.
 type Daemon struct {
 	settings *Settings
-	loop     *loop
+	loop     *control
 	exec     *exec
 	traffic  *traffic
 	lines    *lines.Lines
@@ -46,10 +46,10 @@
 	d.lines = lines.New(self.Host, s.Level, s.Lines, w)
 	d.exec = newExec(edges, d.lines)
 	d.traffic = newTraffic(self, edges, d.lines, s)
-	d.loop = newLoop(core.New(self, int32(s.Seats)), d.timer.Every(TickSpan), d.exec, d.traffic)
+	d.loop = newControl(ctx, core.New(self, int32(s.Seats)), d.timer.Every(TickSpan), d.exec, d.traffic)
 	d.desk = &desk{loop: d.loop, traffic: d.traffic, edges: edges}
 	d.peer = &peer{loop: d.loop, traffic: d.traffic}
-	go d.loop.run(ctx)
+	go d.loop.Run(ctx)
 	d.tell(event.ProcessStarted, strings.Join(config.Lines(s), " "))
 	return d
 }
--- a/deckd/daemon/desk.go
+++ b/deckd/daemon/desk.go
@@ -25,7 +25,7 @@
 
 // desk serves callers and operators.
 type desk struct {
-	loop    *loop
+	loop    *control
 	traffic *traffic
 	edges   Edges
 }
--- a/deckd/daemon/exec.go
+++ b/deckd/daemon/exec.go
@@ -8,6 +8,7 @@
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/board"
 	"dragonflydeck.example/fleet/lines"
+	"dragonflydeck.example/fleet/loop"
 	"dragonflydeck.example/fleet/wire"
 )
 
@@ -32,7 +33,7 @@
 }
 
 func newExec(edges Edges, l *lines.Lines) *exec {
-	return &exec{edges: edges, events: make(chan board.Event, EventQueue), lines: l}
+	return &exec{edges: edges, events: make(chan board.Event, loop.EventQueue), lines: l}
 }
 
 func (x *exec) do(ctx context.Context, actions []board.Action) {
--- a/deckd/daemon/peer.go
+++ b/deckd/daemon/peer.go
@@ -14,7 +14,7 @@
 
 // peer serves the other daemons.
 type peer struct {
-	loop    *loop
+	loop    *control
 	traffic *traffic
 }
 
@@ -27,10 +27,7 @@
 	if err != nil {
 		return nil, twirpOf("beat", err)
 	}
-	select {
-	case p.loop.events <- board.BeatIn{Ask: ask}:
-	case <-ctx.Done():
-	}
+	p.loop.Offer(ctx.Done(), board.BeatIn{Ask: ask})
 	return reply, nil
 }
 
--- a/deckd/daemon/stop.go
+++ b/deckd/daemon/stop.go
@@ -75,7 +75,7 @@
 // Close ends the daemon's goroutines. After a failed Leave it says what was cut.
 func (d *Daemon) Close(left error) {
 	d.cancel()
-	<-d.loop.ended
+	<-d.loop.Ended()
 	d.timer.Wait()
 	d.exec.group.Wait()
 	if left != nil {
--- a/deckd/site/air.go
+++ b/deckd/site/air.go
@@ -67,6 +67,6 @@
 			continue
 		}
 		a.site.orders.hint(fleet.Offset(b.Orders))
-		a.site.loop.post(helm.Beaten{Beat: b})
+		a.site.loop.Post(helm.Beaten{Beat: b})
 	}
 }
--- a/deckd/site/carry.go
+++ b/deckd/site/carry.go
@@ -44,25 +44,25 @@
 	case helm.AskPeers:
 		c.askPeers()
 	case helm.Claim:
-		c.site.loop.post(c.claim(a.Known))
+		c.site.loop.Post(c.claim(a.Known))
 	case helm.Probe:
 		_, err := c.site.edges.Store.Newest(c.ctx, topicHosts, "")
-		c.site.loop.post(helm.Probed{Err: err})
+		c.site.loop.Post(helm.Probed{Err: err})
 	case helm.Append:
 		end, err := timed("append", func() (fleet.Offset, error) { return c.site.edges.Store.Append(c.ctx, topicJobs, a.At, a.Records) })
-		c.site.loop.post(helm.Appended{Batch: a.Batch, End: end, Err: err})
+		c.site.loop.Post(helm.Appended{Batch: a.Batch, End: end, Err: err})
 	case helm.Check:
-		c.site.loop.post(c.check(a))
+		c.site.loop.Post(c.check(a))
 	case helm.Start:
 		clock, err := timed("start", func() (fleet.Ticks, error) { return c.site.edges.Exec.Start(c.ctx, a.Place, a.Order) })
-		c.site.loop.post(helm.Started{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
+		c.site.loop.Post(helm.Started{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
 	case helm.Stop:
 		clock, err := timed("stop", func() (fleet.Ticks, error) { return c.site.edges.Exec.Stop(c.ctx, a.Place, a.Order) })
-		c.site.loop.post(helm.Stopped{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
+		c.site.loop.Post(helm.Stopped{Host: a.Place.Host, Key: a.Key, Clock: clock, Err: err})
 	case helm.Look:
 		at := time.Now()
 		s, err := timed("look", func() (fleet.Sight, error) { return c.site.edges.Exec.Look(c.ctx, a.Place, a.Order) })
-		c.site.loop.post(helm.Looked{Host: a.Place.Host, Term: a.Order.Term, Taken: a.Order.Taken, At: at, Sight: s, Err: err})
+		c.site.loop.Post(helm.Looked{Host: a.Place.Host, Term: a.Order.Term, Taken: a.Order.Taken, At: at, Sight: s, Err: err})
 	}
 }
 
@@ -152,7 +152,7 @@
 				c.site.tellCall("ask whether it hears the lead", m.Host, err)
 				return
 			}
-			c.site.loop.post(helm.Sighted{Reply: r})
+			c.site.loop.Post(helm.Sighted{Reply: r})
 		})
 	}
 	group.Wait()
--- a/deckd/site/intake.go
+++ b/deckd/site/intake.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -10,7 +9,6 @@
 	"dragonflydeck.example/fleet/helm"
 	"dragonflydeck.example/fleet/link"
 	"dragonflydeck.example/fleet/wire"
-	"github.com/twitchtv/twirp"
 )
 
 // Spans of callers' calls.
@@ -139,7 +137,7 @@
 // handHere hands a job in at this daemon's own helm.
 func (s *Site) handHere(f *wire.Flow, until time.Time) *wire.HandReply {
 	id, answer := s.hands.add()
-	s.loop.post(helm.HandedIn{Waiter: id, Flow: f, Until: until})
+	s.loop.Post(helm.HandedIn{Waiter: id, Flow: f, Until: until})
 	return wait(s.hands, id, answer, until, &wire.HandReply{Verdict: wire.Verdict_UNKNOWN, Why: "the job was not stored in time"})
 }
 
@@ -211,7 +209,7 @@
 
 func (s *Site) statusHere(ask *wire.FlowAsk, until time.Time) *wire.FlowReply {
 	var r *wire.FlowReply
-	if !s.loop.ask(until, func(h *helm.Helm) { r = h.Status(ask) }) {
+	if !s.ask(until, func(h *helm.Helm) { r = h.Status(ask) }) {
 		return &wire.FlowReply{Verdict: wire.Verdict_UNKNOWN}
 	}
 	return r
@@ -219,7 +217,7 @@
 
 func (s *Site) dropHere(ask *wire.FlowAsk, until time.Time) *wire.FlowReply {
 	id, answer := s.drops.add()
-	s.loop.post(helm.Dropped{Waiter: id, Ask: ask, Until: until})
+	s.loop.Post(helm.Dropped{Waiter: id, Ask: ask, Until: until})
 	return wait(s.drops, id, answer, until, &wire.FlowReply{Verdict: wire.Verdict_UNKNOWN})
 }
 
@@ -245,7 +243,7 @@
 
 func (s *Site) backlogHere(ask *wire.BacklogAsk, until time.Time) *wire.BacklogReply {
 	var r *wire.BacklogReply
-	if !s.loop.ask(until, func(h *helm.Helm) { r = h.Backlog(ask) }) {
+	if !s.ask(until, func(h *helm.Helm) { r = h.Backlog(ask) }) {
 		return &wire.BacklogReply{Verdict: wire.Verdict_UNKNOWN}
 	}
 	return r
@@ -257,47 +255,3 @@
 	}
 	return until
 }
-
-// peer is what other daemons ask of this one.
-type peer struct{ site *Site }
-
-var _ wire.Site = peer{}
-
-func (p peer) Hand(_ context.Context, ask *wire.HandAsk) (*wire.HandReply, error) {
-	if ask.Flow == nil || len(ask.Flow.Steps) == 0 {
-		return nil, twirp.RequiredArgumentError("flow")
-	}
-	if !p.site.leading.Load() {
-		return &wire.HandReply{Verdict: wire.Verdict_ASTRAY}, nil
-	}
-	if ask.Flow.Service == "" && !p.site.fillBare(ask.Flow) {
-		return &wire.HandReply{Verdict: wire.Verdict_REFUSED, Why: fmt.Sprintf("queue %q does not exist", ask.Flow.Queue)}, nil
-	}
-	return p.site.handHere(ask.Flow, limit(ask.Limit)), nil
-}
-
-func (p peer) Status(_ context.Context, ask *wire.FlowAsk) (*wire.FlowReply, error) {
-	return p.site.statusHere(ask, limit(askSpan.Milliseconds())), nil
-}
-
-func (p peer) Drop(_ context.Context, ask *wire.FlowAsk) (*wire.FlowReply, error) {
-	return p.site.dropHere(ask, limit(ask.Limit)), nil
-}
-
-func (p peer) Backlog(_ context.Context, ask *wire.BacklogAsk) (*wire.BacklogReply, error) {
-	return p.site.backlogHere(ask, limit(askSpan.Milliseconds())), nil
-}
-
-func (p peer) Sight(context.Context, *wire.SightAsk) (*wire.SightReply, error) {
-	var r *wire.SightReply
-	if !p.site.loop.ask(limit(peerSpan.Milliseconds()), func(h *helm.Helm) { r = h.Sight(time.Now()) }) {
-		return nil, twirp.NewError(twirp.Unavailable, "the control loop is busy")
-	}
-	return r, nil
-}
-
-func (p peer) Orders(_ context.Context, ask *wire.OrdersAsk) (*wire.OrdersReply, error) {
-	return p.site.orders.reply(fleet.Offset(ask.Since)), nil
-}
-
-func limit(ms int64) time.Time { return time.Now().Add(time.Duration(ms) * time.Millisecond) }
--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -91,7 +91,7 @@
 		}
 		s.members.put(m)
 	}
-	s.loop.post(helm.Members{All: s.members.list()})
+	s.loop.Post(helm.Members{All: s.members.list()})
 }
 
 // follower reads a topic from its newest records on.
--- a/deckd/site/orders.go
+++ b/deckd/site/orders.go
@@ -94,7 +94,7 @@
 			o.config.Store(in.Config)
 		}
 	}
-	o.site.loop.post(helm.Ordered{Config: in.Config, Out: in.Out, End: end})
+	o.site.loop.Post(helm.Ordered{Config: in.Config, Out: in.Out, End: end})
 }
 
 // askPeer asks the lead for the operator's records, or another daemon if no
--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -45,7 +45,7 @@
 	pool     *link.Pool
 	lines    *lines.Lines
 	timer    *timer.Service
-	loop     *loop
+	loop     *control
 	carrier  *carrier
 	members  *members
 	orders   *orders
@@ -101,7 +101,7 @@
 	errs := s.end(servers)
 	cancel()
 	s.air.conn.Close()
-	<-s.loop.ended
+	<-s.loop.Ended()
 	s.carrier.group.Wait()
 	s.timer.Wait()
 	s.tell(event.ProcessStopped, string(s.self.Host), "")
@@ -117,7 +117,7 @@
 	}
 	s.tell(event.Reloaded, string(s.self.Host), "lease=%s stop=%s status=%s memory=%d", to.Lease, to.Stop, to.Status, to.Memory)
 	setMemory(to.Memory)
-	s.loop.post(helm.Limited{Limits: limitsOf(to)})
+	s.loop.Post(helm.Limited{Limits: limitsOf(to)})
 }
 
 func limitsOf(s fleet.SiteSettings) helm.Limits {
@@ -161,10 +161,9 @@
 // start starts the goroutines that run until the daemon has stopped.
 func (s *Site) start(ctx context.Context) {
 	s.timer = timer.New(ctx)
-	s.loop = newLoop(helm.New(s.self, limitsOf(s.settings), time.Now()), s.timer.Every(tickSpan), s.lines)
 	s.carrier = &carrier{ctx: ctx, site: s}
-	s.loop.carry, s.loop.after = s.carrier.carry, s.mirror
-	go s.loop.run(ctx)
+	s.loop = s.newLoop(helm.New(s.self, limitsOf(s.settings), time.Now()))
+	go s.loop.Run(ctx)
 	go s.air.run(ctx)
 	s.carrier.group.Go(func() { s.enlist(ctx) })
 	s.carrier.group.Go(func() { s.orders.follow(ctx) })
@@ -201,7 +200,7 @@
 func (s *Site) leave() {
 	s.leaving.Store(true)
 	s.tell(event.ProcessLeaving, string(s.self.Host), "lead=%t", s.leading.Load())
-	s.loop.post(helm.Leave{})
+	s.loop.Post(helm.Leave{})
 	time.Sleep(min(lameSpan, s.settings.Grace/2))
 }
 
--- a/deckd/site/workers.go
+++ b/deckd/site/workers.go
@@ -58,5 +58,5 @@
 		}
 		w.entries[id] = e
 	}
-	w.site.loop.post(helm.Listed{Entries: maps.Clone(w.entries)})
+	w.site.loop.Post(helm.Listed{Entries: maps.Clone(w.entries)})
 }
--- /dev/null
+++ b/fleet/helm/list.go
@@ -0,0 +1,112 @@
+package helm
+
+import (
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/crew"
+	"dragonflydeck.example/fleet/event"
+)
+
+// When a run is moved off a worker that leaves.
+const (
+	leaveSlack     = 2 * time.Second // workers mostly stay a little longer than they say
+	tellingPercent = 10              // progress that tells more than an estimate
+)
+
+// list notes what the service discovery says of the workers.
+func (h *Helm) list(entries map[fleet.HostID]fleet.WorkerEntry) {
+	h.listed = entries
+	if h.mode != leads {
+		return
+	}
+	for _, e := range entries {
+		before, known := h.crew.Workers[e.Place.Host]
+		state := fleet.WorkerState(0)
+		if known {
+			state = before.State
+		}
+		w, reborn := h.crew.Enter(e, rackOf(e.Labels), h.now)
+		if reborn {
+			h.reborn(w)
+		}
+		if !known || state != e.State {
+			h.changed = true
+		}
+		if known && state != e.State && e.State == fleet.WorkerDraining {
+			h.move(w)
+		}
+	}
+	for id, w := range h.crew.Workers {
+		if _, ok := entries[id]; !ok && w.Listed {
+			h.note(event.WorkerGone, string(id), "runs=%d heard=%s ago", len(w.Runs), h.now.Sub(w.Heard))
+			h.crew.Leave(id)
+		}
+	}
+}
+
+// move stops the runs of a worker that leaves if they would not end before it
+// has left: those that keep checkpoints lose next to nothing, the others would
+// lose more later.
+func (h *Helm) move(w *crew.Worker) {
+	h.note(event.WorkerLeaves, string(w.Place.Host), "runs=%d left=%s", len(w.Runs), w.Left)
+	for _, r := range w.Sorted() {
+		j, ok := h.jobs[r.Task.Job]
+		if !ok || r.Phase != crew.Running || j.Step(r.Task) == nil {
+			continue
+		}
+		need, left := h.remaining(j, r), w.Left
+		if !j.Step(r.Task).Spec.Saves {
+			left += leaveSlack
+		}
+		if need > left {
+			h.evict(r, "its worker leaves")
+		}
+	}
+}
+
+// remaining estimates how long a run still takes.
+func (h *Helm) remaining(j *job, r *crew.Run) time.Duration {
+	elapsed := h.now.Sub(r.Since)
+	if done := r.Percent - r.From; done >= tellingPercent {
+		return elapsed * time.Duration(100-r.Percent) / time.Duration(done)
+	}
+	return max(h.span(j, j.Step(r.Task))-elapsed, 0)
+}
+
+// rackOf returns the rack among a worker's labels: the second one.
+func rackOf(labels []string) string {
+	if len(labels) < 2 {
+		return ""
+	}
+	return labels[1]
+}
+
+// gone notes that another process answers at a worker's address.
+func (h *Helm) gone(w *crew.Worker) {
+	h.lose(w, "another process answers at its address")
+	h.crew.Leave(w.Place.Host)
+}
+
+// lose closes every run of a worker whose process has ended.
+func (h *Helm) lose(w *crew.Worker, why string) {
+	h.note(event.WorkerLost, string(w.Place.Host), "runs=%d heard=%s ago: %s", len(w.Runs), h.now.Sub(w.Heard), why)
+	for _, r := range w.Sorted() {
+		h.close(w, r, why)
+	}
+}
+
+// reborn closes the runs of a worker that has started anew. A start without an
+// answer may still be carried out by the new process.
+func (h *Helm) reborn(w *crew.Worker) {
+	h.note(event.WorkerLost, string(w.Place.Host), "runs=%d heard=%s ago: its process is another one", len(w.Runs), h.now.Sub(w.Heard))
+	for _, r := range w.Sorted() {
+		switch {
+		case r.Phase == crew.Sent && !r.Left:
+		case r.Phase == crew.Sent || r.Phase == crew.Doubtful && !r.Foreign:
+			r.Phase, r.Since = crew.Doubtful, h.now
+		default:
+			h.close(w, r, "the worker's process is another one")
+		}
+	}
+}
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -17,6 +17,9 @@
 	storeSpan  = 800 * time.Millisecond  // ends that are being stored hold the next look up no longer
 )
 
+// endsMost is how many ends a worker lists at one time.
+const endsMost = 500
+
 // looks asks the workers that run something, those whose runs are not known
 // yet, and those with ends that they may now forget.
 func (h *Helm) looks() {
@@ -180,6 +183,6 @@
 	}
 	w.Add(r)
 	w.Bound(h.now)
-	h.note(event.JobOrphan, string(seen.Task.Job), "task=%d.%d.%d run=%d worker=%s", seen.Task.Round, seen.Task.Step, seen.Task.Index, seen.Run, w.Place.Host)
+	h.note(event.JobOrphan, string(seen.Task.Job), "%s", name(seen.Task, seen.Run, w.Place.Host))
 	h.stop(w, r, "no record names it")
 }
