--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -63,6 +63,10 @@
 	leaving bool
 	term    fleet.Term
 	epoch   int64
+
+	lastTerm  fleet.Term // of the lead that this daemon gave up as it leaves
+	lastUntil time.Time  // that is said until then
+
 	jobs    map[fleet.JobID]*job
 	crew    *crew.Crew
 	box     box
@@ -102,6 +106,9 @@
 		h.take(e)
 	}
 	h.stand()
+	if h.leaving {
+		h.farewell()
+	}
 	if h.mode == leads {
 		h.beat()
 		if h.now.Sub(h.tended) >= tendSpan {
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -347,3 +347,17 @@
 	w.run(time.Second)
 	qt.Assert(t, w.running("lasting"), qt.Equals, 0)
 }
+
+// A lead that leaves says so more than once, as a datagram may be lost.
+func TestLeavingLeadSaysSoAgain(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	w.farewells = 0
+	w.post(helm.Leave{})
+	w.run(2 * time.Second)
+	qt.Assert(t, w.farewells > 5, qt.IsTrue)
+	qt.Assert(t, w.helm.Leads(), qt.IsFalse)
+	said := w.farewells
+	w.run(2 * time.Second)
+	qt.Assert(t, w.farewells, qt.Equals, said)
+}
--- a/fleet/helm/stand.go
+++ b/fleet/helm/stand.go
@@ -1,6 +1,8 @@
 package helm
 
 import (
+	"time"
+
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/crew"
 	"dragonflydeck.example/fleet/elect"
@@ -21,6 +23,12 @@
 // one are always higher.
 const runsPerEpoch = 1 << 12
 
+// How a lead that leaves says so.
+const (
+	farewellSpan = time.Second
+	farewellGap  = 50 * time.Millisecond
+)
+
 // stand claims the lead if the site needs one.
 func (h *Helm) stand() {
 	if h.mode != follows || h.leaving {
@@ -158,10 +166,25 @@
 // at once.
 func (h *Helm) leave() {
 	h.leaving = true
-	if h.mode == leads {
-		h.sendBeat()
-		h.yield("the daemon leaves", 0)
+	if h.mode != leads {
+		return
 	}
+	h.sendBeat()
+	h.lastTerm, h.lastUntil = h.term, h.now.Add(farewellSpan)
+	h.yield("the daemon leaves", 0)
+}
+
+// farewell repeats the beat that says that the lead leaves, as a datagram may be
+// lost, until another daemon leads.
+func (h *Helm) farewell() {
+	if h.now.After(h.lastUntil) || h.Elect.Lead().Term != h.lastTerm || h.now.Sub(h.beaten) < farewellGap {
+		return
+	}
+	h.beaten = h.now
+	h.do(SendBeat{&wire.Beat{
+		Host: string(h.self.Host), Addr: h.self.Addr, Term: int64(h.lastTerm),
+		Orders: int64(h.orders), Leaving: true, Power: int64(h.self.Power),
+	}})
 }
 
 func (h *Helm) beat() {
--- a/fleet/helm/world_test.go
+++ b/fleet/helm/world_test.go
@@ -31,26 +31,27 @@
 
 // world is a site in virtual time: one daemon, a store and workers.
 type world struct {
-	t       *testing.T
-	now     time.Time
-	helm    *helm.Helm
-	inc     fleet.Incarnation
-	store   *store
-	workers map[fleet.HostID]*worker
-	config  *queue.Config
-	out     map[fleet.DomainID]bool
-	orders  fleet.Offset
-	events  []helm.Event
-	later   []delayed
-	notes   []event.Event
-	hands   map[helm.Waiter]*wire.HandReply
-	drops   map[helm.Waiter]*wire.FlowReply
-	waiters helm.Waiter
-	looks   int
-	appends int
-	bytes   int           // of records appended
-	cost    time.Duration // of real time that the helm took
-	lag     time.Duration // that appends take longer
+	t         *testing.T
+	now       time.Time
+	helm      *helm.Helm
+	inc       fleet.Incarnation
+	store     *store
+	workers   map[fleet.HostID]*worker
+	config    *queue.Config
+	out       map[fleet.DomainID]bool
+	orders    fleet.Offset
+	events    []helm.Event
+	later     []delayed
+	notes     []event.Event
+	hands     map[helm.Waiter]*wire.HandReply
+	drops     map[helm.Waiter]*wire.FlowReply
+	waiters   helm.Waiter
+	looks     int
+	appends   int
+	farewells int           // beats that say that the lead leaves
+	bytes     int           // of records appended
+	cost      time.Duration // of real time that the helm took
+	lag       time.Duration // that appends take longer
 }
 
 // delayed is an event that arrives at some time.
@@ -207,6 +208,10 @@
 
 func (w *world) carry(a helm.Action) {
 	switch a := a.(type) {
+	case helm.SendBeat:
+		if a.Beat.Leaving {
+			w.farewells++
+		}
 	case helm.Claim:
 		w.claim()
 	case helm.Probe:
