--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -14,15 +14,15 @@
 
 // Spans of the election.
 const (
-	BeatSpan   = 150 * time.Millisecond  // between two beats of a lead
-	SilentSpan = 900 * time.Millisecond  // six beats; datagrams are lost at times
-	BlindSpan  = 1200 * time.Millisecond // a lead that the store does not answer so long is replaced
-	ProbeSpan  = 500 * time.Millisecond  // the store has answered a daemon so long before it replaces a blind lead
-	WeakSpan   = 3 * time.Second         // a daemon that could lead much better lets a lead stand so long
-	AskSpan    = 300 * time.Millisecond  // for peers to say whether they hear the lead
-	RankSpan   = 120 * time.Millisecond  // between the claims of two daemons, so that one is first
-	LoneSpan   = 6 * time.Second         // a daemon that reaches no majority waits so long: cuts are mostly shorter
-	RestSpan   = 400 * time.Millisecond  // after a claim that failed
+	BeatSpan   = 150 * time.Millisecond // between two beats of a lead
+	SilentSpan = 900 * time.Millisecond // six beats; datagrams are lost at times
+	BlindSpan  = 500 * time.Millisecond // a lead that the store does not answer so long may be replaced
+	ProbeSpan  = 300 * time.Millisecond // the store has answered a daemon so long before it replaces a blind lead
+	WeakSpan   = 3 * time.Second        // a daemon that could lead much better lets a lead stand so long
+	AskSpan    = 300 * time.Millisecond // for peers to say whether they hear the lead
+	RankSpan   = 120 * time.Millisecond // between the claims of two daemons, so that one is first
+	LoneSpan   = 6 * time.Second        // a daemon that reaches no majority waits so long: cuts are mostly shorter
+	RestSpan   = 400 * time.Millisecond // after a claim that failed
 )
 
 const (
