Look for an append in doubt by a read before it is tried again

Reads are answered. The test of appends without an answer failed first, once the fake store lost every answer.

--- a/fleet/helm/box.go
+++ b/fleet/helm/box.go
@@ -141,19 +141,29 @@
 		h.commit(e.End)
 		return
 	}
-	if fleet.KindOf(e.Err) == fleet.Moved {
+	switch fleet.KindOf(e.Err) {
+	case fleet.Moved:
 		h.do(Check{b.serial, b.sent.at})
-		return
+	case fleet.Doubt:
+		// A read tells sooner than another append, whose answer may be lost too.
+		h.noteRetry("append", e.Err)
+		h.do(Check{b.serial, b.sent.at})
+	default:
+		h.retry("append", e.Err)
 	}
-	h.retry("append", e.Err)
 }
 
+// retry tries the append again after a while.
 func (h *Helm) retry(op string, err error) {
-	s := h.box.sent
-	if s.retry.IsZero() {
-		h.note(event.StoreFailed, string(h.self.Host), "%s at=%d since=%s: %v", op, s.at, h.now.Sub(s.first), err)
+	if h.box.sent.retry.IsZero() {
+		h.noteRetry(op, err)
 	}
-	s.retry = h.now.Add(retrySpan)
+	h.box.sent.retry = h.now.Add(retrySpan)
+}
+
+func (h *Helm) noteRetry(op string, err error) {
+	s := h.box.sent
+	h.note(event.StoreFailed, string(h.self.Host), "%s at=%d since=%s: %v", op, s.at, h.now.Sub(s.first), err)
 }
 
 // checked tells an append of ours whose answer was lost from the claim of
@@ -168,11 +178,15 @@
 		return
 	}
 	claimed := slices.ContainsFunc(e.Records, func(r fleet.Record) bool { return r.Key == LeadKey })
-	if end := b.sent.at + fleet.Offset(len(b.sent.records)); !claimed && e.End >= end {
+	switch end := b.sent.at + fleet.Offset(len(b.sent.records)); {
+	case claimed:
+		h.yield("another daemon has appended", 0)
+	case e.End >= end:
 		h.commit(end)
-		return
+	default:
+		// It has not taken effect, and may still do so as long as nothing else does.
+		h.box.sent.retry = h.now
 	}
-	h.yield("another daemon has appended", 0)
 }
 
 // commit lets what is now stored take effect.
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -205,8 +205,8 @@
 	qt.Assert(t, w.starts("stays"), qt.Equals, 1)
 }
 
-// An append whose answer was lost is found, also once the store keeps only the
-// newest record of each key.
+// Appends whose answers are lost are found, also if every answer is lost for a
+// while.
 func TestAppendWithoutAnswerIsFound(t *testing.T) {
 	w := newWorld(t, 1, 1)
 	w.lead()
@@ -214,11 +214,9 @@
 	w.store.lost = true
 	f := flow("lost", "bulk", tasks(1, 1, time.Second))
 	id := w.hand(f)
-	w.run(100 * time.Millisecond)
-	w.store.lost = false
-	w.until(2*time.Second, "answer", func() bool { return w.hands[id] != nil })
+	w.until(time.Second, "answer", func() bool { return w.hands[id] != nil })
 	qt.Assert(t, w.hands[id].Verdict, qt.Equals, wire.Verdict_OK)
-	w.done(f, 2*time.Second)
+	w.done(f, 3*time.Second)
 	qt.Assert(t, w.starts("lost"), qt.Equals, 1)
 }
 
--- a/fleet/helm/world_test.go
+++ b/fleet/helm/world_test.go
@@ -86,6 +86,9 @@
 		return 0, &fleet.Error{Op: "append", Kind: fleet.Doubt, Err: errCut}
 	}
 	if at != fleet.Offset(len(s.records)) {
+		if s.lost {
+			return 0, &fleet.Error{Op: "append", Kind: fleet.Doubt, Err: errCut}
+		}
 		return 0, &fleet.Error{Op: "append", Kind: fleet.Moved}
 	}
 	for _, r := range records {
@@ -206,6 +209,9 @@
 // callSpan is how long a call to the store takes when it is well.
 const callSpan = 4 * time.Millisecond
 
+// lostSpan is after how long the daemon gives an append up.
+const lostSpan = 500 * time.Millisecond
+
 func (w *world) carry(a helm.Action) {
 	switch a := a.(type) {
 	case helm.SendBeat:
@@ -226,7 +232,11 @@
 			w.bytes += len(r.Key) + len(r.Value)
 		}
 		end, err := w.store.append(a.At, a.Records)
-		w.after(callSpan+w.lag, helm.Appended{Batch: a.Batch, End: end, Err: err})
+		span := callSpan + w.lag
+		if fleet.KindOf(err) == fleet.Doubt && err != nil {
+			span = lostSpan
+		}
+		w.after(span, helm.Appended{Batch: a.Batch, End: end, Err: err})
 	case helm.Check:
 		if w.store.down {
 			w.after(time.Second, helm.Checked{Batch: a.Batch, Err: &fleet.Error{Op: "check", Kind: fleet.Doubt}})
