Let workers forget ends that nothing has to be stored for

Cause, found in reading: ends were forgotten only with the next batch, so the end of a run whose job was gone made the worker answer every look at once, and the lead looked again each time: hundreds of looks a second at one worker until something was stored. TestEndsOfStrayRunsAreForgotten failed first.

--- a/fleet/helm/box.go
+++ b/fleet/helm/box.go
@@ -83,6 +83,7 @@
 		return
 	}
 	if len(b.accepts)+len(b.drops)+len(b.dirty)+len(b.dead) == 0 {
+		h.release()
 		return
 	}
 	b.serial++
@@ -90,6 +91,17 @@
 	h.do(Append{b.serial, b.sent.at, b.sent.records})
 }
 
+// release lets workers forget the ends that nothing has to be stored for.
+func (h *Helm) release() {
+	if !h.ends {
+		return
+	}
+	h.ends = false
+	for _, w := range h.crew.Workers {
+		w.Taken = max(w.Taken, w.Seen)
+	}
+}
+
 func (h *Helm) gather() *batch {
 	b := &h.box
 	s := &batch{at: b.end, first: h.now, seen: map[fleet.HostID]fleet.EndNo{}}
--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -76,6 +76,7 @@
 	planned time.Time
 	tended  time.Time
 	changed bool // something that placement depends on has changed
+	ends    bool // workers have listed ends that they may not forget yet
 
 	actions []Action
 	notes   []event.Event
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/crew"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/helm"
 	"dragonflydeck.example/fleet/wire"
@@ -359,3 +360,28 @@
 	w.run(2 * time.Second)
 	qt.Assert(t, w.farewells, qt.Equals, said)
 }
+
+// Ends of runs that no record names rest on nothing that has to be stored: the
+// worker may forget them at once, and is not asked again and again.
+func TestEndsOfStrayRunsAreForgotten(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	for _, one := range w.workers {
+		for n := range 3 {
+			k := crew.Key{Task: fleet.Task{Job: "nobody", Index: n}, No: 1}
+			one.runs[k] = &running{left: time.Minute}
+			one.until = w.now.Add(time.Hour)
+		}
+	}
+	spans["known"] = time.Second
+	f := flow("known", "bulk", tasks(1, 1, time.Second))
+	w.accept(f)
+	w.done(f, 5*time.Second)
+	w.run(2 * time.Second)
+	w.looks = 0
+	w.run(5 * time.Second)
+	qt.Assert(t, w.looks < 10, qt.IsTrue, qt.Commentf("%d looks", w.looks))
+	for _, one := range w.workers {
+		qt.Assert(t, one.ends, qt.HasLen, 0)
+	}
+}
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -125,7 +125,7 @@
 		if end.No <= w.Seen {
 			continue
 		}
-		w.Seen = end.No
+		w.Seen, h.ends = end.No, true
 		h.ended(w, end)
 	}
 	if len(e.Sight.Ends) >= endsMost {
