--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -40,6 +40,7 @@
 	RunEnded        Code = 314
 	RunStopped      Code = 315
 	StartFailed     Code = 316
+	RunStarted      Code = 317
 	SpaceSet        Code = 401
 	SpaceDropped    Code = 402
 	DomainOut       Code = 403
@@ -125,6 +126,7 @@
 	{RunEnded, "run-ended", Info, "a worker lists the end of a task's run", "nothing"},
 	{RunStopped, "run-stopped", Info, "a task's run is stopped, and why", "nothing"},
 	{StartFailed, "start-failed", Warn, "a worker refused a start, or did not answer it", "look at the worker named"},
+	{RunStarted, "run-started", Info, "a worker says that a run is there, by its answer or in a look", "nothing"},
 	{SpaceSet, "space-set", Info, "a workspace was created or changed", "nothing"},
 	{SpaceDropped, "space-dropped", Info, "a workspace was removed", "nothing"},
 	{DomainOut, "domain-out", Warn, "a failure domain was taken out", "nothing"},
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -163,6 +163,7 @@
 	r.Foreign, r.Left = false, true
 	if r.Phase == crew.Sent || r.Phase == crew.Doubtful {
 		r.Phase, r.Since, r.Moved, r.From = crew.Running, h.now, h.now, seen.Percent
+		h.note(event.RunStarted, string(r.Task.Job), "%s by=look percent=%d", name(r.Task, r.No, w.Place.Host), seen.Percent)
 	}
 	h.learn(w, r)
 	if seen.Percent > r.Percent {
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -33,6 +33,7 @@
 	if e.Err == nil {
 		if r.Phase == crew.Sent || r.Phase == crew.Doubtful {
 			r.Phase, r.Since, r.Moved = crew.Running, h.now, h.now
+			h.note(event.RunStarted, string(r.Task.Job), "%s by=answer", name(r.Task, r.No, e.Host))
 		}
 		return
 	}
