Ask a worker whose lease has lapsed for its ends until it answers

Ruled out by a trace of every run: a start that was not sent, an end that was passed over, a lead that changed. TestEndsBehindACutAreStillAskedFor failed first.

--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -57,6 +57,8 @@
 	Taken fleet.EndNo // ends stored, the worker may forget them
 	Told  fleet.EndNo // ends that the worker knows it may forget
 
+	Owes time.Time // it may list ends that are not known, until then
+
 	Looking  int       // looks on their way
 	Heard    time.Time // last answer
 	Tried    time.Time // last look sent
@@ -224,29 +226,26 @@
 	return w, reborn
 }
 
-// Leave notes that a worker has no entry any more. One that takes nothing up is
-// forgotten.
+// Leave notes that a worker has no entry any more.
 func (c *Crew) Leave(id fleet.HostID) {
-	w, ok := c.Workers[id]
-	if !ok {
-		return
+	if w, ok := c.Workers[id]; ok {
+		w.Listed = false
 	}
-	w.Listed = false
-	c.forget(w)
 }
 
-func (c *Crew) forget(w *Worker) {
-	if w.Listed || len(w.Runs) > 0 || w.Looking > 0 {
+func (c *Crew) forget(w *Worker, now time.Time) {
+	if w.Listed || len(w.Runs) > 0 || w.Looking > 0 || now.Before(w.Owes) {
 		return
 	}
 	delete(c.Workers, w.Place.Host)
 	c.sorted = nil
 }
 
-// Sweep forgets the workers that have no entry and nothing running.
-func (c *Crew) Sweep() {
+// Sweep forgets the workers that have no entry, nothing running and no ends that
+// are not known.
+func (c *Crew) Sweep(now time.Time) {
 	for _, w := range c.Workers {
-		c.forget(w)
+		c.forget(w, now)
 	}
 }
 
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -385,3 +385,32 @@
 		qt.Assert(t, one.ends, qt.HasLen, 0)
 	}
 }
+
+// A worker that was cut off for longer than its lease may have ended its runs
+// before. It is asked for its ends once it can be reached, also if it has no entry
+// any more: a task that is done must not be run again to its end.
+func TestEndsBehindACutAreStillAskedFor(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	spans["behind"] = 4 * time.Second
+	f := flow("behind", "bulk", tasks(1, 1, 4*time.Second))
+	w.accept(f)
+	w.run(500 * time.Millisecond)
+	var one *worker
+	for _, o := range w.workers {
+		if len(o.runs) > 0 {
+			one = o
+		}
+	}
+	one.cut, one.unlisted = true, true
+	w.list()
+	w.until(limits.Lease+3*time.Second, "second start", func() bool { return w.starts("behind") == 2 })
+	spans["behind"] = time.Minute
+	for _, o := range w.workers {
+		for _, r := range o.runs {
+			r.left = time.Minute
+		}
+	}
+	one.cut = false
+	w.done(f, 3*time.Second)
+}
--- a/fleet/helm/list.go
+++ b/fleet/helm/list.go
@@ -85,6 +85,7 @@
 // gone notes that another process answers at a worker's address.
 func (h *Helm) gone(w *crew.Worker) {
 	h.lose(w, "another process answers at its address")
+	w.Owes = time.Time{}
 	h.crew.Leave(w.Place.Host)
 }
 
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -51,7 +51,7 @@
 	case w.Looking > 0:
 		return w.Looking == 1 && w.Synced && since >= settleGap && stopping(w)
 	case !w.Synced:
-		return (w.Listed || len(w.Runs) > 0) && since >= lookRetry
+		return (w.Listed || len(w.Runs) > 0 || h.now.Before(w.Owes)) && since >= lookRetry
 	case w.Heard.Before(w.Tried) && since < lookRetry:
 		return false
 	case w.Seen > w.Taken:
@@ -98,7 +98,7 @@
 	w.Tick(s.Clock, h.now)
 	w.Told = max(w.Told, e.Taken)
 	if !w.Synced {
-		w.Synced, h.changed = true, true
+		w.Synced, w.Owes, h.changed = true, time.Time{}, true
 	}
 	h.sights(w, e)
 }
--- a/fleet/helm/tend.go
+++ b/fleet/helm/tend.go
@@ -13,20 +13,24 @@
 	hangPercents = 5               // of a task's run time without progress; a sound one shows each percent
 )
 
+// owesSpan is how long a worker whose lease has lapsed is asked for its ends: cuts
+// are mostly shorter.
+const owesSpan = 30 * time.Second
+
 // tend looks after what runs: leases that lapsed, starts in doubt, stops
 // without an answer, runs that stand still or are not wanted any more.
 func (h *Helm) tend() {
 	for _, w := range h.crew.Sorted() {
 		if w.Leased() && h.now.After(w.Lapse()) {
 			h.lose(w, "its lease has lapsed")
-			w.Synced = false
+			w.Synced, w.Owes = false, h.now.Add(owesSpan)
 			continue
 		}
 		for _, r := range w.Sorted() {
 			h.tendRun(w, r)
 		}
 	}
-	h.crew.Sweep()
+	h.crew.Sweep(h.now)
 }
 
 func (h *Helm) tendRun(w *crew.Worker, r *crew.Run) {
