--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -1,6 +1,7 @@
 package helm_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -414,3 +415,21 @@
 	one.cut = false
 	w.done(f, 3*time.Second)
 }
+
+// Load pattern: a stream of urgent jobs against one long task. The task is
+// stopped for them a few times at most, and then runs to its end.
+func TestLongTaskEndsUnderAStreamOfUrgentJobs(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	spans["starved"] = 6 * time.Second
+	long := flow("starved", "bulk", tasks(1, 8, 6*time.Second))
+	w.accept(long)
+	for i := range 16 {
+		id := fmt.Sprintf("urgent%d", i)
+		spans[fleet.JobID(id)] = 1500 * time.Millisecond
+		w.hand(flow(id, "urgent", gang(2, 8, 1500*time.Millisecond)))
+		w.run(2500 * time.Millisecond)
+	}
+	qt.Assert(t, w.stage(long), qt.Equals, wire.Stage_COMPLETED)
+	qt.Assert(t, w.starts("starved") <= 4, qt.IsTrue)
+}
--- a/fleet/helm/plan.go
+++ b/fleet/helm/plan.go
@@ -13,6 +13,7 @@
 
 // Spans of planning.
 const (
+	evictMost  = 2                      // stops of work that keeps no checkpoints, after which it is let end
 	savedLoss  = 250 * time.Millisecond // work that keeps checkpoints loses the time of a restore
 	planSpan   = 250 * time.Millisecond // between two plans when nothing has changed
 	idleFar    = time.Second            // on a site with much free room, work that waits longer runs spread out
@@ -185,12 +186,10 @@
 	if u.priority != 0 || u.waited < clearAfter || h.now.Sub(u.job.cleared) < clearRetry {
 		return
 	}
-	c, ok := site.Clear(u.Unit, func(r *crew.Run) float64 { return h.price(u, r) })
-	if !ok || len(c.Runs) == 0 {
-		return
-	}
 	owed := h.owed(u.job)
-	if c.Cost > work(u) && (!owed || u.waited < owedClear) {
+	claims := owed && u.waited >= owedClear
+	c, ok := site.Clear(u.Unit, func(r *crew.Run) float64 { return h.price(u, r, claims) })
+	if !ok || len(c.Runs) == 0 || c.Cost > work(u) && !claims {
 		return
 	}
 	u.job.cleared = h.now
@@ -227,6 +226,7 @@
 func (h *Helm) evict(r *crew.Run, why string) {
 	j := h.jobs[r.Task.Job]
 	s := j.Step(r.Task)
+	j.evicted[s.Task(j.ID, member(s, r))]++
 	for i := range s.Tasks {
 		k := &s.Tasks[i]
 		if k.At == "" || i != r.Task.Index && !s.Spec.Gang {
@@ -240,13 +240,17 @@
 }
 
 // price tells what stopping a run would throw away, in seconds of a core;
-// negative if it may not be stopped for the unit.
-func (h *Helm) price(u unit, r *crew.Run) float64 {
+// negative if it may not be stopped for the unit. A unit that claims what is
+// guaranteed to its workspace stops whatever it takes.
+func (h *Helm) price(u unit, r *crew.Run, claims bool) float64 {
 	j, ok := h.jobs[r.Task.Job]
 	if !ok || j.Spec.Priority <= u.priority || r.Phase != crew.Running || j.Step(r.Task).Spec.Lasting {
 		return -1
 	}
 	s := j.Step(r.Task)
+	if !s.Spec.Saves && !claims && j.evicted[s.Task(j.ID, member(s, r))] >= evictMost {
+		return -1
+	}
 	lost := h.now.Sub(r.Since)
 	if s.Spec.Saves {
 		lost = min(lost, savedLoss)
@@ -258,6 +262,15 @@
 	return cost
 }
 
+// member returns the index under which the evictions of a run are counted: those
+// of a gang together.
+func member(s *flow.Step, r *crew.Run) int {
+	if s.Spec.Gang {
+		return 0
+	}
+	return r.Task.Index
+}
+
 // coresPerAccel weighs an accelerator against processor cores, as the platform
 // does in its prices.
 const coresPerAccel = 8
