--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -70,10 +70,11 @@
 	keeper   fleet.JobID // the job that its room is kept for
 	kept     time.Time   // until then
 	used     fleet.Res
-	clock    fleet.Ticks // as told in the newest answer
-	clockAt  time.Time   // when that arrived
-	until    fleet.Ticks // end of the longest lease that was sent
-	boundAll time.Time   // a lease that another lead gave has lapsed by then
+	clock    fleet.Ticks   // as told in the newest answer
+	clockAt  time.Time     // when that arrived
+	until    fleet.Ticks   // end of the longest lease that was sent
+	longest  time.Duration // lease that the platform allows
+	boundAll time.Time     // a lease that another lead gave has lapsed by then
 }
 
 // Free returns the room that is not taken. What is being stopped, or may still
@@ -188,11 +189,14 @@
 type Crew struct {
 	Workers map[fleet.HostID]*Worker
 
-	sorted []*Worker
+	longest time.Duration // lease that the platform allows
+	sorted  []*Worker
 }
 
-// New returns a crew without workers.
-func New() *Crew { return &Crew{Workers: map[fleet.HostID]*Worker{}} }
+// New returns a crew without workers, whose leases may last so long at most.
+func New(longest time.Duration) *Crew {
+	return &Crew{Workers: map[fleet.HostID]*Worker{}, longest: longest}
+}
 
 // Sorted returns the workers in the order of their names.
 func (c *Crew) Sorted() []*Worker {
@@ -211,7 +215,8 @@
 func (c *Crew) Enter(e fleet.WorkerEntry, rack string, now time.Time) (w *Worker, reborn bool) {
 	w, ok := c.Workers[e.Place.Host]
 	if !ok {
-		w = &Worker{Runs: map[Key]*Run{}, boundAll: now.Add(MaxForeign)}
+		w = &Worker{Runs: map[Key]*Run{}, longest: c.longest}
+		w.Bound(now)
 		c.Workers[e.Place.Host] = w
 		c.sorted = nil
 	}
--- a/fleet/crew/lease.go
+++ b/fleet/crew/lease.go
@@ -7,11 +7,6 @@
 )
 
 const (
-	// MaxForeign bounds how long a lease that a former lead gave may last. The
-	// platform shortens every lease to at most 10 s on a clock that may be 2%
-	// slow.
-	MaxForeign = 10500 * time.Millisecond
-
 	slowClock  = 0.98                   // a worker's clock may run so much slower than ours
 	lapseSlack = 500 * time.Millisecond // to end everything once the lease has passed
 )
@@ -64,5 +59,8 @@
 	w.Bound(now)
 }
 
-// Bound notes that something holds a lease that is not known, given by now.
-func (w *Worker) Bound(now time.Time) { w.boundAll = now.Add(MaxForeign) }
+// Bound notes that something holds a lease that is not known, given by now. No
+// lease is longer than the platform's limit, on a clock that may be slow.
+func (w *Worker) Bound(now time.Time) {
+	w.boundAll = now.Add(time.Duration(float64(w.longest)/slowClock) + lapseSlack)
+}
--- a/fleet/helm/list.go
+++ b/fleet/helm/list.go
@@ -67,11 +67,15 @@
 
 // remaining estimates how long a run still takes.
 func (h *Helm) remaining(j *job, r *crew.Run) time.Duration {
-	elapsed := h.now.Sub(r.Since)
+	return max(h.whole(j, r)*time.Duration(100-r.From)/100-h.now.Sub(r.Since), 0)
+}
+
+// whole estimates how long a run takes from its beginning to its end.
+func (h *Helm) whole(j *job, r *crew.Run) time.Duration {
 	if done := r.Percent - r.From; done >= tellingPercent {
-		return elapsed * time.Duration(100-r.Percent) / time.Duration(done)
+		return h.now.Sub(r.Since) * 100 / time.Duration(done)
 	}
-	return max(h.span(j, j.Step(r.Task))-elapsed, 0)
+	return h.span(j, j.Step(r.Task))
 }
 
 // rackOf returns the rack among a worker's labels: the second one.
--- a/fleet/helm/plan.go
+++ b/fleet/helm/plan.go
@@ -248,7 +248,7 @@
 		return -1
 	}
 	s := j.Step(r.Task)
-	if !s.Spec.Saves && !claims && j.evicted[s.Task(j.ID, member(s, r))] >= evictMost {
+	if !s.Spec.Saves && !claims && !h.spares(j, s, r) {
 		return -1
 	}
 	lost := h.now.Sub(r.Since)
@@ -262,6 +262,13 @@
 	return cost
 }
 
+// spares reports whether a job can do without a run that would have to begin
+// anew: it was not stopped often already, and may still end in time.
+func (h *Helm) spares(j *job, s *flow.Step, r *crew.Run) bool {
+	due := j.Rounds[s.Round].Due.Add(h.goal(j))
+	return j.evicted[s.Task(j.ID, member(s, r))] < evictMost && h.now.Add(h.whole(j, r)).Before(due)
+}
+
 // member returns the index under which the evictions of a run are counted: those
 // of a gang together.
 func member(s *flow.Step, r *crew.Run) int {
