--- a/fleet/queue/queue.go
+++ b/fleet/queue/queue.go
@@ -15,16 +15,14 @@
 // Queue is one line of waiting jobs.
 type Queue struct {
 	Name     string
-	Host     string // host name that callers use
-	Prefix   string // longest path prefix wins
-	Service  string // the workers that run its tasks
-	Timeout  time.Duration
+	Host     string        // host name that callers use
+	Prefix   string        // longest path prefix wins
+	Service  string        // the workers that run its tasks
 	Target   time.Duration // added to the slowdown for the objective
 	Slowdown float64       // objective as a multiple of the longest chain
 	Priority Priority
 	Attempts int // fails of a task that fail its job
 	Open     bool
-	Advised  bool // a policy outside decides which workers may run a step
 }
 
 // Space is a workspace.
@@ -34,19 +32,12 @@
 	Accels fleet.Accels // guaranteed to its jobs of priority 0
 }
 
-// Service is a pool of workers.
-type Service struct {
-	Name   string
-	Guards bool // its workers refuse what does not fit
-}
-
 // Config is one version of the operator's configuration. It never changes.
 type Config struct {
-	Version  int64
-	Queues   []Queue
-	Spaces   []Space
-	Services []Service
-	MaxBody  int // bytes
+	Version int64
+	Queues  []Queue
+	Spaces  []Space
+	MaxBody int // bytes
 
 	keys   map[string]fleet.SpaceID
 	byName map[string]*Queue
@@ -113,16 +104,6 @@
 	return 0
 }
 
-// Guards reports whether the workers of a service refuse what does not fit.
-func (c *Config) Guards(service string) bool {
-	for _, s := range c.Services {
-		if s.Name == service {
-			return s.Guards
-		}
-	}
-	return false
-}
-
 // Orders are what the operator wants at one time.
 type Orders struct {
 	Config *Config // nil before the first
--- a/fleet/queue/queue_test.go
+++ b/fleet/queue/queue_test.go
@@ -17,8 +17,7 @@
 			{Name: "jobs", Host: "a.example", Prefix: "/jobs/"},
 			{Name: "other", Host: "b.example", Prefix: "/jobs/"},
 		},
-		Spaces:   []queue.Space{{Name: "s", Keys: []string{"k1", "k2"}, Accels: 16}},
-		Services: []queue.Service{{Name: "desk", Guards: true}},
+		Spaces: []queue.Space{{Name: "s", Keys: []string{"k1", "k2"}, Accels: 16}},
 	})
 }
 
@@ -53,8 +52,6 @@
 	_, ok = c.Holder("")
 	qt.Assert(t, ok, qt.IsFalse)
 	qt.Assert(t, c.Guaranteed("nobody"), qt.Equals, fleet.Accels(0))
-	qt.Assert(t, c.Guards("desk"), qt.IsTrue)
-	qt.Assert(t, c.Guards("other"), qt.IsFalse)
 	var none *queue.Config
 	qt.Assert(t, none.Queue("jobs"), qt.IsNil)
 }
