--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -29,7 +29,8 @@
 // gives.
 const (
 	lameSpan = 2500 * time.Millisecond // until the balancer has seen that the daemon leaves
-	endSpan  = 2 * time.Second         // for calls that still run
+	endSpan  = 2 * time.Second         // for callers' calls that still run
+	callSpan = 500 * time.Millisecond  // for calls to the store and to workers
 )
 
 // memoryShare is the part of the host's memory that the heap may grow to
@@ -102,8 +103,8 @@
 	cancel()
 	s.air.conn.Close()
 	<-s.loop.Ended()
-	s.carrier.group.Wait()
 	s.timer.Wait()
+	s.await(callSpan)
 	s.tell(event.ProcessStopped, string(s.self.Host), "")
 	return errors.Join(errs, group.Wait(), s.lines.Close())
 }
@@ -195,6 +196,20 @@
 	return ""
 }
 
+// await waits for calls to the store and to workers, which nobody needs any more,
+// for no longer than a span: a process that stays too long is killed.
+func (s *Site) await(span time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		s.carrier.group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(span): // a read of the store may wait for seconds
+	}
+}
+
 // leave takes the daemon out of use: the lead goes to another daemon, the
 // balancer sends no new callers, and those who are here are served on.
 func (s *Site) leave() {
