Let a worker's next look tell what its new process runs

Nothing is given up now before a look at the new process does not show it. TestStartAnsweredByTheNextProcessIsKept failed first.

--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -435,3 +435,22 @@
 	qt.Assert(t, w.stage(long), qt.Equals, wire.Stage_COMPLETED)
 	qt.Assert(t, w.starts("starved") <= 4, qt.IsTrue)
 }
+
+// A worker's next process may answer a start before anything tells that it is
+// another one. What it runs is for its next look to say. Found by the soak, seed
+// 511.
+func TestStartAnsweredByTheNextProcessIsKept(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	spans["kept"] = 2 * time.Second
+	for _, one := range w.workers {
+		one.crash(w.now)
+	}
+	f := flow("kept", "bulk", tasks(1, 1, 2*time.Second))
+	w.accept(f)
+	w.until(time.Second, "start", func() bool { return w.running("kept") == 1 })
+	w.run(20 * time.Millisecond)
+	w.list()
+	w.done(f, 4*time.Second)
+	qt.Assert(t, w.starts("kept"), qt.Equals, 1)
+}
--- a/fleet/helm/list.go
+++ b/fleet/helm/list.go
@@ -101,17 +101,14 @@
 	}
 }
 
-// reborn closes the runs of a worker that has started anew. A start without an
-// answer may still be carried out by the new process.
+// reborn notes that a worker has started anew. Its next look tells which runs the
+// new process has: it may have answered a start before anything told that it is
+// another one, and a start without an answer may still be carried out by it.
 func (h *Helm) reborn(w *crew.Worker) {
 	h.note(event.WorkerLost, string(w.Place.Host), "runs=%d heard=%s ago: its process is another one", len(w.Runs), h.now.Sub(w.Heard))
 	for _, r := range w.Sorted() {
-		switch {
-		case r.Phase == crew.Sent && !r.Left:
-		case r.Phase == crew.Sent || r.Phase == crew.Doubtful && !r.Foreign:
+		if r.Phase == crew.Sent && r.Left {
 			r.Phase, r.Since = crew.Doubtful, h.now
-		default:
-			h.close(w, r, "the worker's process is another one")
 		}
 	}
 }
