--- a/deckd/soak/soak_test.go
+++ b/deckd/soak/soak_test.go
@@ -31,6 +31,7 @@
 	103, // none in the daemon: the ledger took the end of a second run for that of a first
 	110, // a lead waited for ever for an append that the store had forgotten
 	116, // a start on its way was carried out by the worker's next process
+	519, // a job that had failed elsewhere spent its attempts on the next such worker at once
 	511, // a start that the next process had answered was given up when that became known
 }
 
--- a/fleet/helm/ends.go
+++ b/fleet/helm/ends.go
@@ -41,10 +41,15 @@
 	}
 }
 
+// failedSpan is how long a worker is closed to a job that failed there, so that
+// the job does not spend its attempts on it within an instant.
+const failedSpan = 2 * time.Second
+
 func (h *Helm) failed(w *crew.Worker, j *job, e fleet.EndSeen) {
 	j.Fail(e.Task, e.Run, h.attempts(j), h.now)
-	elsewhere := len(j.failed) > 1 || len(j.failed) == 1 && !j.failed[w.Place.Host]
-	j.failed[w.Place.Host] = true
+	_, here := j.failed[w.Place.Host]
+	elsewhere := len(j.failed) > 1 || len(j.failed) == 1 && !here
+	j.failed[w.Place.Host] = h.now.Add(failedSpan)
 	if !elsewhere && w.Failed(h.now) {
 		h.note(event.WorkerAside, string(w.Place.Host), "fails=%d until=%s", w.Fails, w.Aside.Sub(h.now))
 	}
--- a/fleet/helm/hand.go
+++ b/fleet/helm/hand.go
@@ -24,9 +24,9 @@
 	stored  bool      // accepted
 	dirty   bool
 	waiters []waiting
-	cleared time.Time             // when runs were last stopped for it
-	failed  map[fleet.HostID]bool // workers on which one of its tasks failed
-	evicted map[fleet.Task]int    // how often tasks were stopped for others
+	cleared time.Time                  // when runs were last stopped for it
+	failed  map[fleet.HostID]time.Time // workers on which one of its tasks failed, closed to it until then
+	evicted map[fleet.Task]int         // how often tasks were stopped for others
 }
 
 // waiting is a caller who waits until a job is stored.
@@ -36,7 +36,7 @@
 }
 
 func newJob(f *flow.Job, now time.Time) *job {
-	return &job{Job: f, began: now, failed: map[fleet.HostID]bool{}, evicted: map[fleet.Task]int{}}
+	return &job{Job: f, began: now, failed: map[fleet.HostID]time.Time{}, evicted: map[fleet.Task]int{}}
 }
 
 // handIn takes a job in, or refuses it at once.
--- a/fleet/helm/helm_test.go
+++ b/fleet/helm/helm_test.go
@@ -454,3 +454,23 @@
 	w.done(f, 4*time.Second)
 	qt.Assert(t, w.starts("kept"), qt.Equals, 1)
 }
+
+// A job that has failed elsewhere is no proof against the next worker that fails
+// it, and does not spend its attempts there at once. Found by the soak, seed 519.
+func TestJobDoesNotSpendItsAttemptsOnOneWorkerAtOnce(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	for _, one := range w.workers {
+		one.fails = true
+	}
+	f := flow("unlucky", "bulk", tasks(1, 1, time.Second))
+	f.Attempts = 4
+	w.accept(f)
+	w.run(900 * time.Millisecond)
+	qt.Assert(t, w.starts("unlucky") <= 2, qt.IsTrue, qt.Commentf("%d starts", w.starts("unlucky")))
+	for _, one := range w.workers {
+		one.fails = false
+	}
+	spans["unlucky"] = time.Second
+	w.done(f, 8*time.Second)
+}
--- a/fleet/pack/pack.go
+++ b/fleet/pack/pack.go
@@ -19,9 +19,14 @@
 	Job     *flow.Job
 	Step    *flow.Step
 	Service string
-	Indexes []int                 // tasks of the step that need a worker
-	Far     bool                  // it may run away from its data, or on several racks
-	Avoid   map[fleet.HostID]bool // workers that failed it: the last to be taken
+	Indexes []int                      // tasks of the step that need a worker
+	Far     bool                       // it may run away from its data, or on several racks
+	Avoid   map[fleet.HostID]time.Time // workers that failed it: closed to it until then, and the last to be taken
+}
+
+func (u Unit) failedOn(s seat) bool {
+	_, ok := u.Avoid[s.worker.Place.Host]
+	return ok
 }
 
 // Site is what placement reads.
@@ -73,7 +78,7 @@
 }
 
 func (s *Site) may(u Unit, w *crew.Worker) bool {
-	return w.Service == u.Service && w.Usable(s.Now) && !s.Out[w.Domain] && w.Has(u.Step.Spec.Label) && w.OpenTo(u.Job.ID, s.Now)
+	return !s.Now.Before(u.Avoid[w.Place.Host]) && w.Service == u.Service && w.Usable(s.Now) && !s.Out[w.Domain] && w.Has(u.Step.Spec.Label) && w.OpenTo(u.Job.ID, s.Now)
 }
 
 // fits returns how many tasks of the unit some room of a worker takes.
@@ -179,7 +184,7 @@
 func (s *Site) fill(u Unit, open []seat) []Spot {
 	open = slices.Clone(open)
 	slices.SortStableFunc(open, func(a, b seat) int {
-		if x, y := u.Avoid[a.worker.Place.Host], u.Avoid[b.worker.Place.Host]; x != y {
+		if x, y := u.failedOn(a), u.failedOn(b); x != y {
 			if x {
 				return 1
 			}
--- a/fleet/pack/pack_test.go
+++ b/fleet/pack/pack_test.go
@@ -123,8 +123,11 @@
 	u := unit(step(1, 1))
 	busy(all[0], 4)
 	qt.Assert(t, s.Place(u)[0].Worker, qt.Equals, all[0])
-	u.Avoid = map[fleet.HostID]bool{all[0].Place.Host: true}
+	u.Avoid = map[fleet.HostID]time.Time{all[0].Place.Host: now}
 	qt.Assert(t, s.Place(u)[0].Worker, qt.Equals, all[1])
+	u.Avoid[all[0].Place.Host] = now.Add(time.Second)
+	busy(all[1], 8)
+	qt.Assert(t, s.Place(u), qt.HasLen, 0)
 }
 
 // Load pattern: an urgent gang against long work that fills every rack. The
