--- a/deckd/soak/soak_test.go
+++ b/deckd/soak/soak_test.go
@@ -143,7 +143,10 @@
 		list = append(list, rand.Uint64())
 	}
 	for _, seed := range list {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed)
+		})
 	}
 }
 
