--- a/fleet/helm/box.go
+++ b/fleet/helm/box.go
@@ -57,8 +57,6 @@
 	seen    map[fleet.HostID]fleet.EndNo
 }
 
-func newBox() box { return box{} }
-
 // stuck reports whether the store seems to be away.
 func (b *box) stuck(now time.Time) bool {
 	return b.sent != nil && now.Sub(b.sent.first) > stuckSpan
--- a/fleet/helm/hand.go
+++ b/fleet/helm/hand.go
@@ -9,19 +9,16 @@
 	"dragonflydeck.example/fleet/wire"
 )
 
-// Spans that callers are told to stay away.
-const (
-	awayRetry = 1500 * time.Millisecond // while the store does not answer
-	leadRetry = 1000 * time.Millisecond // while the site has no lead: its replacement takes about so long
-)
+// awayRetry is how long callers are told to stay away while the store does not
+// answer.
+const awayRetry = 1500 * time.Millisecond
 
 const storeAway = "the store does not answer"
 
 // job is a job and what only the present lead knows of it.
 type job struct {
 	*flow.Job
-	began   time.Time // when this lead got to know it
-	stored  bool      // accepted
+	stored  bool // accepted
 	dirty   bool
 	waiters []waiting
 	cleared time.Time                  // when runs were last stopped for it
@@ -35,8 +32,8 @@
 	until  time.Time
 }
 
-func newJob(f *flow.Job, now time.Time) *job {
-	return &job{Job: f, began: now, failed: map[fleet.HostID]time.Time{}, evicted: map[fleet.Task]int{}}
+func newJob(f *flow.Job) *job {
+	return &job{Job: f, failed: map[fleet.HostID]time.Time{}, evicted: map[fleet.Task]int{}}
 }
 
 // handIn takes a job in, or refuses it at once.
@@ -58,7 +55,7 @@
 		return
 	}
 	e.Flow.At = h.now.UnixMilli()
-	j := newJob(flow.New(e.Flow), h.now)
+	j := newJob(flow.New(e.Flow))
 	if retry, why := h.admit(j); why != "" {
 		h.refuse(e, retry, why)
 		return
--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -95,7 +95,7 @@
 func (h *Helm) reset() {
 	h.jobs = map[fleet.JobID]*job{}
 	h.crew = crew.New(h.limits.Lease)
-	h.box = newBox()
+	h.box = box{}
 	h.guesses = map[string]*guess{}
 	h.peers = map[*flow.Step]*peers{}
 }
--- a/fleet/helm/stand.go
+++ b/fleet/helm/stand.go
@@ -86,7 +86,7 @@
 				h.note(event.RecordBad, r.Key, "offset=%d: %v", r.Offset, err)
 				continue
 			}
-			j := newJob(flow.New(f), h.now)
+			j := newJob(flow.New(f))
 			j.stored = true
 			h.jobs[j.ID] = j
 		case len(r.Key) > len(trackKey) && r.Key[:len(trackKey)] == trackKey:
