--- a/deckd/site/intake.go
+++ b/deckd/site/intake.go
@@ -178,7 +178,7 @@
 func (s *Site) atLead(until time.Time, here func() *wire.FlowReply, there func(context.Context, wire.Site) (*wire.FlowReply, error)) *wire.FlowReply {
 	giveUp := earlier(until, leadWait)
 	for {
-		r := s.leadOnce(until, here, there)
+		r := leadOnce(s, until, here, there)
 		if r != nil && r.Verdict != wire.Verdict_ASTRAY {
 			return r
 		}
@@ -189,7 +189,8 @@
 	}
 }
 
-func (s *Site) leadOnce(until time.Time, here func() *wire.FlowReply, there func(context.Context, wire.Site) (*wire.FlowReply, error)) *wire.FlowReply {
+// leadOnce asks the lead once; nil if there is no answer.
+func leadOnce[T any](s *Site, until time.Time, here func() *T, there func(context.Context, wire.Site) (*T, error)) *T {
 	if s.leading.Load() {
 		return here()
 	}
@@ -224,18 +225,9 @@
 // Backlog asks the lead how many jobs of a queue wait.
 func (s *Site) Backlog(c fleet.Caller, until time.Time) *wire.BacklogReply {
 	ask := &wire.BacklogAsk{Queue: c.Queue}
-	if s.leading.Load() {
-		return s.backlogHere(ask, until)
-	}
-	addr := s.leadAddr()
-	if addr == "" {
-		return &wire.BacklogReply{Verdict: wire.Verdict_UNKNOWN}
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), earlier(until, askSpan))
-	defer cancel()
-	r, err := s.pool.Site(addr).Backlog(ctx, ask)
-	if err != nil {
-		s.tellCall("ask for the backlog", addr, err)
+	r := leadOnce(s, until, func() *wire.BacklogReply { return s.backlogHere(ask, until) },
+		func(ctx context.Context, lead wire.Site) (*wire.BacklogReply, error) { return lead.Backlog(ctx, ask) })
+	if r == nil {
 		return &wire.BacklogReply{Verdict: wire.Verdict_UNKNOWN}
 	}
 	return r
