Look an append in doubt up by reads that overlap

Cause: while the store is silent, a lookup hangs for 1.2 s, and the next try came only after it. Ruled out: the callers' retries (they came at 22.2, 22.9 and 23.4 s) and the followers of other topics (they read again from 22.3 s on). Change: a lookup without an answer is asked again beside the first each 250 ms; the first answer counts. Test: TestJobsAreAcceptedSoonAfterTheStoreIsBack failed first (0.67 to 1.1 s).

--- a/fleet/helm/away_test.go
+++ b/fleet/helm/away_test.go
@@ -1,6 +1,7 @@
 package helm_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,3 +77,25 @@
 	w.run(2 * time.Second)
 	qt.Assert(t, w.farewells, qt.Equals, said)
 }
+
+// Load pattern: the store is silent for seconds while jobs arrive. The first job
+// after its return is accepted within half a second, although calls made before
+// still hang.
+func TestJobsAreAcceptedSoonAfterTheStoreIsBack(t *testing.T) {
+	for away := 1900 * time.Millisecond; away < 4*time.Second; away += 300 * time.Millisecond {
+		w := newWorld(t, 1, 2)
+		w.lead()
+		w.store.down = true
+		w.hand(flow("first", "bulk", tasks(1, 1, time.Second)))
+		w.run(away)
+		w.store.down = false
+		back := w.now
+		w.until(time.Second, "accept", func() bool {
+			id := w.hand(flow(fmt.Sprint("next", w.now.UnixMilli()), "bulk", tasks(1, 1, time.Second)))
+			w.run(30 * time.Millisecond)
+			return w.hands[id].GetVerdict() == wire.Verdict_OK
+		})
+		took := w.now.Sub(back)
+		qt.Check(t, took <= 500*time.Millisecond, qt.IsTrue, qt.Commentf("away for %s: accepted %s after the store was back", away, took))
+	}
+}
--- a/fleet/helm/box.go
+++ b/fleet/helm/box.go
@@ -16,6 +16,7 @@
 	batchBytes = 512 << 10              // a quarter of the platform's limit for one call
 	retrySpan  = 100 * time.Millisecond // between two tries of an append
 	stuckSpan  = 600 * time.Millisecond // an append of a few milliseconds that takes so long shows that the store is away
+	checkSpan  = 250 * time.Millisecond // a read that takes longer than a slow store's is asked again beside the first: it may hang on a dead connection
 )
 
 // box holds what must be stored before it takes effect. One batch is on its way
@@ -51,6 +52,8 @@
 	at      fleet.Offset
 	first   time.Time // first tried
 	retry   time.Time // tried again not before; zero while a try is out
+	doubt   bool      // whether it took effect is being looked up
+	asked   time.Time // the newest lookup was sent
 	accepts []*job
 	drops   []held
 	starts  []order
@@ -74,10 +77,7 @@
 func (h *Helm) flush() {
 	b := &h.box
 	if b.sent != nil {
-		if s := b.sent; !s.retry.IsZero() && !h.now.Before(s.retry) {
-			s.retry = time.Time{}
-			h.do(Append{b.serial, s.at, s.records})
-		}
+		h.pursue(b.sent)
 		return
 	}
 	if len(b.accepts)+len(b.drops)+len(b.dirty)+len(b.dead) == 0 {
@@ -89,6 +89,23 @@
 	h.do(Append{b.serial, b.sent.at, b.sent.records})
 }
 
+// pursue tries a batch again, or looks again whether it took effect.
+func (h *Helm) pursue(s *batch) {
+	switch {
+	case s.doubt && h.now.Sub(s.asked) >= checkSpan:
+		h.check(s)
+	case !s.retry.IsZero() && !h.now.Before(s.retry):
+		s.retry = time.Time{}
+		h.do(Append{h.box.serial, s.at, s.records})
+	}
+}
+
+// check looks up whether a batch took effect.
+func (h *Helm) check(s *batch) {
+	s.doubt, s.asked = true, h.now
+	h.do(Check{h.box.serial, s.at})
+}
+
 // release lets workers forget the ends that nothing has to be stored for.
 func (h *Helm) release() {
 	if !h.ends {
@@ -151,23 +168,24 @@
 		h.commit(e.End)
 		return
 	}
+	if b.sent.doubt {
+		return // an answer to an earlier try; the lookup tells more
+	}
 	switch fleet.KindOf(e.Err) {
 	case fleet.Moved:
-		h.do(Check{b.serial, b.sent.at})
+		h.check(b.sent)
 	case fleet.Doubt:
 		// A read tells sooner than another append, whose answer may be lost too.
 		h.noteRetry("append", e.Err)
-		h.do(Check{b.serial, b.sent.at})
+		h.check(b.sent)
 	default:
-		h.retry("append", e.Err)
+		h.retry(e.Err)
 	}
 }
 
 // retry tries the append again after a while.
-func (h *Helm) retry(op string, err error) {
-	if h.box.sent.retry.IsZero() {
-		h.noteRetry(op, err)
-	}
+func (h *Helm) retry(err error) {
+	h.noteRetry("append", err)
 	h.box.sent.retry = h.now.Add(retrySpan)
 }
 
@@ -180,11 +198,11 @@
 // another lead: whoever else appends has claimed before.
 func (h *Helm) checked(e Checked) {
 	b := &h.box
-	if b.sent == nil || e.Batch != b.serial {
+	if b.sent == nil || e.Batch != b.serial || !b.sent.doubt {
 		return
 	}
 	if e.Err != nil {
-		h.retry("check", e.Err)
+		h.noteRetry("check", e.Err)
 		return
 	}
 	claimed := slices.ContainsFunc(e.Records, func(r fleet.Record) bool { return r.Key == LeadKey })
@@ -195,7 +213,7 @@
 		h.commit(end)
 	default:
 		// It has not taken effect, and may still do so as long as nothing else does.
-		h.box.sent.retry = h.now
+		b.sent.doubt, b.sent.retry = false, h.now
 	}
 }
 
