--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,51 @@
+package engine_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"dragonflydeck.example/standin/engine"
+	qt "github.com/frankban/quicktest"
+	"github.com/valyala/fasthttp"
+)
+
+// start begins a run on an engine.
+func start(t *testing.T, e *engine.Engine, task string, need engine.Need) {
+	t.Helper()
+	body, err := json.Marshal(map[string]any{"task": task, "run": 1, "spec": need.Spec(), "untilMs": 60000, "fencingToken": 1})
+	qt.Assert(t, err, qt.IsNil)
+	var ctx fasthttp.RequestCtx
+	ctx.Request.Header.SetMethod(fasthttp.MethodPost)
+	ctx.Request.SetRequestURI("/run-start")
+	ctx.Request.SetBody(body)
+	e.Handle(&ctx)
+	qt.Assert(t, ctx.Response.StatusCode(), qt.Equals, fasthttp.StatusOK)
+}
+
+// The members of a gang end together, whichever engine is looked at first.
+func TestMembersOfAGangEndTogether(t *testing.T) {
+	ledger := engine.NewLedger()
+	var engines []*engine.Engine
+	for i := range 3 {
+		engines = append(engines, engine.New(engine.Options{
+			ID: fmt.Sprint("w", i), Cores: 8000, Mem: 8192, Accels: 8, Lease: time.Minute, Gang: 3 * time.Second, Ledger: ledger,
+		}))
+	}
+	need := engine.Need{Accels: 1, Gang: 3, Span: 20 * time.Millisecond}
+	for i, e := range engines {
+		start(t, e, fmt.Sprintf("job.0.0.%d", i), need)
+	}
+	for _, e := range engines {
+		e.Tick()
+	}
+	qt.Assert(t, ledger.Running("job"), qt.Equals, 3)
+	time.Sleep(2 * need.Span)
+	engines[1].Tick()
+	qt.Assert(t, ledger.Running("job"), qt.Equals, 0)
+	for _, e := range engines {
+		e.Tick()
+	}
+	qt.Assert(t, ledger.Broken(), qt.HasLen, 0)
+}
