Turn callers away at once where no lead is heard, and send nothing to a silent lead

Cause: in a failure domain that is cut off, jobs were sent to a lead that could not answer (504 after 1.5 s), or held for 1.6 s and then refused; the daemon stayed ready for 1.8 s, so that the balancer sent callers there for 3 to 4 s of a cut of 5.6 s, and open connections stayed. Ruled out: passing jobs through the store, which a domain that is cut off does not reach either. A job in doubt is handed to the next lead as soon as one is known, whose refusal is then true: a lead takes no job that was meant for another term. Tests: passon_test.go replays the load patterns; it was written with the new decisions, which stood inside a loop with clocks before and had no test.

--- a/deckd/site/intake.go
+++ b/deckd/site/intake.go
@@ -70,29 +70,29 @@
 	took := time.Since(begun)
 	callSeconds(call).UpdateDuration(begun)
 	callCount(call, v).Inc()
-	s.tell(event.CallAnswered, id, "call=%s verdict=%s lead=%s here=%t took=%s %s", call, v, s.leadAddr(), s.leading.Load(), took, why)
+	s.tell(event.CallAnswered, id, "call=%s verdict=%s lead=%s here=%t took=%s %s", call, v, s.leadAddr(), s.view.Load().here, took, why)
 }
 
 // handUntil hands a job in until a lead has answered. It may be handed in again
 // at another lead, as its id makes it one job.
 func (s *Site) handUntil(f *wire.Flow, until time.Time) *wire.HandReply {
-	doubt := false
-	giveUp := earlier(until, leadWait)
+	now := time.Now()
+	p := passing{begun: now, until: until}
 	for {
-		r, sent := s.handOnce(f, until)
-		if r.GetVerdict() != wire.Verdict_ASTRAY && r != nil && (r.Verdict != wire.Verdict_REFUSED || !doubt) {
-			return r
-		}
-		doubt = doubt || sent
-		if time.Now().After(giveUp) {
-			break
+		v := s.view.Load()
+		switch p.next(*v, now) {
+		case passOn:
+			if r, sent := s.handOnce(*v, f, until); p.took(*v, r, sent) {
+				return r
+			}
+		case turnDown:
+			return &wire.HandReply{Verdict: wire.Verdict_REFUSED, Retry: leadRetry.Milliseconds(), Why: "no lead of the site is heard"}
+		case giveUp:
+			return &wire.HandReply{Verdict: wire.Verdict_UNKNOWN, Why: "the lead of the site did not answer"}
 		}
 		time.Sleep(againSpan)
+		now = time.Now()
 	}
-	if doubt {
-		return &wire.HandReply{Verdict: wire.Verdict_UNKNOWN, Why: "the lead of the site did not answer"}
-	}
-	return &wire.HandReply{Verdict: wire.Verdict_REFUSED, Retry: leadRetry.Milliseconds(), Why: "the site has no lead at the moment"}
 }
 
 // fill writes into a job what its queue asks for now.
@@ -116,28 +116,46 @@
 
 // handOnce hands a job in at the lead. Sent tells, without an answer, whether
 // the lead may have it.
-func (s *Site) handOnce(f *wire.Flow, until time.Time) (r *wire.HandReply, sent bool) {
-	if s.leading.Load() {
-		return s.handHere(f, until), false
+func (s *Site) handOnce(v view, f *wire.Flow, until time.Time) (r *wire.HandReply, sent bool) {
+	if v.here {
+		return s.handHere(f, v.term, until), false
 	}
-	addr := s.leadAddr()
-	if addr == "" {
+	if v.addr == "" {
 		return nil, false
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), earlier(until, leadWait))
-	defer cancel()
-	r, err := s.pool.Site(addr).Hand(ctx, &wire.HandAsk{Flow: f, Limit: time.Until(until).Milliseconds()})
-	if err != nil {
-		s.tellCall("hand job "+f.Id+" in", addr, err)
-		return nil, !link.NotSent(err)
+	type outcome struct {
+		reply *wire.HandReply
+		err   error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), earlier(until, leadWait))
+		defer cancel()
+		r, err := s.pool.Site(v.addr).Hand(ctx, &wire.HandAsk{Flow: f, Limit: time.Until(until).Milliseconds(), Term: int64(v.term)})
+		done <- outcome{r, err}
+	}()
+	again := time.NewTicker(againSpan)
+	defer again.Stop()
+	for {
+		select {
+		case o := <-done:
+			if o.err != nil {
+				s.tellCall("hand job "+f.Id+" in", v.addr, o.err)
+				return nil, !link.NotSent(o.err)
+			}
+			return o.reply, false
+		case <-again.C:
+			if s.view.Load().term > v.term {
+				return nil, true // the next lead tells what became of the job
+			}
+		}
 	}
-	return r, false
 }
 
 // handHere hands a job in at this daemon's own helm.
-func (s *Site) handHere(f *wire.Flow, until time.Time) *wire.HandReply {
+func (s *Site) handHere(f *wire.Flow, term fleet.Term, until time.Time) *wire.HandReply {
 	id, answer := s.hands.add()
-	s.loop.Post(helm.HandedIn{Waiter: id, Flow: f, Until: until})
+	s.loop.Post(helm.HandedIn{Waiter: id, Flow: f, Term: term, Until: until})
 	return wait(s.hands, id, answer, until, &wire.HandReply{Verdict: wire.Verdict_UNKNOWN, Why: "the job was not stored in time"})
 }
 
@@ -176,13 +194,13 @@
 
 // atLead asks the lead until it answers or the time is over.
 func (s *Site) atLead(until time.Time, here func() *wire.FlowReply, there func(context.Context, wire.Site) (*wire.FlowReply, error)) *wire.FlowReply {
-	giveUp := earlier(until, leadWait)
+	by := earlier(until, leadWait)
 	for {
 		r := leadOnce(s, until, here, there)
 		if r != nil && r.Verdict != wire.Verdict_ASTRAY {
 			return r
 		}
-		if time.Now().After(giveUp) {
+		if time.Now().After(by) || s.view.Load().lone {
 			return &wire.FlowReply{Verdict: wire.Verdict_UNKNOWN}
 		}
 		time.Sleep(againSpan)
@@ -191,18 +209,18 @@
 
 // leadOnce asks the lead once; nil if there is no answer.
 func leadOnce[T any](s *Site, until time.Time, here func() *T, there func(context.Context, wire.Site) (*T, error)) *T {
-	if s.leading.Load() {
+	v := s.view.Load()
+	if v.here {
 		return here()
 	}
-	addr := s.leadAddr()
-	if addr == "" {
+	if v.addr == "" || !v.fresh {
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), earlier(until, askSpan))
 	defer cancel()
-	r, err := there(ctx, s.pool.Site(addr))
+	r, err := there(ctx, s.pool.Site(v.addr))
 	if err != nil {
-		s.tellCall("ask the lead", addr, err)
+		s.tellCall("ask the lead", v.addr, err)
 		return nil
 	}
 	return r
--- a/deckd/site/metrics.go
+++ b/deckd/site/metrics.go
@@ -13,11 +13,11 @@
 // metrics returns the counters of the process as text.
 func (s *Site) metrics() (int, string) {
 	var w strings.Builder
-	fmt.Fprintf(&w, "deckd_lead %d\n", bit(s.leading.Load()))
+	v := s.view.Load()
+	fmt.Fprintf(&w, "deckd_lead %d\n", bit(v.here))
 	fmt.Fprintf(&w, "deckd_ready %d\n", bit(s.Ready()))
-	lead := s.lead.Load()
-	if lead != nil {
-		fmt.Fprintf(&w, "deckd_lead_known{addr=%q} 1\n", *lead)
+	if v.term > 0 {
+		fmt.Fprintf(&w, "deckd_lead_known{addr=%q} 1\n", v.addr)
 	}
 	metrics.WritePrometheus(&w, true)
 	return http.StatusOK, w.String()
--- a/deckd/site/peer.go
+++ b/deckd/site/peer.go
@@ -22,13 +22,13 @@
 	if ask.Flow == nil || len(ask.Flow.Steps) == 0 {
 		return nil, twirp.RequiredArgumentError("flow")
 	}
-	if !p.site.leading.Load() {
+	if !p.site.view.Load().here {
 		return &wire.HandReply{Verdict: wire.Verdict_ASTRAY}, nil
 	}
 	if ask.Flow.Service == "" && !p.site.fillBare(ask.Flow) {
 		return &wire.HandReply{Verdict: wire.Verdict_REFUSED, Why: fmt.Sprintf("queue %q does not exist", ask.Flow.Queue)}, nil
 	}
-	return p.site.handHere(ask.Flow, limit(ask.Limit)), nil
+	return p.site.handHere(ask.Flow, fleet.Term(ask.Term), limit(ask.Limit)), nil
 }
 
 func (p peer) Status(_ context.Context, ask *wire.FlowAsk) (*wire.FlowReply, error) {
--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
-	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/helm"
 	"dragonflydeck.example/fleet/lines"
@@ -54,10 +53,9 @@
 	hands    *waits[*wire.HandReply]
 	drops    *waits[*wire.FlowReply]
 
-	leading atomic.Bool
-	heard   atomic.Bool // a lead is known and well
+	view    atomic.Pointer[view] // of the lead
+	heard   atomic.Bool          // callers are served well here
 	leaving atomic.Bool
-	lead    atomic.Pointer[string] // its address
 }
 
 // Own are the daemon's own settings.
@@ -79,6 +77,7 @@
 		lines: lines.NewAsync(s.Host, own.Level, own.Lines, w),
 	}
 	one.orders = newOrders(one)
+	one.view.Store(&view{})
 	return one
 }
 
@@ -172,26 +171,35 @@
 	s.carrier.group.Go(func() { (&workers{site: s}).follow(ctx) })
 }
 
+// unreadySpan is how long a daemon that does not hear the lead still takes
+// callers. The balancer sends them elsewhere after two answers, a second apart,
+// which a lead that is replaced in time does not cost.
+const unreadySpan = 700 * time.Millisecond
+
 // mirror copies what other goroutines need to know from the helm.
 func (s *Site) mirror(h *helm.Helm) {
-	lead := h.Elect.Lead()
-	s.leading.Store(h.Leads())
-	heard := lead.Term > 0 && !lead.Leaving && time.Since(lead.Heard) < 2*elect.SilentSpan
+	now, lead := time.Now(), h.Elect.Lead()
+	v := view{
+		term: lead.Term, addr: lead.Addr, here: h.Leads(),
+		fresh: h.Elect.Fresh(now), lone: h.Elect.Lone(),
+	}
+	if v != *s.view.Load() {
+		s.view.Store(&v)
+	}
+	heard := lead.Term > 0 && !lead.Leaving && !v.lone && now.Sub(lead.Heard) < unreadySpan
 	if s.heard.Swap(heard) != heard {
 		code := event.ProcessUnready
 		if heard {
 			code = event.ProcessReady
 		}
-		s.tell(code, string(s.self.Host), "lead=%s term=%d heard=%s ago", lead.Host, lead.Term, time.Since(lead.Heard))
-	}
-	if addr := s.lead.Load(); addr == nil || *addr != lead.Addr {
-		s.lead.Store(&lead.Addr)
+		s.tell(code, string(s.self.Host), "lead=%s term=%d heard=%s ago lone=%t", lead.Host, lead.Term, now.Sub(lead.Heard), v.lone)
 	}
 }
 
+// leadAddr returns the address of a lead that is another daemon.
 func (s *Site) leadAddr() string {
-	if addr := s.lead.Load(); addr != nil && *addr != s.self.Addr {
-		return *addr
+	if v := s.view.Load(); v.addr != s.self.Addr {
+		return v.addr
 	}
 	return ""
 }
@@ -214,7 +222,7 @@
 // balancer sends no new callers, and those who are here are served on.
 func (s *Site) leave() {
 	s.leaving.Store(true)
-	s.tell(event.ProcessLeaving, string(s.self.Host), "lead=%t", s.leading.Load())
+	s.tell(event.ProcessLeaving, string(s.self.Host), "lead=%t", s.view.Load().here)
 	s.loop.Post(helm.Leave{})
 	time.Sleep(min(lameSpan, s.settings.Grace/2))
 }
--- a/deckd/site/workers.go
+++ b/deckd/site/workers.go
@@ -24,7 +24,7 @@
 	_, topic := w.site.edges.Reader.Topics()
 	f := follower{site: w.site, topic: topic, rest: workersSpan, take: w.take}
 	for ctx.Err() == nil {
-		if !w.site.leading.Load() {
+		if !w.site.view.Load().here {
 			f.loaded = false
 			pause(ctx, followRetry/2)
 			continue
--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -15,6 +15,7 @@
 // Spans of the election.
 const (
 	BeatSpan   = 150 * time.Millisecond // between two beats of a lead
+	QuietSpan  = 400 * time.Millisecond // two beats may be lost before nothing is sent to a lead any more
 	SilentSpan = 900 * time.Millisecond // six beats; datagrams are lost at times
 	BlindSpan  = 500 * time.Millisecond // a lead that the store does not answer so long may be replaced
 	ProbeSpan  = 300 * time.Millisecond // the store has answered a daemon so long before it replaces a blind lead
@@ -73,6 +74,7 @@
 	hear    int       // peers that hear the lead
 	miss    int       // peers that do not
 	agreed  bool      // most peers miss the lead too
+	lone    bool      // neither the lead nor most peers answer
 	reached time.Time // since when the store answers this daemon
 }
 
@@ -131,9 +133,19 @@
 	return true
 }
 
+// Fresh reports whether the lead was heard a moment ago, so that it may be
+// expected to answer.
+func (e *Elect) Fresh(now time.Time) bool {
+	l := e.lead
+	return l.Term > 0 && !l.Leaving && now.Sub(l.Heard) < QuietSpan
+}
+
+// Lone reports whether this daemon hears neither the lead nor most of its peers.
+func (e *Elect) Lone() bool { return e.lone && e.want == silent }
+
 func (e *Elect) calm() {
 	e.want, e.since, e.asked = content, time.Time{}, time.Time{}
-	e.hear, e.miss, e.agreed, e.reached = 0, 0, false, time.Time{}
+	e.hear, e.miss, e.agreed, e.lone, e.reached = 0, 0, false, false, time.Time{}
 }
 
 // wanted returns why the site needs another lead.
@@ -234,6 +246,7 @@
 	if now.Sub(e.asked) < AskSpan && e.hear+e.miss < len(e.members)-1 {
 		return Wait
 	}
+	e.lone = !e.majority()
 	e.agreed = e.hear <= e.miss && (e.majority() || now.Sub(e.since) >= LoneSpan)
 	e.asked = time.Time{}
 	if !e.agreed {
--- a/fleet/helm/events.go
+++ b/fleet/helm/events.go
@@ -73,7 +73,8 @@
 	HandedIn struct {
 		Waiter Waiter
 		Flow   *wire.Flow
-		Until  time.Time // the caller waits no longer
+		Term   fleet.Term // of the lead that is meant; 0 for any
+		Until  time.Time  // the caller waits no longer
 	}
 	// Dropped is a caller's wish to cancel a job.
 	Dropped struct {
--- a/fleet/helm/hand.go
+++ b/fleet/helm/hand.go
@@ -40,7 +40,8 @@
 func (h *Helm) handIn(e HandedIn) {
 	id := fleet.JobID(e.Flow.Id)
 	switch j, known := h.jobs[id]; {
-	case h.mode != leads:
+	case h.mode != leads || e.Term != 0 && e.Term != h.term:
+		// One that was sent to an earlier lead may have been told as refused since.
 		h.do(AnswerHand{e.Waiter, &wire.HandReply{Verdict: wire.Verdict_ASTRAY}})
 		return
 	case known && j.stored:
