Let a new lead price what runs by its progress

Cause: a new lead counted the work of a run from when it first saw it, so that stopping a gang that was half done seemed to cost nothing. Ruled out: the limit on what a clearing may cost (it held, on a wrong price), and workers that were cut off (they listed their runs). Change: the progress that a run has when it is first seen counts as work done. Test: TestNewLeadKnowsWhatRunsAreWorth failed first.

--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -30,13 +30,14 @@
 	Phase Phase
 	Since time.Time // of the phase
 
-	Percent int       // progress that the worker last told
-	Moved   time.Time // when that last rose
-	From    int       // progress that a checkpoint gave it
-	Learned time.Time // when its progress was last measured
-	Stopped time.Time // when a stop was answered first; zero before
-	Foreign bool      // a former lead sent it
-	Left    bool      // its start has left this daemon
+	Percent int           // progress that the worker last told
+	Moved   time.Time     // when that last rose
+	From    int           // progress that it had when it was first seen
+	Before  time.Duration // that it had worked by then
+	Learned time.Time     // when its progress was last measured
+	Stopped time.Time     // when a stop was answered first; zero before
+	Foreign bool          // a former lead sent it
+	Left    bool          // its start has left this daemon
 }
 
 // Key names a run on a worker.
--- a/fleet/helm/load_test.go
+++ b/fleet/helm/load_test.go
@@ -102,3 +102,24 @@
 	spans["unlucky"] = time.Second
 	w.done(f, 8*time.Second)
 }
+
+// Load pattern: an urgent job arrives just after the lead was replaced. What runs
+// has been worked on for long, although the new lead has only just seen it, and
+// is not thrown away for less.
+func TestNewLeadKnowsWhatRunsAreWorth(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	spans["old"] = 20 * time.Second
+	old := flow("old", "bulk", gang(2, 8, 20*time.Second))
+	w.accept(old)
+	w.run(10 * time.Second)
+	w.boot()
+	w.lead()
+	spans["urgent"] = 1500 * time.Millisecond
+	urgent := flow("urgent", "urgent", gang(2, 8, 1500*time.Millisecond))
+	urgent.Space = "b"
+	w.accept(urgent)
+	w.done(old, 12*time.Second)
+	qt.Assert(t, w.starts("old"), qt.Equals, 2)
+	w.done(urgent, 3*time.Second)
+}
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -162,7 +162,8 @@
 	}
 	r.Foreign, r.Left = false, true
 	if r.Phase == crew.Sent || r.Phase == crew.Doubtful {
-		r.Phase, r.Since, r.Moved, r.From = crew.Running, h.now, h.now, seen.Percent
+		r.Phase, r.Since, r.Moved = crew.Running, h.now, h.now
+		r.From, r.Before = seen.Percent, h.worked(seen)
 		h.note(event.RunStarted, string(r.Task.Job), "%s by=look percent=%d", name(r.Task, r.No, w.Place.Host), seen.Percent)
 	}
 	h.learn(w, r)
@@ -174,6 +175,15 @@
 	}
 }
 
+// worked estimates how long a run that is seen for the first time has worked.
+func (h *Helm) worked(seen fleet.RunSeen) time.Duration {
+	j, ok := h.jobs[seen.Task.Job]
+	if !ok || j.Step(seen.Task) == nil {
+		return 0
+	}
+	return h.span(j, j.Step(seen.Task)) * time.Duration(seen.Percent) / 100
+}
+
 // stray stops a run that the records do not know.
 func (h *Helm) stray(w *crew.Worker, seen fleet.RunSeen) {
 	r := &crew.Run{Task: seen.Task, No: seen.Run, Phase: crew.Running, Since: h.now, Moved: h.now, Left: true}
--- a/fleet/helm/plan.go
+++ b/fleet/helm/plan.go
@@ -251,17 +251,22 @@
 	if !s.Spec.Saves && !claims && !h.spares(j, s, r) {
 		return -1
 	}
-	lost := h.now.Sub(r.Since)
-	if s.Spec.Saves {
-		lost = min(lost, savedLoss)
-	}
-	cost := lost.Seconds() * cores(r.Each)
+	cost := h.lost(s, r)
 	if s.Spec.Gang {
 		cost *= float64(len(s.Tasks))
 	}
 	return cost
 }
 
+// lost returns what stopping a run now throws away, in seconds of a core.
+func (h *Helm) lost(s *flow.Step, r *crew.Run) float64 {
+	span := h.now.Sub(r.Since) + r.Before
+	if s.Spec.Saves {
+		span = min(span, savedLoss)
+	}
+	return span.Seconds() * cores(r.Each)
+}
+
 // spares reports whether a job can do without a run that would have to begin
 // anew: it was not stopped often already, and may still end in time.
 func (h *Helm) spares(j *job, s *flow.Step, r *crew.Run) bool {
