Start nothing in a failure domain of which nothing is heard

Cause: a worker that was cut off stayed usable until its look had failed after 2.5 s, and only it. Ruled out: shorter leases of starts (a start that was carried out runs on under the lease of its worker), and the timeout of starts (what is in doubt stays so). Change: a worker that owes an answer for 0.3 s gets no starts; a domain of which two workers owe one and nothing was heard for 0.3 s gets none either; while there is work, some workers of a domain are asked after 0.25 s without a word. Test: TestGangsAvoidAFailureDomainThatIsCutOff fails without it (6 s and more).

--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -76,6 +76,8 @@
 	until    fleet.Ticks   // end of the longest lease that was sent
 	longest  time.Duration // lease that the platform allows
 	boundAll time.Time     // a lease that another lead gave has lapsed by then
+	answerBy time.Time     // it owes an answer from then on; zero if it owes none
+	pollBy   time.Time     // the same for its look that waits
 }
 
 // Free returns the room that is not taken. What is being stopped, or may still
@@ -87,7 +89,7 @@
 
 // Usable reports whether tasks may be started on the worker.
 func (w *Worker) Usable(now time.Time) bool {
-	return w.Listed && w.Synced && w.State == fleet.WorkerReady && !now.Before(w.Aside)
+	return w.Listed && w.Synced && w.State == fleet.WorkerReady && !now.Before(w.Aside) && !w.Quiet(now)
 }
 
 // Has reports whether the worker has a label; an empty one always.
@@ -193,11 +195,12 @@
 
 	longest time.Duration // lease that the platform allows
 	sorted  []*Worker
+	heard   map[fleet.DomainID]time.Time
 }
 
 // New returns a crew without workers, whose leases may last so long at most.
 func New(longest time.Duration) *Crew {
-	return &Crew{Workers: map[fleet.HostID]*Worker{}, longest: longest}
+	return &Crew{Workers: map[fleet.HostID]*Worker{}, longest: longest, heard: map[fleet.DomainID]time.Time{}}
 }
 
 // Sorted returns the workers in the order of their names.
@@ -264,6 +267,7 @@
 func (w *Worker) rebirth(now time.Time) {
 	w.Synced, w.Seen, w.Taken, w.Told = false, 0, 0, 0
 	w.until, w.clockAt, w.clock = 0, time.Time{}, 0
+	w.answerBy = time.Time{}
 	w.Fails, w.Aside, w.asides, w.speed = 0, time.Time{}, 0, speed{}
 	w.Bound(now)
 }
--- a/fleet/crew/lease.go
+++ b/fleet/crew/lease.go
@@ -18,6 +18,7 @@
 		return
 	}
 	w.Heard = now
+	w.answered()
 	if w.clockAt.IsZero() || clock >= w.clock {
 		w.clock, w.clockAt = clock, now
 	}
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -76,6 +76,8 @@
 	WorkerGone      Code = 605
 	LookFailed      Code = 606
 	WorkerLeaves    Code = 607
+	DomainMuted     Code = 608
+	DomainHeard     Code = 609
 )
 
 // Entry describes one code of the catalogue.
@@ -162,6 +164,8 @@
 	{WorkerGone, "worker-gone", Info, "a worker has no entry in the service discovery any more", "nothing"},
 	{LookFailed, "look-failed", Warn, "a worker did not tell what it runs", "look at the worker named if this lasts"},
 	{WorkerLeaves, "worker-leaves", Info, "a worker says that it leaves; runs that would not end in time are moved", "nothing"},
+	{DomainMuted, "domain-muted", Warn, "no worker of a failure domain answers the lead; nothing starts there until one does", "check the links of the failure domain if this lasts"},
+	{DomainHeard, "domain-heard", Info, "workers of a failure domain answer again", "nothing"},
 }
 
 // Lookup returns the catalogue's entry for a code.
--- a/fleet/helm/box.go
+++ b/fleet/helm/box.go
@@ -249,6 +249,7 @@
 	}
 	j := h.jobs[st.run.Task.Job]
 	st.run.Since, st.run.Left = h.now, true
+	w.Await(0, h.now)
 	h.do(Start{
 		Place: w.Place, Key: crew.Key{Task: st.run.Task, No: st.run.No},
 		Order: fleet.StartOrder{
--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -74,6 +74,10 @@
 	peers   map[*flow.Step]*peers
 	beaten  time.Time
 	planned time.Time
+	placed  time.Time // when something was last placed or waited for room
+	reached time.Time // when all workers were last looked over for answers that they owe
+	muted   map[fleet.DomainID]bool
+	pulsed  map[fleet.DomainID]time.Time // when workers were last asked for a sign of life
 	tended  time.Time
 	changed bool // something that placement depends on has changed
 	ends    bool // workers have listed ends that they may not forget yet
@@ -98,6 +102,7 @@
 	h.box = box{}
 	h.guesses = map[string]*guess{}
 	h.peers = map[*flow.Step]*peers{}
+	h.muted, h.pulsed = nil, map[fleet.DomainID]time.Time{}
 }
 
 // Step takes events and the time, and returns what is to be done.
@@ -117,6 +122,7 @@
 			h.expire()
 			h.tend()
 		}
+		h.reach()
 		h.plan()
 		h.looks()
 		h.flush()
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -17,6 +17,10 @@
 	storeSpan  = 800 * time.Millisecond  // ends that are being stored hold the next look up no longer
 )
 
+// looksMost is how many looks at a worker that owes an answer are on their way at
+// one time: the first may hang on a dead connection.
+const looksMost = 4
+
 // endsMost is how many ends a worker lists at one time.
 const endsMost = 500
 
@@ -27,19 +31,11 @@
 		if w.Place.Addr == "" || !h.due(w) {
 			continue
 		}
-		o := fleet.LookOrder{Term: h.term, Taken: w.Taken}
-		if w.Synced && len(w.Runs) > 0 && h.now.Sub(w.Heard) < silentSpan {
-			o.Until = w.Lease(h.limits.Lease, h.now)
-		}
-		if w.Synced && len(w.Runs) > 0 && w.Seen == w.Taken {
-			o.Wait = lookWait
-			if stopping(w) {
-				o.Wait = 0
-			}
+		wait := time.Duration(0)
+		if w.Synced && len(w.Runs) > 0 && w.Seen == w.Taken && !stopping(w) && !w.Quiet(h.now) {
+			wait = lookWait
 		}
-		w.Looking++
-		w.Tried = h.now
-		h.do(Look{Place: w.Place, Order: o})
+		h.look(w, wait)
 	}
 }
 
@@ -48,6 +44,8 @@
 func (h *Helm) due(w *crew.Worker) bool {
 	since := h.now.Sub(w.Tried)
 	switch {
+	case w.Listed && w.Quiet(h.now):
+		return w.Looking < looksMost && since >= lookRetry
 	case w.Looking > 0:
 		return w.Looking == 1 && w.Synced && since >= settleGap && stopping(w)
 	case !w.Synced:
@@ -95,7 +93,7 @@
 		}
 		w.Born = s.Born
 	}
-	w.Tick(s.Clock, h.now)
+	h.crew.Hear(w, s.Clock, h.now)
 	w.Told = max(w.Told, e.Taken)
 	if !w.Synced {
 		w.Synced, w.Owes, h.changed = true, time.Time{}, true
@@ -110,6 +108,7 @@
 	case fleet.Reborn:
 		h.gone(w)
 	default:
+		w.Unanswered(h.now)
 		h.note(event.LookFailed, string(w.Place.Host), "heard=%s ago runs=%d: %v", h.now.Sub(w.Heard), len(w.Runs), e.Err)
 	}
 }
--- a/fleet/helm/lost_test.go
+++ b/fleet/helm/lost_test.go
@@ -1,6 +1,7 @@
 package helm_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -225,3 +226,39 @@
 	w.done(f, 4*time.Second)
 	qt.Assert(t, w.starts("kept"), qt.Equals, 1)
 }
+
+// Load pattern: a failure domain is cut off while urgent gangs arrive. None of
+// them waits for the workers there, but the few that were on their way.
+func TestGangsAvoidAFailureDomainThatIsCutOff(t *testing.T) {
+	w := newWorld(t, 6, 4)
+	for _, one := range w.workers {
+		one.domain = "near"
+		if one.rack < "r2" {
+			one.domain = "far"
+		}
+	}
+	w.list()
+	w.lead()
+	spans["busy"] = time.Minute
+	busy := flow("busy", "bulk", tasks(24, 1, time.Minute))
+	busy.Steps[0].Spread = 1
+	w.accept(busy)
+	w.run(time.Second)
+	for _, one := range w.workers {
+		one.cut = one.domain == "far"
+	}
+	w.run(400 * time.Millisecond)
+	for i := range 20 {
+		id := fmt.Sprint("urgent", i)
+		spans[fleet.JobID(id)] = time.Second
+		f := flow(id, "urgent", gang(4, 2, time.Second))
+		begun := w.now
+		w.accept(f)
+		w.done(f, 6*time.Second)
+		qt.Check(t, w.now.Sub(begun) < 1300*time.Millisecond, qt.IsTrue, qt.Commentf("gang %d took %s", i, w.now.Sub(begun)))
+	}
+	for _, one := range w.workers {
+		one.cut = false
+	}
+	w.until(time.Second, "word from the domain", func() bool { return w.count(event.DomainHeard) == 1 })
+}
--- a/fleet/helm/plan.go
+++ b/fleet/helm/plan.go
@@ -46,6 +46,7 @@
 	h.changed, h.planned = false, h.now
 	p := &plan{Site: h.site(), full: pack.Full{}, loads: map[string]float64{}}
 	for _, u := range h.units() {
+		h.placed = h.now
 		u.Far = h.far(p, u)
 		h.place(p, u)
 	}
@@ -69,7 +70,9 @@
 	return l
 }
 
-func (h *Helm) site() *pack.Site { return &pack.Site{Now: h.now, Crew: h.crew, Out: h.out} }
+func (h *Helm) site() *pack.Site {
+	return &pack.Site{Now: h.now, Crew: h.crew, Out: h.out, Muted: h.muted}
+}
 
 // units returns what waits, in the order in which it gets room.
 func (h *Helm) units() []unit {
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -29,7 +29,7 @@
 	if r == nil {
 		return
 	}
-	w.Tick(e.Clock, h.now)
+	h.crew.Hear(w, e.Clock, h.now)
 	if e.Err == nil {
 		if r.Phase == crew.Sent || r.Phase == crew.Doubtful {
 			r.Phase, r.Since, r.Moved = crew.Running, h.now, h.now
@@ -42,6 +42,7 @@
 	case fleet.Fenced:
 		h.yield("a worker has seen a newer term", 0)
 	case fleet.Doubt, fleet.Garbled:
+		w.Unanswered(h.now)
 		if r.Phase == crew.Sent {
 			r.Phase, r.Since = crew.Doubtful, h.now
 		}
@@ -58,7 +59,7 @@
 func (h *Helm) stopped(e Stopped) {
 	w, r := h.run(e.Host, e.Key)
 	if w != nil {
-		w.Tick(e.Clock, h.now)
+		h.crew.Hear(w, e.Clock, h.now)
 	}
 	if r == nil {
 		return
--- a/fleet/pack/pack.go
+++ b/fleet/pack/pack.go
@@ -26,9 +26,10 @@
 
 // Site is what placement reads.
 type Site struct {
-	Now  time.Time
-	Crew *crew.Crew
-	Out  map[fleet.DomainID]bool // failure domains that are taken out
+	Now   time.Time
+	Crew  *crew.Crew
+	Out   map[fleet.DomainID]bool // failure domains that are taken out
+	Muted map[fleet.DomainID]bool // failure domains of which nothing is heard
 }
 
 // Spot is a worker that a task is to run on.
@@ -87,7 +88,7 @@
 }
 
 func (s *Site) may(u Unit, w *crew.Worker) bool {
-	return !s.Now.Before(u.Avoid[w.Place.Host]) && w.Service == u.Service && w.Usable(s.Now) && !s.Out[w.Domain] && w.Has(u.Step.Spec.Label) && w.OpenTo(u.Job.ID, s.Now)
+	return !s.Now.Before(u.Avoid[w.Place.Host]) && w.Service == u.Service && w.Usable(s.Now) && !s.Out[w.Domain] && !s.Muted[w.Domain] && w.Has(u.Step.Spec.Label) && w.OpenTo(u.Job.ID, s.Now)
 }
 
 // fits returns how many tasks of the unit some room of a worker takes.
