Let a cold start not wait for the lead before it

Cause: after all processes were killed, each found the former claim in the store and took that for a sign of life for 0.9 s, told peers so when they asked, and then rested 0.4 s. Ruled out: the store (a claim took 10 ms) and the hosts' start (0.1 s). Change: a claim that was read is no beat, neither here nor in answers to peers; a daemon that has just started asks after 0.4 s; a lead whose host runs another process is replaced at once; the peers' answers are taken as soon as a majority misses the lead. Beats carry the incarnation. Tests: TestColdStartDoesNotWaitForTheFormerLead, TestClaimThatWasReadIsNoBeat, TestLeadWhoseHostStartedAnewIsReplacedAtOnce; none could be kept before.

--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -17,6 +17,7 @@
 	BeatSpan   = 150 * time.Millisecond // between two beats of a lead
 	QuietSpan  = 400 * time.Millisecond // two beats may be lost before nothing is sent to a lead any more
 	SilentSpan = 900 * time.Millisecond // six beats; datagrams are lost at times
+	ColdSpan   = 400 * time.Millisecond // a daemon that has just started hears a lead that lives within this
 	BlindSpan  = 500 * time.Millisecond // a lead that the store does not answer so long may be replaced
 	ProbeSpan  = 300 * time.Millisecond // the store has answered a daemon so long before it replaces a blind lead
 	WeakSpan   = 3 * time.Second        // a daemon that could lead much better lets a lead stand so long
@@ -26,6 +27,9 @@
 	RestSpan   = 400 * time.Millisecond // after a claim that failed
 )
 
+// neverHeard is the age that is told of a lead of which only the claim is known.
+const neverHeard = time.Hour
+
 const (
 	weakFactor = 2  // a lead with at most half of a daemon's power is replaced by it
 	rankMost   = 12 // steps of RankSpan that the weakest daemon waits
@@ -36,8 +40,10 @@
 	Host  fleet.HostID
 	Addr  string
 	Term  fleet.Term
+	Inc   fleet.Incarnation // of its process
 	Power fleet.Millicores
-	Heard time.Time // its last beat
+	Heard time.Time // its last beat, or when its claim was read
+	Beats bool      // a beat of it was heard, not only its claim read
 
 	Blind   time.Time // since when it says that the store does not answer it
 	Leaving bool
@@ -46,6 +52,7 @@
 // Member is a daemon of the site.
 type Member struct {
 	Host  fleet.HostID
+	Inc   fleet.Incarnation // of its newest process
 	Power fleet.Millicores
 }
 
@@ -53,12 +60,13 @@
 type want int
 
 const (
-	content want = iota
-	never        // there was none yet
-	silent       // it is not heard
-	leaving      // it says that it is being stopped
-	blind        // the store does not answer it
-	weak         // this daemon can carry the lead much better
+	content  want = iota
+	never         // there was none yet
+	replaced      // its host runs another process
+	silent        // it is not heard
+	leaving       // it says that it is being stopped
+	blind         // the store does not answer it
+	weak          // this daemon can carry the lead much better
 )
 
 // Elect is one daemon's part in the election.
@@ -71,6 +79,7 @@
 	since   time.Time // since when the site needs another lead for that reason
 	asked   time.Time // when the peers or the store were asked
 	rest    time.Time // no step before
+	cold    bool      // the lead is known from a claim alone that was there before this daemon
 	hear    int       // peers that hear the lead
 	miss    int       // peers that do not
 	agreed  bool      // most peers miss the lead too
@@ -96,11 +105,12 @@
 }
 
 // Claimed notes a claim that the store has taken.
-func (e *Elect) Claimed(term fleet.Term, host fleet.HostID, addr string, now time.Time) {
+func (e *Elect) Claimed(term fleet.Term, m Member, addr string, now time.Time) {
 	if term <= e.lead.Term {
 		return
 	}
-	e.lead = Lead{Host: host, Addr: addr, Term: term, Power: e.powerOf(host), Heard: now}
+	e.cold = e.lead.Term == 0 && m.Host != e.self.Host
+	e.lead = Lead{Host: m.Host, Addr: addr, Term: term, Inc: m.Inc, Power: e.powerOf(m.Host), Heard: now}
 	e.calm()
 }
 
@@ -126,8 +136,10 @@
 	case since.IsZero() || term > e.lead.Term:
 		since = now
 	}
+	e.cold = false
 	e.lead = Lead{
-		Host: fleet.HostID(b.Host), Addr: b.Addr, Term: term, Power: fleet.Millicores(b.Power), Heard: now,
+		Host: fleet.HostID(b.Host), Addr: b.Addr, Term: term, Inc: fleet.Incarnation(b.Inc),
+		Power: fleet.Millicores(b.Power), Heard: now, Beats: true,
 		Blind: since, Leaving: b.Leaving,
 	}
 	return true
@@ -156,7 +168,9 @@
 		return never
 	case l.Leaving:
 		return leaving
-	case now.Sub(l.Heard) > SilentSpan:
+	case e.isReplaced():
+		return replaced
+	case now.Sub(l.Heard) > SilentSpan, e.cold && now.Sub(l.Heard) > ColdSpan:
 		return silent
 	case !l.Blind.IsZero() && now.Sub(l.Blind) > BlindSpan:
 		return blind
@@ -166,13 +180,33 @@
 	return content
 }
 
+// isReplaced reports whether the host of the lead runs another process than the
+// one that claimed. It answers processes that are killed and restarted.
+func (e *Elect) isReplaced() bool {
+	for _, m := range e.members {
+		if m.Host == e.lead.Host {
+			return e.lead.Inc != 0 && m.Inc > e.lead.Inc
+		}
+	}
+	return false
+}
+
+// Sight returns what this daemon tells its peers about the lead.
+func (e *Elect) Sight(now time.Time) *wire.SightReply {
+	l := e.lead
+	r := &wire.SightReply{Term: int64(l.Term), Host: string(l.Host), Addr: l.Addr, Age: now.Sub(l.Heard).Milliseconds()}
+	if !l.Beats {
+		r.Age = neverHeard.Milliseconds()
+	}
+	return r
+}
+
 // Answer notes a peer's answer to the question whether it hears the lead.
 func (e *Elect) Answer(s *wire.SightReply) {
 	if e.asked.IsZero() || e.want != silent {
 		return
 	}
-	heard := s.Term > int64(e.lead.Term) ||
-		s.Term == int64(e.lead.Term) && time.Duration(s.Age)*time.Millisecond < SilentSpan
+	heard := s.Term >= int64(e.lead.Term) && time.Duration(s.Age)*time.Millisecond < SilentSpan
 	if heard {
 		e.hear++
 		return
@@ -243,7 +277,7 @@
 		e.asked, e.hear, e.miss = now, 0, 0
 		return Ask
 	}
-	if now.Sub(e.asked) < AskSpan && e.hear+e.miss < len(e.members)-1 {
+	if now.Sub(e.asked) < AskSpan && e.hear+e.miss < len(e.members)-1 && !e.missed() {
 		return Wait
 	}
 	e.lone = !e.majority()
@@ -272,6 +306,10 @@
 // have answered.
 func (e *Elect) majority() bool { return 2*(e.hear+e.miss+1) > len(e.members) }
 
+// missed reports whether more than half of the daemons, this one among them, miss
+// the lead.
+func (e *Elect) missed() bool { return 2*(e.miss+1) > len(e.members) }
+
 // delay spreads the claims of daemons that miss the lead at the same time.
 func (e *Elect) delay() time.Duration {
 	rank := 0
--- a/fleet/elect/elect_test.go
+++ b/fleet/elect/elect_test.go
@@ -20,7 +20,7 @@
 
 func newSite(self fleet.HostID, power fleet.Millicores) *site {
 	s := &site{elect.New(elect.Member{Host: self, Power: power}, start), start}
-	s.Members([]elect.Member{{"a", 800}, {"b", 800}, {"c", 190}, {"d", 190}, {"e", 190}})
+	s.Members([]elect.Member{{"a", 1, 800}, {"b", 1, 800}, {"c", 1, 190}, {"d", 1, 190}, {"e", 1, 190}})
 	return s
 }
 
@@ -153,3 +153,46 @@
 	qt.Assert(t, s.Beat(old, s.now), qt.IsFalse)
 	qt.Assert(t, s.Lead().Host, qt.Equals, fleet.HostID("a"))
 }
+
+// Load pattern: every process is killed and started again. All know the claim of
+// the former lead from the store, and nobody takes that for a sign of life.
+func TestColdStartDoesNotWaitForTheFormerLead(t *testing.T) {
+	s := newSite("b", 800)
+	step, _ := s.until(time.Second, nil)
+	qt.Assert(t, step, qt.Equals, elect.Claim)
+	s.Claimed(7, elect.Member{Host: "a", Inc: 1}, "a", s.now)
+	step, after := s.until(5*time.Second, nil)
+	qt.Assert(t, step, qt.Equals, elect.Ask)
+	qt.Assert(t, after <= elect.ColdSpan+20*time.Millisecond, qt.IsTrue, qt.Commentf("asked after %s", after))
+	other := newSite("c", 190)
+	other.Claimed(7, elect.Member{Host: "a", Inc: 1}, "a", s.now)
+	for range 2 {
+		s.Answer(other.Sight(s.now))
+	}
+	step, after = s.until(5*time.Second, nil)
+	qt.Assert(t, step, qt.Equals, elect.Claim)
+	qt.Assert(t, after < elect.AskSpan, qt.IsTrue, qt.Commentf("claimed after %s", after))
+}
+
+// A host that runs another process than the one that leads needs no more proof.
+func TestLeadWhoseHostStartedAnewIsReplacedAtOnce(t *testing.T) {
+	s := newSite("b", 800)
+	b := lead("a", 800)
+	b.Inc = 1
+	s.beat(b)
+	step, _ := s.until(100*time.Millisecond, nil)
+	qt.Assert(t, step, qt.Equals, elect.Wait)
+	s.Members([]elect.Member{{"a", 2, 800}, {"b", 1, 800}, {"c", 1, 190}})
+	step, after := s.until(time.Second, nil)
+	qt.Assert(t, step, qt.Equals, elect.Claim)
+	qt.Assert(t, after <= elect.RankSpan, qt.IsTrue)
+}
+
+// A claim that was read is no beat: a daemon that only knows it misses the lead.
+func TestClaimThatWasReadIsNoBeat(t *testing.T) {
+	s := newSite("c", 190)
+	s.Claimed(7, elect.Member{Host: "a", Inc: 1}, "a", s.now)
+	qt.Assert(t, s.Sight(s.now).Age >= elect.SilentSpan.Milliseconds(), qt.IsTrue)
+	s.beat(lead("a", 800))
+	qt.Assert(t, s.Sight(s.now).Age, qt.Equals, int64(0))
+}
--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -89,7 +89,7 @@
 // New returns the control of a daemon that follows.
 func New(self Self, limits Limits, now time.Time) *Helm {
 	h := &Helm{
-		self: self, limits: limits, Elect: elect.New(elect.Member{Host: self.Host, Power: self.Power}, now), now: now,
+		self: self, limits: limits, Elect: elect.New(elect.Member{Host: self.Host, Inc: self.Inc, Power: self.Power}, now), now: now,
 		out: map[fleet.DomainID]bool{}, listed: map[fleet.HostID]fleet.WorkerEntry{},
 	}
 	h.reset()
@@ -202,7 +202,4 @@
 }
 
 // Sight returns what the daemon knows about the lead, for its peers.
-func (h *Helm) Sight(now time.Time) *wire.SightReply {
-	l := h.Elect.Lead()
-	return &wire.SightReply{Term: int64(l.Term), Age: now.Sub(l.Heard).Milliseconds(), Host: string(l.Host), Addr: l.Addr}
-}
+func (h *Helm) Sight(now time.Time) *wire.SightReply { return h.Elect.Sight(now) }
--- a/fleet/helm/stand.go
+++ b/fleet/helm/stand.go
@@ -56,7 +56,7 @@
 		return
 	}
 	ours := e.Lead.Host == string(h.self.Host) && e.Lead.Inc == int64(h.self.Inc)
-	h.Elect.Claimed(e.Term, fleet.HostID(e.Lead.Host), e.Lead.Addr, h.now)
+	h.Elect.Claimed(e.Term, elect.Member{Host: fleet.HostID(e.Lead.Host), Inc: fleet.Incarnation(e.Lead.Inc)}, e.Lead.Addr, h.now)
 	if !ours || h.leaving {
 		return
 	}
@@ -183,7 +183,7 @@
 	h.beaten = h.now
 	h.do(SendBeat{&wire.Beat{
 		Host: string(h.self.Host), Addr: h.self.Addr, Term: int64(h.lastTerm),
-		Orders: int64(h.orders), Leaving: true, Power: int64(h.self.Power),
+		Orders: int64(h.orders), Leaving: true, Power: int64(h.self.Power), Inc: int64(h.self.Inc),
 	}})
 }
 
@@ -198,6 +198,7 @@
 	b := &wire.Beat{
 		Host: string(h.self.Host), Addr: h.self.Addr, Term: int64(h.term),
 		Orders: int64(h.orders), Blind: h.box.stuck(h.now), Leaving: h.leaving, Power: int64(h.self.Power),
+		Inc: int64(h.self.Inc),
 	}
 	h.Elect.Beat(b, h.now)
 	h.do(SendBeat{b})
