Let a member of a gang that has done its part not stand still

Cause: a run without progress for 5 s was stopped with its whole gang, also one that stood at 100% and waited for slower members, as the members of a gang end together. Change: a member at 100% is waited for until all members are there. Test: TestGangWaitsForItsSlowestMember failed first.

--- a/fleet/helm/load_test.go
+++ b/fleet/helm/load_test.go
@@ -63,6 +63,31 @@
 	qt.Assert(t, w.count(event.WorkerAside), qt.Equals, 1)
 }
 
+// Load pattern: a gang with one slow worker. The other members have done their
+// part, and wait for it without standing still.
+func TestGangWaitsForItsSlowestMember(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	spans["uneven"] = 10 * time.Second
+	for _, one := range w.workers {
+		one.together = func(job fleet.JobID) bool {
+			for _, other := range w.workers {
+				for k, r := range other.runs {
+					if k.Task.Job == job && r.left > 0 {
+						return false
+					}
+				}
+			}
+			return true
+		}
+	}
+	w.workers["w0-0"].slow = 2
+	f := flow("uneven", "long", gang(2, 8, 10*time.Second))
+	w.accept(f)
+	w.done(f, 25*time.Second)
+	qt.Assert(t, w.starts("uneven"), qt.Equals, 2)
+}
+
 // Load pattern: a stream of urgent jobs against one long task. The task is
 // stopped for them a few times at most, and then runs to its end.
 func TestLongTaskEndsUnderAStreamOfUrgentJobs(t *testing.T) {
--- a/fleet/helm/tend.go
+++ b/fleet/helm/tend.go
@@ -5,12 +5,14 @@
 
 	"dragonflydeck.example/fleet/crew"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/flow"
 )
 
 // When a run counts as hanging.
 const (
 	hangSpan     = 5 * time.Second // without progress: the slowest sound task of the sites moves a percent in 2 s
 	hangPercents = 5               // of a task's run time without progress; a sound one shows each percent
+	wholePercent = 100
 )
 
 // owesSpan is how long a worker whose lease has lapsed is asked for its ends: cuts
@@ -67,7 +69,8 @@
 }
 
 // hangs reports whether a run has shown no progress for too long. Progress is
-// told in whole percents, so that a long task shows none for a while.
+// told in whole percents, so that a long task shows none for a while. A member of
+// a gang that has done its part waits for the others.
 func (h *Helm) hangs(w *crew.Worker, r *crew.Run) bool {
 	still := w.Heard.Sub(r.Moved)
 	if still < hangSpan {
@@ -78,5 +81,24 @@
 		return false
 	}
 	s := j.Step(r.Task)
-	return !s.Spec.Lasting && still >= hangPercents*h.span(j, s)/100
+	if s.Spec.Lasting || s.Spec.Gang && r.Percent >= wholePercent && !h.allDone(j, s) {
+		return false
+	}
+	return still >= hangPercents*h.span(j, s)/100
+}
+
+// allDone reports whether every member of a gang has done its part.
+func (h *Helm) allDone(j *job, s *flow.Step) bool {
+	for i := range s.Tasks {
+		k := &s.Tasks[i]
+		w, ok := h.crew.Workers[k.At]
+		if !ok {
+			return false
+		}
+		r := w.Runs[crew.Key{Task: s.Task(j.ID, i), No: k.Run}]
+		if r == nil || r.Percent < wholePercent {
+			return false
+		}
+	}
+	return true
 }
