Stop what runs on workers that are taken away while its end can be listed

Cause: a run that was expected to end within 2 s after its worker's notice had run out was left there. The notice was read up to 0.5 s late of 1.6 s. Ruled out: the platform's list of machines as proof that a process is gone (a trial: it shows a machine as down from the notice on, while the process still runs), and refused connections (a cut that resets refuses them for processes that live). Change: a worker that leaves at shorter notice than a drain keeps only what ends a second before; what stays is looked over again each 0.1 s; entries are read each 0.2 s. Test: TestRunsLeaveAWorkerThatIsTakenAway failed first (a run of 2 s).

--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -121,7 +121,7 @@
 }
 
 func limitsOf(s fleet.SiteSettings) helm.Limits {
-	return helm.Limits{Lease: s.Lease, Stop: s.Stop, Gang: s.Gang, Status: s.Status}
+	return helm.Limits{Lease: s.Lease, Stop: s.Stop, Gang: s.Gang, Drain: s.Drain, Status: s.Status}
 }
 
 func setMemory(most fleet.Mebibytes) {
--- a/deckd/site/workers.go
+++ b/deckd/site/workers.go
@@ -11,8 +11,8 @@
 )
 
 // workersSpan is the pause between two reads of the workers' entries. A worker
-// that leaves must get nothing new 2 s after it said so.
-const workersSpan = 500 * time.Millisecond
+// that is taken away may say so a second and a half before.
+const workersSpan = 200 * time.Millisecond
 
 // workers follows the workers' entries while this daemon leads.
 type workers struct {
--- a/deckd/soak/rig_test.go
+++ b/deckd/soak/rig_test.go
@@ -272,7 +272,7 @@
 	lines := []string{
 		"nodeName=" + name, "zone=d0", "ip=" + ip, "portRange=" + port + "," + port,
 		"listen.frontend=" + at[2], "listen.ready=" + at[3], "platform.address=" + at[4],
-		fmt.Sprint("bounds.maxHoldMs=", leaseSpan.Milliseconds()), fmt.Sprint("bounds.stopMs=", stopSpan.Milliseconds()), "bounds.gangTimeoutMs=3000",
+		fmt.Sprint("bounds.maxHoldMs=", leaseSpan.Milliseconds()), fmt.Sprint("bounds.stopMs=", stopSpan.Milliseconds()), "bounds.gangTimeoutMs=3000", "bounds.drainMs=2000",
 		"bounds.status_s=600", "bounds.graceS=6", "limits.memoryMb=284", "limits.cpuShare=0.4", "limits.cores=1",
 	}
 	qt.Assert(r.t, os.WriteFile(d.path, []byte(strings.Join(lines, "\n")+"\n"), 0o600), qt.IsNil)
--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -58,6 +58,9 @@
 	Taken fleet.EndNo // ends stored, the worker may forget them
 	Told  fleet.EndNo // ends that the worker knows it may forget
 
+	Gone  time.Time // when a worker that drains will have left
+	Short bool      // it is taken away rather than drained
+
 	Owes time.Time // it may list ends that are not known, until then
 
 	Looking  int       // looks on their way
--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -31,6 +31,7 @@
 	Lease  time.Duration // longest lease of a worker
 	Stop   time.Duration // a stop takes at most so long
 	Gang   time.Duration // a gang must be whole within this
+	Drain  time.Duration // a worker that drains stays so long at least
 	Status time.Duration // an ended job is told for so long
 }
 
--- a/fleet/helm/list.go
+++ b/fleet/helm/list.go
@@ -10,8 +10,10 @@
 
 // When a run is moved off a worker that leaves.
 const (
-	leaveSlack     = 2 * time.Second // workers mostly stay a little longer than they say
-	tellingPercent = 10              // progress that tells more than an estimate
+	leaveSlack     = 2 * time.Second        // workers that drain mostly stay a little longer than they say
+	shortSlack     = -1 * time.Second       // those that are taken away do not: half a second until the notice is read, as much for a stop to be listed
+	shortSpread    = 250 * time.Millisecond // by which what is left of a drain is less when it is read
+	tellingPercent = 10                     // progress that tells more than an estimate
 )
 
 // list notes what the service discovery says of the workers.
@@ -33,8 +35,8 @@
 		if !known || state != e.State {
 			h.changed = true
 		}
-		if known && state != e.State && e.State == fleet.WorkerDraining {
-			h.move(w)
+		if e.State == fleet.WorkerDraining && (!known || state != e.State) {
+			h.leaves(w)
 		}
 	}
 	for id, w := range h.crew.Workers {
@@ -45,21 +47,32 @@
 	}
 }
 
-// move stops the runs of a worker that leaves if they would not end before it
-// has left: those that keep checkpoints lose next to nothing, the others would
-// lose more later.
-func (h *Helm) move(w *crew.Worker) {
-	h.note(event.WorkerLeaves, string(w.Place.Host), "runs=%d left=%s", len(w.Runs), w.Left)
+// leaves notes when a worker that drains will be gone. One that is taken away
+// says so at shorter notice than one that drains.
+func (h *Helm) leaves(w *crew.Worker) {
+	w.Gone = h.now.Add(w.Left)
+	w.Short = w.Left < h.limits.Drain-shortSpread
+	h.note(event.WorkerLeaves, string(w.Place.Host), "runs=%d left=%s short=%t", len(w.Runs), w.Left, w.Short)
+	h.clearOut(w)
+}
+
+// clearOut stops the runs of a worker that leaves which would not end before it
+// is gone: those that keep checkpoints lose next to nothing, the others would lose
+// more later, and be missed until the worker's lease has lapsed.
+func (h *Helm) clearOut(w *crew.Worker) {
 	for _, r := range w.Sorted() {
 		j, ok := h.jobs[r.Task.Job]
 		if !ok || r.Phase != crew.Running || j.Step(r.Task) == nil {
 			continue
 		}
-		need, left := h.remaining(j, r), w.Left
-		if !j.Step(r.Task).Spec.Saves {
+		left := w.Gone.Sub(h.now)
+		switch {
+		case w.Short:
+			left += shortSlack
+		case !j.Step(r.Task).Spec.Saves:
 			left += leaveSlack
 		}
-		if need > left {
+		if h.remaining(j, r) > left {
 			h.evict(r, "its worker leaves")
 		}
 	}
--- a/fleet/helm/load_test.go
+++ b/fleet/helm/load_test.go
@@ -69,18 +69,7 @@
 	w := newWorld(t, 1, 2)
 	w.lead()
 	spans["uneven"] = 10 * time.Second
-	for _, one := range w.workers {
-		one.together = func(job fleet.JobID) bool {
-			for _, other := range w.workers {
-				for k, r := range other.runs {
-					if k.Task.Job == job && r.left > 0 {
-						return false
-					}
-				}
-			}
-			return true
-		}
-	}
+	w.couple()
 	w.workers["w0-0"].slow = 2
 	f := flow("uneven", "long", gang(2, 8, 10*time.Second))
 	w.accept(f)
--- a/fleet/helm/lost_test.go
+++ b/fleet/helm/lost_test.go
@@ -8,6 +8,7 @@
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/crew"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -116,6 +117,29 @@
 	qt.Assert(t, w.starts("stays"), qt.Equals, 1)
 }
 
+// Load pattern: workers are taken away at short notice, before the process can
+// drain. What would end just too late, or just in time and be missed, is stopped
+// while its end can still be listed, and not when the lease has lapsed.
+func TestRunsLeaveAWorkerThatIsTakenAway(t *testing.T) {
+	for run := 1200 * time.Millisecond; run < 4*time.Second; run += 200 * time.Millisecond {
+		w := newWorld(t, 1, 2)
+		w.couple()
+		w.lead()
+		spans["taken"] = run
+		f := flow("taken", "urgent", gang(2, 8, run))
+		w.accept(f)
+		w.run(300 * time.Millisecond)
+		gone := w.workers["w0-0"]
+		gone.draining, gone.left = true, 1600*time.Millisecond
+		w.list()
+		w.run(1600 * time.Millisecond)
+		gone.cut, gone.hangs = true, true
+		w.workers["w0-2"] = newWorker("w0-2", "r0", w.now)
+		w.list()
+		w.until(run+time.Second, fmt.Sprintf("end of a run of %s", run), func() bool { return w.stage(f) == wire.Stage_COMPLETED })
+	}
+}
+
 // A start that is on its way when a worker's process is replaced may be carried
 // out by the new one: its room is taken until that is known.
 func TestStartThatMayReachAReplacedProcessKeepsItsRoom(t *testing.T) {
--- a/fleet/helm/tend.go
+++ b/fleet/helm/tend.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/crew"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/flow"
@@ -28,6 +29,9 @@
 			w.Synced, w.Owes = false, h.now.Add(owesSpan)
 			continue
 		}
+		if w.Listed && w.State == fleet.WorkerDraining {
+			h.clearOut(w)
+		}
 		for _, r := range w.Sorted() {
 			h.tendRun(w, r)
 		}
--- a/fleet/helm/worker_test.go
+++ b/fleet/helm/worker_test.go
@@ -62,6 +62,24 @@
 	}
 }
 
+// couple lets the members of a gang end together, when all have done their part.
+func (w *world) couple() {
+	for _, one := range w.workers {
+		one.together = w.allDone
+	}
+}
+
+func (w *world) allDone(job fleet.JobID) bool {
+	for _, one := range w.workers {
+		for k, r := range one.runs {
+			if k.Task.Job == job && r.left > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (w *worker) entry() fleet.WorkerEntry {
 	state := fleet.WorkerReady
 	if w.draining {
--- a/fleet/helm/world_test.go
+++ b/fleet/helm/world_test.go
@@ -24,7 +24,7 @@
 	start  = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 	limits = helm.Limits{
 		Lease: 6 * time.Second, Stop: 400 * time.Millisecond,
-		Gang: 3 * time.Second, Status: 120 * time.Second,
+		Gang: 3 * time.Second, Drain: 2 * time.Second, Status: 120 * time.Second,
 	}
 	errCut = errors.New("cut off")
 )
--- a/fleet/site.go
+++ b/fleet/site.go
@@ -17,6 +17,7 @@
 	Lease  time.Duration `validate:"min=1s"`    // longest lease of a worker
 	Stop   time.Duration `validate:"min=1ms"`   // a stop takes at most so long
 	Gang   time.Duration `validate:"min=100ms"` // a gang must be whole within this
+	Drain  time.Duration `validate:"min=1ms"`   // a worker that drains stays so long at least
 	Status time.Duration `validate:"min=1s"`    // an ended job is told for so long
 	Grace  time.Duration `validate:"min=100ms"` // from the signal to stop until the process is killed
 	Power  Millicores    `validate:"min=1"`     // that the process may use
