Take workers that fail some of their tasks last, and proven ones for last tries

Cause: a worker was set aside after two fails in a row only. Change: the odds that a worker fails the next task are kept from how its tasks ended, fading by half in 10 s; workers with odds above a fifth are taken last; the last try of a task waits up to 3 s for a worker on which tasks have ended well of late.

--- a/fleet/crew/crew.go
+++ b/fleet/crew/crew.go
@@ -69,6 +69,7 @@
 	Fails    int       // fails in a row, of jobs that failed nowhere else
 	Aside    time.Time // not used before
 	asides   int
+	odds     odds   // that it fails the next task
 	order    []*Run // Runs in order, nil if they have changed
 	speed    speed
 	keeper   fleet.JobID // the job that its room is kept for
@@ -271,6 +272,6 @@
 	w.Synced, w.Seen, w.Taken, w.Told = false, 0, 0, 0
 	w.until, w.clockAt, w.clock = 0, time.Time{}, 0
 	w.answerBy = time.Time{}
-	w.Fails, w.Aside, w.asides, w.speed = 0, time.Time{}, 0, speed{}
+	w.Fails, w.Aside, w.asides, w.speed, w.odds = 0, time.Time{}, 0, speed{}, odds{}
 	w.Bound(now)
 }
--- a/fleet/crew/crew_test.go
+++ b/fleet/crew/crew_test.go
@@ -96,3 +96,25 @@
 	qt.Assert(t, w.Usable(now), qt.IsFalse)
 	qt.Assert(t, w.Usable(now.Add(5*time.Second)), qt.IsTrue)
 }
+
+// Load pattern: workers that fail some of their tasks. One fail tells against a
+// worker that has shown nothing else, and little against one that does well.
+func TestWorkerIsSuspectAfterAFailAndProvenByGoodEnds(t *testing.T) {
+	c := crew.New(lease)
+	w, _ := c.Enter(entry(0), "r1", now)
+	qt.Assert(t, w.Suspect(now), qt.IsFalse)
+	qt.Assert(t, w.Proven(now), qt.IsFalse)
+	w.NoteFail(false, now)
+	qt.Assert(t, w.Suspect(now), qt.IsTrue)
+	qt.Assert(t, w.Suspect(now.Add(30*time.Second)), qt.IsFalse)
+	for range 10 {
+		w.Well(now)
+	}
+	qt.Assert(t, w.Suspect(now), qt.IsFalse)
+	qt.Assert(t, w.Proven(now), qt.IsTrue)
+	for range 4 {
+		w.NoteFail(false, now)
+		w.Well(now)
+	}
+	qt.Assert(t, w.Suspect(now), qt.IsTrue, qt.Commentf("four of the last eight failed"))
+}
--- a/fleet/helm/ends.go
+++ b/fleet/helm/ends.go
@@ -25,7 +25,7 @@
 	}
 	switch e.How {
 	case fleet.EndDone:
-		w.Well()
+		w.Well(h.now)
 		if j.Done(e.Task, h.now) && j.Over() {
 			h.note(event.JobDone, string(j.ID), "queue=%s after=%s", j.Spec.Queue, h.now.Sub(time.UnixMilli(j.Spec.At)))
 		}
@@ -50,6 +50,7 @@
 	_, here := j.failed[w.Place.Host]
 	elsewhere := len(j.failed) > 1 || len(j.failed) == 1 && !here
 	j.failed[w.Place.Host] = h.now.Add(failedSpan)
+	w.NoteFail(elsewhere, h.now)
 	if !elsewhere && w.Failed(h.now) {
 		h.note(event.WorkerAside, string(w.Place.Host), "fails=%d until=%s", w.Fails, w.Aside.Sub(h.now))
 	}
--- a/fleet/helm/load_test.go
+++ b/fleet/helm/load_test.go
@@ -137,3 +137,34 @@
 	qt.Assert(t, w.starts("old"), qt.Equals, 2)
 	w.done(urgent, 3*time.Second)
 }
+
+// Load pattern: one worker in six begins to fail every other task, while gangs
+// arrive that need many workers. No job spends its attempts on them.
+func TestJobsOutliveWorkersThatFail(t *testing.T) {
+	w := newWorld(t, 5, 12)
+	w.couple()
+	w.lead()
+	stream := func(name string) []*wire.Flow {
+		var all []*wire.Flow
+		for i := range 40 {
+			id := fmt.Sprint(name, i)
+			spans[fleet.JobID(id)] = time.Second
+			f := flow(id, "urgent", gang(8, 4, time.Second))
+			all = append(all, f)
+			w.hand(f)
+			w.run(100 * time.Millisecond)
+		}
+		return all
+	}
+	stream("before")
+	for r := range 5 {
+		for i := r; i < 12; i += 6 {
+			w.workers[fleet.HostID(fmt.Sprintf("w%d-%d", r, i))].flaky = true
+		}
+	}
+	all := stream("after")
+	w.run(5 * time.Second)
+	for _, f := range all {
+		qt.Check(t, w.stage(f), qt.Equals, wire.Stage_COMPLETED, qt.Commentf("job %s", f.Id))
+	}
+}
--- a/fleet/helm/plan.go
+++ b/fleet/helm/plan.go
@@ -1,6 +1,7 @@
 package helm
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -13,6 +14,7 @@
 
 // Spans of planning.
 const (
+	provenWait = 3 * time.Second        // a last try waits so long for a worker that is proven
 	evictMost  = 2                      // stops of work that keeps no checkpoints, after which it is let end
 	savedLoss  = 250 * time.Millisecond // work that keeps checkpoints loses the time of a restore
 	planSpan   = 250 * time.Millisecond // between two plans when nothing has changed
@@ -82,8 +84,15 @@
 			continue
 		}
 		j.Each(h.now, func(s *flow.Step) {
-			if waits := idle(s); len(waits) > 0 {
-				out = append(out, h.unit(j, s, waits))
+			waits := idle(s)
+			last := h.lastTries(j, s, waits)
+			if len(waits) > len(last) {
+				out = append(out, h.unit(j, s, without(waits, last)))
+			}
+			if len(last) > 0 {
+				u := h.unit(j, s, last)
+				u.Last = u.waited < provenWait
+				out = append(out, u)
 			}
 		})
 	}
@@ -91,6 +100,39 @@
 	return out
 }
 
+// lastTries returns which of some tasks of a step would end their job by one more
+// fail.
+func (h *Helm) lastTries(j *job, s *flow.Step, waits []int) []int {
+	least := h.attempts(j) - 1
+	if s.Spec.Lasting || least == 0 {
+		return nil
+	}
+	if s.Spec.Gang {
+		if s.Fails < least {
+			return nil
+		}
+		return waits
+	}
+	var out []int
+	for _, i := range waits {
+		if s.Tasks[i].Fails >= least {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// without returns what is in the first list and not in the second, both in order.
+func without(all, less []int) []int {
+	if len(less) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(i int) bool {
+		_, found := slices.BinarySearch(less, i)
+		return found
+	})
+}
+
 // idle returns the tasks of a step that need a worker: of a gang all or none.
 func idle(s *flow.Step) []int {
 	var out []int
--- a/fleet/helm/worker_test.go
+++ b/fleet/helm/worker_test.go
@@ -20,6 +20,7 @@
 	cut      bool          // nothing reaches it
 	mute     bool          // orders take effect, their answers are lost
 	fails    bool          // whatever starts here fails
+	flaky    bool          // every other run fails
 	hangs    bool          // whatever starts here stands still
 	slow     int           // times that whatever runs here takes longer; 0 for once
 	room     fleet.Res
@@ -34,6 +35,7 @@
 	ended   fleet.EndNo
 	begun   map[fleet.JobID]int
 	seen    int
+	count   int               // runs that began here
 	pending []func(time.Time) // orders that are carried out late
 	lateFor time.Duration
 	lateAt  time.Time
@@ -46,6 +48,7 @@
 	order fleet.StartOrder
 	left  time.Duration
 	stop  time.Time // zero unless it is being stopped
+	odd   bool      // it is the first, third ... run on its worker
 }
 
 // spans is how long the tasks of a job really run.
@@ -128,7 +131,7 @@
 			if !now.Before(r.stop) {
 				w.end(k, fleet.EndStopped, "saved")
 			}
-		case w.fails:
+		case w.fails, w.flaky && r.odd:
 			w.end(k, fleet.EndFailed, "")
 		case !w.hangs:
 			r.left -= span / time.Duration(max(w.slow, 1))
@@ -185,7 +188,8 @@
 	}
 	w.term = o.Term
 	w.extend(now, o.Until)
-	w.runs[k] = &running{order: o, left: spans[o.Task.Job]}
+	w.count++
+	w.runs[k] = &running{order: o, left: spans[o.Task.Job], odd: w.count%2 == 1}
 	w.begun[o.Task.Job]++
 	used := int64(0)
 	for k := range w.runs {
--- a/fleet/pack/full.go
+++ b/fleet/pack/full.go
@@ -10,13 +10,14 @@
 	service, label, rack string
 	each                 fleet.Res
 	gang, tight, far     bool
+	last                 bool
 }
 
 func shapeOf(u Unit) shape {
 	p := u.Step.Spec
 	return shape{
 		service: u.Service, label: p.Label, rack: p.Rack, each: u.Step.Each(),
-		gang: p.Gang, tight: p.Tight, far: u.Far,
+		gang: p.Gang, tight: p.Tight, far: u.Far, last: u.Last,
 	}
 }
 
--- a/fleet/pack/pack.go
+++ b/fleet/pack/pack.go
@@ -21,6 +21,7 @@
 	Service string
 	Indexes []int                      // tasks of the step that need a worker
 	Far     bool                       // it may run away from its data, or on several racks
+	Last    bool                       // its next fail would be its job's end: only workers that are proven will do
 	Avoid   map[fleet.HostID]time.Time // workers that failed it: closed to it until then, and the last to be taken
 }
 
@@ -68,6 +69,9 @@
 	if _, failed := u.Avoid[w.Place.Host]; failed {
 		return lastRank
 	}
+	if w.Suspect(s.Now) {
+		return rank(crew.Crawling)
+	}
 	return rank(s.pace(w))
 }
 
@@ -88,6 +92,9 @@
 }
 
 func (s *Site) may(u Unit, w *crew.Worker) bool {
+	if u.Last && !w.Proven(s.Now) {
+		return false
+	}
 	return !s.Now.Before(u.Avoid[w.Place.Host]) && w.Service == u.Service && w.Usable(s.Now) && !s.Out[w.Domain] && !s.Muted[w.Domain] && w.Has(u.Step.Spec.Label) && w.OpenTo(u.Job.ID, s.Now)
 }
 
