Ask about a silent lead after 0.6 s

Cause: a lead that was killed was replaced after 1.0 to 1.3 s, of which 0.9 s passed before its peers asked each other. With nothing sent to a lead unheard for 0.4 s callers wait that long. Ruled out: more beats (a lead of 35 daemons sends 230 datagrams a second already). Change: four beats missed instead of six. A majority has to miss them too.

--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -16,7 +16,7 @@
 const (
 	BeatSpan   = 150 * time.Millisecond // between two beats of a lead
 	QuietSpan  = 400 * time.Millisecond // two beats may be lost before nothing is sent to a lead any more
-	SilentSpan = 900 * time.Millisecond // six beats; datagrams are lost at times
+	SilentSpan = 600 * time.Millisecond // four beats; datagrams are lost at times, and most peers must miss them
 	ColdSpan   = 400 * time.Millisecond // a daemon that has just started hears a lead that lives within this
 	BlindSpan  = 500 * time.Millisecond // a lead that the store does not answer so long may be replaced
 	ProbeSpan  = 300 * time.Millisecond // the store has answered a daemon so long before it replaces a blind lead
