Place a job with the append that accepts it

Cause: a job was placed once its acceptance was stored, and started once its places were: two appends one after the other. Ruled out: storing places later (a new lead must know them before anything starts). Change: what a job is placed on goes with its acceptance. A job that is refused while the store does not answer gives its room back. Tests: TestJobStartsWithItsAcceptance failed first (2 appends, 0.8 s), TestRefusedJobLeavesItsRoom.

--- a/fleet/helm/away_test.go
+++ b/fleet/helm/away_test.go
@@ -99,3 +99,38 @@
 		qt.Check(t, took <= 500*time.Millisecond, qt.IsTrue, qt.Commentf("away for %s: accepted %s after the store was back", away, took))
 	}
 }
+
+// Load pattern: the store is slow. A job is accepted and placed by one append, so
+// that it starts when it is accepted and not an append later.
+func TestJobStartsWithItsAcceptance(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.lead()
+	w.run(time.Second)
+	w.lag = 400 * time.Millisecond
+	w.appends = 0
+	spans["quick"] = time.Second
+	f := flow("quick", "urgent", gang(2, 2, time.Second))
+	w.accept(f)
+	w.until(50*time.Millisecond, "start", func() bool { return w.starts("quick") == 2 })
+	qt.Assert(t, w.appends, qt.Equals, 1)
+}
+
+// A job that is refused as the store does not answer leaves the room that was
+// found for it.
+func TestRefusedJobLeavesItsRoom(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	w.store.down = true
+	w.hand(flow("sent", "bulk", tasks(1, 1, time.Second)))
+	w.run(100 * time.Millisecond)
+	refused := w.hand(flow("waits", "urgent", gang(1, 7, time.Second)))
+	w.until(2*time.Second, "refusal", func() bool { return w.hands[refused] != nil })
+	qt.Assert(t, w.hands[refused].Verdict, qt.Equals, wire.Verdict_REFUSED)
+	w.store.down = false
+	w.run(time.Second)
+	spans["next"] = time.Second
+	next := flow("next", "urgent", gang(1, 7, time.Second))
+	w.accept(next)
+	w.done(next, 2*time.Second)
+	qt.Assert(t, w.starts("waits"), qt.Equals, 0)
+}
--- a/fleet/helm/box.go
+++ b/fleet/helm/box.go
@@ -130,17 +130,30 @@
 		n++
 	}
 	s.accepts, b.accepts = b.accepts[:n:n], b.accepts[n:]
+	var later []*job
 	for _, j := range b.dirty {
-		j.dirty = false
-		if h.jobs[j.ID] == j {
+		switch {
+		case h.jobs[j.ID] != j:
+		case slices.Contains(b.accepts, j):
+			later = append(later, j) // not before the job itself
+		default:
+			j.dirty = false
 			s.put(trackKey+string(j.ID), j.Track())
 		}
 	}
 	for _, id := range b.dead {
 		s.records = append(s.records, fleet.Record{Key: flowKey + string(id)}, fleet.Record{Key: trackKey + string(id)})
 	}
-	s.drops, s.starts = b.drops, b.starts
-	b.drops, b.starts, b.dirty, b.dead = nil, nil, nil, nil
+	starts := b.starts
+	s.drops = b.drops
+	b.drops, b.starts, b.dirty, b.dead = nil, nil, later, nil
+	for _, o := range starts {
+		if j := h.jobs[o.run.Task.Job]; j != nil && j.dirty {
+			b.starts = append(b.starts, o)
+			continue
+		}
+		s.starts = append(s.starts, o)
+	}
 	for _, w := range h.crew.Workers {
 		if w.Seen > w.Taken {
 			s.seen[w.Place.Host] = w.Seen
--- a/fleet/helm/hand.go
+++ b/fleet/helm/hand.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/crew"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/flow"
 	"dragonflydeck.example/fleet/wire"
@@ -72,6 +73,7 @@
 	j.waiters = []waiting{{e.Waiter, e.Until}}
 	h.jobs[id] = j
 	h.box.accepts = append(h.box.accepts, j)
+	h.changed = true
 }
 
 func (h *Helm) refuse(e HandedIn, retry time.Duration, why string) {
@@ -201,11 +203,31 @@
 	for _, j := range h.box.accepts {
 		h.noteRefused(j.Spec, awayRetry, storeAway)
 		h.answerHand(j, &wire.HandReply{Verdict: wire.Verdict_REFUSED, Retry: awayRetry.Milliseconds(), Why: storeAway})
-		delete(h.jobs, j.ID)
+		h.withdraw(j)
 	}
 	h.box.accepts = nil
 }
 
+// withdraw forgets a job that was not sent to the store, and the room that was
+// found for it.
+func (h *Helm) withdraw(j *job) {
+	for _, s := range j.Rounds[0].Steps {
+		for i := range s.Tasks {
+			k := &s.Tasks[i]
+			if k.At == "" {
+				continue
+			}
+			w := h.crew.Workers[k.At]
+			r := w.Runs[crew.Key{Task: s.Task(j.ID, i), No: k.Run}]
+			h.box.unsend(r)
+			w.Drop(key(r))
+		}
+	}
+	delete(h.jobs, j.ID)
+	h.forgetPeers(j)
+	h.changed = true
+}
+
 func (h *Helm) overdue(j *job) {
 	kept := j.waiters[:0]
 	for _, w := range j.waiters {
--- a/fleet/helm/plan.go
+++ b/fleet/helm/plan.go
@@ -80,9 +80,6 @@
 func (h *Helm) units() []unit {
 	var out []unit
 	for _, j := range h.jobs {
-		if !j.stored {
-			continue
-		}
 		j.Each(h.now, func(s *flow.Step) {
 			waits := idle(s)
 			last := h.lastTries(j, s, waits)
@@ -269,7 +266,7 @@
 // thrown away must not be more than the urgent job itself, unless its workspace
 // is owed the room.
 func (h *Helm) clear(site *pack.Site, u unit) {
-	if u.priority != 0 || u.waited < clearAfter || h.now.Sub(u.job.cleared) < clearRetry {
+	if u.priority != 0 || !u.job.stored || u.waited < clearAfter || h.now.Sub(u.job.cleared) < clearRetry {
 		return
 	}
 	owed := h.owed(u.job)
