Wait for a store that is slow, and not refuse as if it were away

Cause: an append that took 0.6 s counted as a sign that the store was away. Ruled out: the store's limits (no 429, no 503). Change: how long an append may take grows with what the last one took, to 1.5 s; the same holds for when an answer is given up and looked up. The first append of an outage is waited for as before. Test: TestSlowStoreIsNotTakenForOneThatIsAway failed first (39 of 40 refused).

--- a/deckd/site/carry.go
+++ b/deckd/site/carry.go
@@ -49,7 +49,7 @@
 		_, err := c.site.edges.Store.Newest(c.ctx, topicHosts, "")
 		c.site.loop.Post(helm.Probed{Err: err})
 	case helm.Append:
-		end, err := timed("append", func() (fleet.Offset, error) { return c.site.edges.Store.Append(c.ctx, topicJobs, a.At, a.Records) })
+		end, err := timed("append", func() (fleet.Offset, error) { return c.put(a.Span, topicJobs, a.At, a.Records) })
 		c.site.loop.Post(helm.Appended{Batch: a.Batch, End: end, Err: err})
 	case helm.Check:
 		c.site.loop.Post(c.check(a))
@@ -66,6 +66,15 @@
 	}
 }
 
+// ownSpan is how long a daemon waits for its own claim or entry to be stored.
+const ownSpan = 500 * time.Millisecond
+
+func (c *carrier) put(span time.Duration, topic fleet.Topic, at fleet.Offset, records []fleet.Record) (fleet.Offset, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, span)
+	defer cancel()
+	return c.site.edges.Store.Append(ctx, topic, at, records)
+}
+
 // timed makes a call and notes how long it took and how it ended.
 func timed[T any](name string, call func() (T, error)) (T, error) {
 	begun := time.Now()
@@ -120,7 +129,7 @@
 	if err != nil {
 		return helm.Claimed{Err: err}
 	}
-	after, err := store.Append(c.ctx, topicJobs, end, []fleet.Record{{Key: helm.LeadKey, Value: value}})
+	after, err := c.put(ownSpan, topicJobs, end, []fleet.Record{{Key: helm.LeadKey, Value: value}})
 	if err != nil {
 		return helm.Claimed{Err: err}
 	}
--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -71,7 +71,7 @@
 		return
 	}
 	for ctx.Err() == nil {
-		_, err := s.edges.Store.Append(ctx, topicHosts, -1, []fleet.Record{{Key: mine.Host, Value: value}})
+		_, err := s.carrier.put(ownSpan, topicHosts, -1, []fleet.Record{{Key: mine.Host, Value: value}})
 		if err == nil {
 			break
 		}
--- a/fleet/helm/away_test.go
+++ b/fleet/helm/away_test.go
@@ -134,3 +134,28 @@
 	w.done(next, 2*time.Second)
 	qt.Assert(t, w.starts("waits"), qt.Equals, 0)
 }
+
+// Load pattern: the store takes a hundred times longer than it should. Once that is
+// known, jobs are accepted late rather than refused.
+func TestSlowStoreIsNotTakenForOneThatIsAway(t *testing.T) {
+	w := newWorld(t, 2, 8)
+	w.lead()
+	w.run(time.Second)
+	w.lag = 700 * time.Millisecond
+	var ids []helm.Waiter
+	for i := range 40 {
+		id := fmt.Sprint("slow", i)
+		spans[fleet.JobID(id)] = time.Second
+		ids = append(ids, w.hand(flow(id, "urgent", gang(2, 2, time.Second))))
+		w.run(150 * time.Millisecond)
+	}
+	w.run(3 * time.Second)
+	refused := 0
+	for i, id := range ids {
+		if v := w.hands[id].GetVerdict(); v != wire.Verdict_OK {
+			qt.Check(t, i < 8, qt.IsTrue, qt.Commentf("job %d: %s", i, v))
+			refused++
+		}
+	}
+	qt.Assert(t, refused < 8, qt.IsTrue, qt.Commentf("%d refused", refused))
+}
--- a/fleet/helm/box.go
+++ b/fleet/helm/box.go
@@ -13,10 +13,13 @@
 
 // Bounds of appends.
 const (
-	batchBytes = 512 << 10              // a quarter of the platform's limit for one call
-	retrySpan  = 100 * time.Millisecond // between two tries of an append
-	stuckSpan  = 600 * time.Millisecond // an append of a few milliseconds that takes so long shows that the store is away
-	checkSpan  = 250 * time.Millisecond // a read that takes longer than a slow store's is asked again beside the first: it may hang on a dead connection
+	batchBytes = 512 << 10               // a quarter of the platform's limit for one call
+	retrySpan  = 100 * time.Millisecond  // between two tries of an append
+	appendSpan = 500 * time.Millisecond  // an append without an answer is looked up after
+	stuckSpan  = 600 * time.Millisecond  // an append of a few milliseconds that takes so long shows that the store is away
+	slowFactor = 3                       // times what the last append took, a store that is slow is waited for
+	slowMost   = 1500 * time.Millisecond // half of the time that callers have
+	checkSpan  = 250 * time.Millisecond  // a read that takes longer than a slow store's is asked again beside the first: it may hang on a dead connection
 )
 
 // box holds what must be stored before it takes effect. One batch is on its way
@@ -24,6 +27,7 @@
 // few appends.
 type box struct {
 	end     fleet.Offset
+	took    time.Duration // by the last append, until it was known to be stored
 	serial  uint64
 	sent    *batch
 	accepts []*job
@@ -62,7 +66,14 @@
 
 // stuck reports whether the store seems to be away.
 func (b *box) stuck(now time.Time) bool {
-	return b.sent != nil && now.Sub(b.sent.first) > stuckSpan
+	return b.sent != nil && now.Sub(b.sent.first) > b.patience(stuckSpan)
+}
+
+// patience returns how long an append may take: some span, or longer while the
+// store is slow. It answers a store that takes a hundred times longer than it
+// should, but takes all that it is given.
+func (b *box) patience(least time.Duration) time.Duration {
+	return max(least, min(slowFactor*b.took, slowMost))
 }
 
 // mark notes that a job's progress must be stored.
@@ -86,7 +97,7 @@
 	}
 	b.serial++
 	b.sent = h.gather()
-	h.do(Append{b.serial, b.sent.at, b.sent.records})
+	h.append(b.sent)
 }
 
 // pursue tries a batch again, or looks again whether it took effect.
@@ -96,10 +107,14 @@
 		h.check(s)
 	case !s.retry.IsZero() && !h.now.Before(s.retry):
 		s.retry = time.Time{}
-		h.do(Append{h.box.serial, s.at, s.records})
+		h.append(s)
 	}
 }
 
+func (h *Helm) append(s *batch) {
+	h.do(Append{h.box.serial, s.at, s.records, h.box.patience(appendSpan)})
+}
+
 // check looks up whether a batch took effect.
 func (h *Helm) check(s *batch) {
 	s.doubt, s.asked = true, h.now
@@ -234,7 +249,7 @@
 func (h *Helm) commit(end fleet.Offset) {
 	b := &h.box
 	s := b.sent
-	b.sent, b.end = nil, end
+	b.sent, b.end, b.took = nil, end, h.now.Sub(s.first)
 	h.changed = true
 	for _, j := range s.accepts {
 		j.stored = true
--- a/fleet/helm/events.go
+++ b/fleet/helm/events.go
@@ -131,6 +131,7 @@
 		Batch   uint64
 		At      fleet.Offset
 		Records []fleet.Record
+		Span    time.Duration // it is waited for so long
 	}
 	// Check reads what lies where an append was tried.
 	Check struct {
--- a/fleet/helm/world_test.go
+++ b/fleet/helm/world_test.go
@@ -209,9 +209,6 @@
 // callSpan is how long a call to the store takes when it is well.
 const callSpan = 4 * time.Millisecond
 
-// lostSpan is after how long the daemon gives an append up.
-const lostSpan = 500 * time.Millisecond
-
 func (w *world) carry(a helm.Action) {
 	switch a := a.(type) {
 	case helm.SendBeat:
@@ -233,8 +230,11 @@
 		}
 		end, err := w.store.append(a.At, a.Records)
 		span := callSpan + w.lag
+		if err == nil && span > a.Span {
+			err = &fleet.Error{Op: "append", Kind: fleet.Doubt, Err: errCut}
+		}
 		if fleet.KindOf(err) == fleet.Doubt && err != nil {
-			span = lostSpan
+			span = a.Span
 		}
 		w.after(span, helm.Appended{Batch: a.Batch, End: end, Err: err})
 	case helm.Check:
