--- /dev/null
+++ b/fleet/helm/clear.go
@@ -0,0 +1,148 @@
+package helm
+
+import (
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/crew"
+	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/flow"
+	"dragonflydeck.example/fleet/pack"
+)
+
+// Bounds of making room.
+const (
+	evictMost  = 2                      // stops of work that keeps no checkpoints, after which it is let end
+	savedLoss  = 250 * time.Millisecond // work that keeps checkpoints loses the time of a restore
+	clearAfter = 150 * time.Millisecond // urgent work waits so long for room before others are stopped for it
+	clearRetry = 800 * time.Millisecond // what was stopped for it is gone by then
+	keepSpan   = 900 * time.Millisecond // room is kept a little longer than that
+	owedClear  = 800 * time.Millisecond // a workspace gets what is guaranteed to it within 2.9 s, whatever it costs
+)
+
+// clear stops less urgent runs for urgent work, and keeps their room for it. It
+// answers a burst of urgent jobs against long ones that fill the site: what is
+// thrown away must not be more than the urgent job itself, unless its workspace
+// is owed the room.
+func (h *Helm) clear(site *pack.Site, u unit) {
+	if u.priority != 0 || !u.job.stored || u.waited < clearAfter || h.now.Sub(u.job.cleared) < clearRetry {
+		return
+	}
+	owed := h.owed(u.job)
+	claims := owed && u.waited >= owedClear
+	c, ok := site.Clear(u.Unit, func(r *crew.Run) float64 { return h.price(u, r, claims) })
+	if !ok || len(c.Runs) == 0 || c.Cost > work(u) && !claims {
+		return
+	}
+	u.job.cleared = h.now
+	h.note(event.JobEvicted, string(u.job.ID), "runs=%d stopped for it, cost=%.0f work=%.0f owed=%t waited=%s", len(c.Runs), c.Cost, work(u), owed, u.waited)
+	for _, w := range c.Workers {
+		w.Keep(u.job.ID, h.now.Add(keepSpan))
+	}
+	for _, r := range c.Runs {
+		h.evict(r, "urgent work needs the room")
+	}
+}
+
+// work returns the seconds of a core that a unit takes.
+func work(u unit) float64 {
+	return float64(len(u.Indexes)) * cores(u.Step.Each()) * u.Step.Span().Seconds()
+}
+
+// owed reports whether the urgent jobs of a job's workspace, all together, need
+// no more than is guaranteed to it.
+func (h *Helm) owed(j *job) bool {
+	var need fleet.Accels
+	for _, o := range h.jobs {
+		if o.Over() || o.Spec.Priority != 0 || o.Spec.Space != j.Spec.Space {
+			continue
+		}
+		for _, s := range o.Spec.Steps {
+			need += fleet.Accels(s.Each.GetAccels()) * fleet.Accels(s.Count)
+		}
+	}
+	return need <= h.config.Guaranteed(fleet.SpaceID(j.Spec.Space))
+}
+
+// evict stops a run and the rest of its gang.
+func (h *Helm) evict(r *crew.Run, why string) {
+	j := h.jobs[r.Task.Job]
+	s := j.Step(r.Task)
+	j.evicted[s.Task(j.ID, member(s, r))]++
+	for i := range s.Tasks {
+		k := &s.Tasks[i]
+		if k.At == "" || i != r.Task.Index && !s.Spec.Gang {
+			continue
+		}
+		w := h.crew.Workers[k.At]
+		if o := w.Runs[crew.Key{Task: s.Task(j.ID, i), No: k.Run}]; o != nil {
+			h.stop(w, o, why)
+		}
+	}
+}
+
+// price tells what stopping a run would throw away, in seconds of a core;
+// negative if it may not be stopped for the unit. A unit that claims what is
+// guaranteed to its workspace stops whatever it takes.
+func (h *Helm) price(u unit, r *crew.Run, claims bool) float64 {
+	j, ok := h.jobs[r.Task.Job]
+	if !ok || j.Spec.Priority <= u.priority || r.Phase != crew.Running || j.Step(r.Task).Spec.Lasting {
+		return -1
+	}
+	s := j.Step(r.Task)
+	if !s.Spec.Saves && !claims && !h.spares(j, s, r) {
+		return -1
+	}
+	cost := h.lost(s, r)
+	if s.Spec.Gang {
+		cost *= float64(len(s.Tasks))
+	}
+	return cost
+}
+
+// lost returns what stopping a run now throws away, in seconds of a core.
+func (h *Helm) lost(s *flow.Step, r *crew.Run) float64 {
+	span := h.now.Sub(r.Since) + r.Before
+	if s.Spec.Saves {
+		span = min(span, savedLoss)
+	}
+	return span.Seconds() * cores(r.Each)
+}
+
+// wasted returns what a run that is stopped now has done for nothing, in seconds
+// of a core.
+func (h *Helm) wasted(r *crew.Run) float64 {
+	j, ok := h.jobs[r.Task.Job]
+	if !ok || r.Phase != crew.Running {
+		return 0
+	}
+	s := j.Step(r.Task)
+	if s == nil {
+		return 0
+	}
+	return h.lost(s, r)
+}
+
+// spares reports whether a job can do without a run that would have to begin
+// anew: it was not stopped often already, and may still end in time.
+func (h *Helm) spares(j *job, s *flow.Step, r *crew.Run) bool {
+	due := j.Rounds[s.Round].Due.Add(h.goal(j))
+	return j.evicted[s.Task(j.ID, member(s, r))] < evictMost && h.now.Add(h.whole(j, r)).Before(due)
+}
+
+// member returns the index under which the evictions of a run are counted: those
+// of a gang together.
+func member(s *flow.Step, r *crew.Run) int {
+	if s.Spec.Gang {
+		return 0
+	}
+	return r.Task.Index
+}
+
+// coresPerAccel weighs an accelerator against processor cores, as the platform
+// does in its prices.
+const coresPerAccel = 8
+
+func cores(r fleet.Res) float64 {
+	return float64(r.Cores)/1000 + coresPerAccel*float64(r.Accels)
+}
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -137,20 +137,6 @@
 	h.sendStop(w, r)
 }
 
-// wasted returns what a run that is stopped now has done for nothing, in seconds
-// of a core.
-func (h *Helm) wasted(r *crew.Run) float64 {
-	j, ok := h.jobs[r.Task.Job]
-	if !ok || r.Phase != crew.Running {
-		return 0
-	}
-	s := j.Step(r.Task)
-	if s == nil {
-		return 0
-	}
-	return h.lost(s, r)
-}
-
 // unsend takes a start out of those that wait to be stored. It reports false
 // if the start may have left.
 func (b *box) unsend(r *crew.Run) bool {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -58,6 +58,9 @@
 	ends   []end
 	last   int64
 	mute   bool
+	late   bool
+	orders int           // starts and stops that have arrived
+	left   time.Duration // until it is gone, as it says while it drains; 0 while it does not
 	fails  bool
 	hangs  bool
 	gone   bool
@@ -88,6 +91,13 @@
 // Mute makes the engine carry out orders without answering.
 func (e *Engine) Mute(on bool) { e.set(func() { e.mute = on }) }
 
+// Late makes the engine carry out one start or stop in three seconds later, and
+// leave it without an answer.
+func (e *Engine) Late(on bool) { e.set(func() { e.late = on }) }
+
+// Drain makes the engine say that it will be gone in some time; 0 that it stays.
+func (e *Engine) Drain(left time.Duration) { e.set(func() { e.left = left }) }
+
 // Fail makes everything that runs on the engine fail.
 func (e *Engine) Fail(on bool) { e.set(func() { e.fails = on }) }
 
@@ -104,9 +114,13 @@
 func (e *Engine) Entry(service, addr string) any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	state := "ready"
+	if e.left > 0 {
+		state = "draining"
+	}
 	return map[string]any{
-		"service": service, "address": addr, "zone": e.opts.Zone, "version": "v1", "slots": 8, "state": "ready",
-		"coldRemainingMs": 0, "seq": 1, "clockMs": e.clock(), "born": e.born.UnixMilli(),
+		"service": service, "address": addr, "zone": e.opts.Zone, "version": "v1", "slots": 8, "state": state,
+		"drainRemainingMs": e.left.Milliseconds(), "coldRemainingMs": 0, "seq": 1, "clockMs": e.clock(), "born": e.born.UnixMilli(),
 		"capacity": map[string]int64{"cpu": e.opts.Cores, "memMb": e.opts.Mem, "gpu": e.opts.Accels},
 		"labels":   []string{"a", e.opts.Rack},
 	}
@@ -187,9 +201,9 @@
 	e.Tick()
 	switch string(ctx.Path()) {
 	case "/run-start":
-		e.answer(ctx, e.start(o))
+		e.carryOut(ctx, o, e.start)
 	case "/run-stop":
-		e.answer(ctx, e.halt(o))
+		e.carryOut(ctx, o, e.halt)
 	case "/hold":
 		e.hold(ctx, o)
 	default:
@@ -197,6 +211,32 @@
 	}
 }
 
+const (
+	lateEach = 3               // one order in so many is late
+	lateSpan = 2 * time.Second // by so long
+)
+
+// carryOut carries an order out and answers it, or does neither yet if it is late.
+func (e *Engine) carryOut(ctx *fasthttp.RequestCtx, o order, do func(order) string) {
+	e.mu.Lock()
+	e.orders++
+	late, born := e.late && e.orders%lateEach == 0, e.born
+	e.mu.Unlock()
+	if !late {
+		e.answer(ctx, do(o))
+		return
+	}
+	time.AfterFunc(lateSpan, func() {
+		e.mu.Lock()
+		same := e.born.Equal(born)
+		e.mu.Unlock()
+		if same {
+			do(o)
+		}
+	})
+	time.Sleep(muteSpan)
+}
+
 func (e *Engine) start(o order) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
