--- a/deckd/site/passon.go
+++ b/deckd/site/passon.go
@@ -19,7 +19,7 @@
 	addr  string // of the lead
 	here  bool   // this daemon leads
 	fresh bool   // the lead was heard a moment ago
-	lone  bool   // neither the lead nor most other daemons are heard
+	lone  bool   // neither most other daemons are heard, nor a lead that hears them
 }
 
 // passing decides how a job is passed on to the lead, for one caller. It answers
@@ -45,10 +45,10 @@
 func (p *passing) next(v view, now time.Time) move {
 	if p.doubt == 0 {
 		switch {
-		case v.here || v.fresh:
-			return p.within(now, noLeadWait, passOn, turnDown)
 		case v.lone:
 			return turnDown
+		case v.here || v.fresh:
+			return p.within(now, noLeadWait, passOn, turnDown)
 		}
 		return p.within(now, noLeadWait, holdOn, turnDown)
 	}
--- a/deckd/site/passon_test.go
+++ b/deckd/site/passon_test.go
@@ -28,6 +28,8 @@
 	qt.Assert(t, p.next(view{term: 7}, came), qt.Equals, holdOn)
 	qt.Assert(t, p.next(view{term: 7}, at(noLeadWait)), qt.Equals, turnDown)
 	qt.Assert(t, p.next(view{term: 7, lone: true}, came), qt.Equals, turnDown)
+	qt.Assert(t, p.next(view{term: 7, lone: true, fresh: true}, came), qt.Equals, turnDown)
+	qt.Assert(t, p.next(view{term: 7, lone: true, here: true}, came), qt.Equals, turnDown)
 }
 
 // Load pattern: a lead is lost with jobs on their way to it. The next lead tells
--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -46,6 +46,7 @@
 	Beats bool      // a beat of it was heard, not only its claim read
 
 	Blind   time.Time // since when it says that the store does not answer it
+	Alone   bool      // nor do most of its peers
 	Leaving bool
 }
 
@@ -140,7 +141,7 @@
 	e.lead = Lead{
 		Host: fleet.HostID(b.Host), Addr: b.Addr, Term: term, Inc: fleet.Incarnation(b.Inc),
 		Power: fleet.Millicores(b.Power), Heard: now, Beats: true,
-		Blind: since, Leaving: b.Leaving,
+		Blind: since, Alone: b.Alone, Leaving: b.Leaving,
 	}
 	return true
 }
@@ -152,8 +153,9 @@
 	return l.Term > 0 && !l.Leaving && now.Sub(l.Heard) < QuietSpan
 }
 
-// Lone reports whether this daemon hears neither the lead nor most of its peers.
-func (e *Elect) Lone() bool { return e.lone && e.want == silent }
+// Lone reports whether this daemon hears neither the lead nor most of its peers, or
+// hears a lead that hears nobody else.
+func (e *Elect) Lone() bool { return e.lone && e.want == silent || e.lead.Alone }
 
 func (e *Elect) calm() {
 	e.want, e.since, e.asked = content, time.Time{}, time.Time{}
@@ -304,11 +306,14 @@
 
 // majority reports whether more than half of the daemons, this one among them,
 // have answered.
-func (e *Elect) majority() bool { return 2*(e.hear+e.miss+1) > len(e.members) }
+func (e *Elect) majority() bool { return e.Most(e.hear + e.miss) }
+
+// Most reports whether some peers and this daemon are more than half of all.
+func (e *Elect) Most(peers int) bool { return 2*(peers+1) > len(e.members) }
 
 // missed reports whether more than half of the daemons, this one among them, miss
 // the lead.
-func (e *Elect) missed() bool { return 2*(e.miss+1) > len(e.members) }
+func (e *Elect) missed() bool { return e.Most(e.miss) }
 
 // delay spreads the claims of daemons that miss the lead at the same time.
 func (e *Elect) delay() time.Duration {
--- a/fleet/helm/away_test.go
+++ b/fleet/helm/away_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/helm"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
@@ -159,3 +160,24 @@
 	}
 	qt.Assert(t, refused < 8, qt.IsTrue, qt.Commentf("%d refused", refused))
 }
+
+// Load pattern: a failure domain is cut off with the lead in it. The lead says so
+// within a second, and that it is well when the cut heals. An outage of the store for
+// all is no cut.
+func TestLeadThatIsCutOffSaysSo(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	w.post(helm.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}})
+	for _, c := range []struct {
+		answers int
+		alone   bool
+	}{{3, false}, {2, false}, {1, true}, {0, true}} {
+		w.answers, w.store.down = c.answers, true
+		w.hand(flow(fmt.Sprint("cut", c.answers), "bulk", tasks(1, 1, time.Second)))
+		w.run(900 * time.Millisecond)
+		qt.Check(t, w.alone, qt.Equals, c.alone, qt.Commentf("%d of 3 peers answer", c.answers))
+		w.store.down = false
+		w.run(2 * time.Second)
+		qt.Check(t, w.alone, qt.IsFalse)
+	}
+}
--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -62,6 +62,7 @@
 
 	mode    mode
 	leaving bool
+	quorum  quorum
 	term    fleet.Term
 	epoch   int64
 
@@ -103,6 +104,7 @@
 	h.box = box{}
 	h.guesses = map[string]*guess{}
 	h.peers = map[*flow.Step]*peers{}
+	h.quorum = quorum{}
 	h.muted, h.pulsed = nil, map[fleet.DomainID]time.Time{}
 }
 
@@ -117,6 +119,7 @@
 		h.farewell()
 	}
 	if h.mode == leads {
+		h.reachPeers()
 		h.beat()
 		if h.now.Sub(h.tended) >= tendSpan {
 			h.tended = h.now
@@ -159,6 +162,7 @@
 	case Beaten:
 		h.hear(e.Beat)
 	case Sighted:
+		h.quorum.answers++
 		h.Elect.Answer(e.Reply)
 	case Members:
 		h.Elect.Members(e.All)
--- a/fleet/helm/stand.go
+++ b/fleet/helm/stand.go
@@ -198,7 +198,7 @@
 	b := &wire.Beat{
 		Host: string(h.self.Host), Addr: h.self.Addr, Term: int64(h.term),
 		Orders: int64(h.orders), Blind: h.box.stuck(h.now), Leaving: h.leaving, Power: int64(h.self.Power),
-		Inc: int64(h.self.Inc),
+		Inc: int64(h.self.Inc), Alone: h.quorum.alone,
 	}
 	h.Elect.Beat(b, h.now)
 	h.do(SendBeat{b})
--- a/fleet/helm/world_test.go
+++ b/fleet/helm/world_test.go
@@ -52,6 +52,8 @@
 	bytes     int           // of records appended
 	cost      time.Duration // of real time that the helm took
 	lag       time.Duration // that appends take longer
+	answers   int           // peers that answer
+	alone     bool          // as the newest beat says
 }
 
 // delayed is an event that arrives at some time.
@@ -215,6 +217,11 @@
 		if a.Beat.Leaving {
 			w.farewells++
 		}
+		w.alone = a.Beat.Alone
+	case helm.AskPeers:
+		for range w.answers {
+			w.after(quick, helm.Sighted{Reply: &wire.SightReply{}})
+		}
 	case helm.Claim:
 		w.claim()
 	case helm.Probe:
