--- a/fleet/helm/away_test.go
+++ b/fleet/helm/away_test.go
@@ -181,3 +181,31 @@
 		qt.Check(t, w.alone, qt.IsFalse)
 	}
 }
+
+// A cancellation is not acknowledged before it is stored, also if the caller asks
+// again while it is on its way to the store. Found by a day of our own, seed 11.
+func TestCancellationOnItsWayIsNotAcknowledged(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	spans["cancelled"] = time.Minute
+	f := flow("cancelled", "bulk", tasks(1, 1, time.Minute))
+	w.accept(f)
+	w.run(200 * time.Millisecond)
+	w.store.down, w.workers["w0-0"].cut = true, true
+	for i := range 8 {
+		id := w.cancel(f)
+		w.run(300 * time.Millisecond)
+		if r := w.drops[id]; r != nil {
+			qt.Check(t, r.Verdict, qt.Not(qt.Equals), wire.Verdict_OK, qt.Commentf("try %d", i))
+		}
+		qt.Check(t, w.stage(f), qt.Not(qt.Equals), wire.Stage_WITHDRAWN)
+	}
+	w.store.down, w.workers["w0-0"].cut = false, false
+	id := w.cancel(f)
+	w.until(time.Second, "acknowledgement", func() bool { return w.drops[id].GetVerdict() == wire.Verdict_OK })
+	w.boot()
+	w.lead()
+	w.run(time.Second)
+	qt.Assert(t, w.stage(f), qt.Equals, wire.Stage_WITHDRAWN)
+	qt.Assert(t, w.starts("cancelled"), qt.Equals, 1)
+}
--- a/fleet/helm/box.go
+++ b/fleet/helm/box.go
@@ -152,7 +152,7 @@
 		case slices.Contains(b.accepts, j):
 			later = append(later, j) // not before the job itself
 		default:
-			j.dirty = false
+			j.dirty, j.batch = false, b.serial
 			s.put(trackKey+string(j.ID), j.Track())
 		}
 	}
--- a/fleet/helm/hand.go
+++ b/fleet/helm/hand.go
@@ -21,6 +21,7 @@
 	*flow.Job
 	stored  bool // accepted
 	dirty   bool
+	batch   uint64 // that took its newest progress to the store
 	waiters []waiting
 	cleared time.Time                  // when runs were last stopped for it
 	failed  map[fleet.HostID]time.Time // workers on which one of its tasks failed, closed to it until then
@@ -110,12 +111,12 @@
 	}
 	if j.Cancel(h.now) {
 		h.note(event.JobCancelled, string(j.ID), "term=%d", h.term)
-		h.box.mark(j)
 		h.changed = true
-	} else if !j.dirty {
+	} else if !h.unstored(j) {
 		h.do(AnswerDrop{e.Waiter, &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: j.Stage()}})
 		return
 	}
+	h.box.mark(j)
 	h.box.drops = append(h.box.drops, held{j, e.Waiter, e.Until})
 }
 
@@ -140,12 +141,17 @@
 	switch {
 	case j == nil:
 		return &wire.FlowReply{Verdict: wire.Verdict_ABSENT}
-	case !j.stored || j.Over() && j.dirty && !h.keeps(j):
+	case !j.stored || j.Cancelled && h.unstored(j) || j.Over() && j.dirty && !h.keeps(j):
 		return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: h.before(j)}
 	}
 	return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: j.Stage()}
 }
 
+// unstored reports whether progress of a job is still to be stored, or on its way.
+func (h *Helm) unstored(j *job) bool {
+	return j.dirty || h.box.sent != nil && j.batch == h.box.serial
+}
+
 // keeps reports whether the end of a job may be told before it is stored: while
 // the store is away, the workers keep the ends that it rests on until they are.
 func (h *Helm) keeps(j *job) bool {
