Take all runs of a refused job off their workers, by one walk over these

A job at fixed times may have more than one round placed; the others were taken off by the next look over all runs only. The test of refused jobs has such a job now.

--- a/fleet/helm/away_test.go
+++ b/fleet/helm/away_test.go
@@ -124,7 +124,9 @@
 	w.store.down = true
 	w.hand(flow("sent", "bulk", tasks(1, 1, time.Second)))
 	w.run(100 * time.Millisecond)
-	refused := w.hand(flow("waits", "urgent", gang(1, 7, time.Second)))
+	waits := flow("waits", "urgent", gang(1, 3, time.Second))
+	waits.Repeat = &wire.Repeat{Count: 2, First: w.now.UnixMilli()}
+	refused := w.hand(waits)
 	w.until(2*time.Second, "refusal", func() bool { return w.hands[refused] != nil })
 	qt.Assert(t, w.hands[refused].Verdict, qt.Equals, wire.Verdict_REFUSED)
 	w.store.down = false
--- a/fleet/helm/hand.go
+++ b/fleet/helm/hand.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
-	"dragonflydeck.example/fleet/crew"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/flow"
 	"dragonflydeck.example/fleet/wire"
@@ -217,16 +216,12 @@
 // withdraw forgets a job that was not sent to the store, and the room that was
 // found for it.
 func (h *Helm) withdraw(j *job) {
-	for _, s := range j.Rounds[0].Steps {
-		for i := range s.Tasks {
-			k := &s.Tasks[i]
-			if k.At == "" {
-				continue
+	for _, w := range h.crew.Workers {
+		for _, r := range w.Sorted() {
+			if r.Task.Job == j.ID {
+				h.box.unsend(r)
+				w.Drop(key(r))
 			}
-			w := h.crew.Workers[k.At]
-			r := w.Runs[crew.Key{Task: s.Task(j.ID, i), No: k.Run}]
-			h.box.unsend(r)
-			w.Drop(key(r))
 		}
 	}
 	delete(h.jobs, j.ID)
