Let a lead that is cut off give no leases, and count those that it gave

Cause: a new lead took the leases of workers that it could not reach for lapsed 6.6 s after its claim, while the former lead, cut off with them, went on extending them until the cut healed. Change: a lead to which the store has said nothing for 0.3 s asks all its peers and, if it appends nothing, reads behind its newest append. If neither the store nor most peers answer, it extends no lease; a new lead counts leases given until 1.25 s after its claim. A lead that learns from a peer of a newer one yields. Workers that owe an answer get no longer leases either, and are asked again beside a look that hangs, listed or not. Test: TestLeadThatIsCutOffGivesNoLeases failed first (extended for as long as it ran).

--- a/deckd/site/carry.go
+++ b/deckd/site/carry.go
@@ -43,7 +43,7 @@
 func (c *carrier) call(a helm.Action) {
 	switch a := a.(type) {
 	case helm.AskPeers:
-		c.askPeers()
+		c.askPeers(a.All)
 	case helm.Claim:
 		c.site.loop.Post(c.claim(a.Known))
 	case helm.Probe:
@@ -150,12 +150,16 @@
 	return lead, 0, nil
 }
 
-// askPeers asks other daemons, drawn by chance, whether they hear the lead.
-func (c *carrier) askPeers() {
+// askPeers asks other daemons, all or some drawn by chance, whether they hear the
+// lead.
+func (c *carrier) askPeers(all bool) {
 	var group sync.WaitGroup
 	peers := c.site.members.others(c.site.self.Host)
 	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
-	for _, m := range peers[:min(len(peers), elect.AskMost)] {
+	if !all {
+		peers = peers[:min(len(peers), elect.AskMost)]
+	}
+	for _, m := range peers {
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(c.ctx, elect.AskSpan)
 			defer cancel()
--- a/fleet/crew/lease.go
+++ b/fleet/crew/lease.go
@@ -54,10 +54,10 @@
 	return at
 }
 
-// Foreign notes that a former lead may have given leases until now.
-func (w *Worker) Foreign(now time.Time) {
+// Foreign notes that a former lead may give leases until some time.
+func (w *Worker) Foreign(until time.Time) {
 	w.Synced = false
-	w.Bound(now)
+	w.Bound(until)
 }
 
 // Bound notes that something holds a lease that is not known, given by now. No
--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -337,6 +337,9 @@
 // are asked.
 func (e *Elect) Most(peers int) bool { return 2*(peers+1) > e.panel() }
 
+// Majority reports whether some peers and this daemon are more than half of all.
+func (e *Elect) Majority(peers int) bool { return 2*(peers+1) > len(e.members) }
+
 // missed reports whether more than half of the daemons, this one among them, miss
 // the lead.
 func (e *Elect) missed() bool { return e.Most(e.miss) }
--- a/fleet/helm/box.go
+++ b/fleet/helm/box.go
@@ -226,6 +226,10 @@
 // another lead: whoever else appends has claimed before.
 func (h *Helm) checked(e Checked) {
 	b := &h.box
+	if h.mode == leads && e.Batch == 0 {
+		h.assured(e)
+		return
+	}
 	if b.sent == nil || e.Batch != b.serial || !b.sent.doubt {
 		return
 	}
@@ -233,15 +237,15 @@
 		h.noteRetry("check", e.Err)
 		return
 	}
-	claimed := slices.ContainsFunc(e.Records, func(r fleet.Record) bool { return r.Key == LeadKey })
 	switch end := b.sent.at + fleet.Offset(len(b.sent.records)); {
-	case claimed:
+	case claimed(e.Records):
 		h.yield("another daemon has appended", 0)
 	case e.End >= end:
 		h.commit(end)
 	default:
 		// It has not taken effect, and may still do so as long as nothing else does.
 		b.sent.doubt, b.sent.retry = false, h.now
+		h.confirm()
 	}
 }
 
@@ -250,6 +254,7 @@
 	b := &h.box
 	s := b.sent
 	b.sent, b.end, b.took = nil, end, h.now.Sub(s.first)
+	h.confirm()
 	h.changed = true
 	for _, j := range s.accepts {
 		j.stored = true
--- a/fleet/helm/events.go
+++ b/fleet/helm/events.go
@@ -117,8 +117,8 @@
 
 // Actions of a daemon.
 type (
-	// AskPeers asks up to elect.AskMost peers whether they hear the lead.
-	AskPeers struct{}
+	// AskPeers asks peers whether they hear the lead: up to elect.AskMost, or all.
+	AskPeers struct{ All bool }
 	// Claim appends a claim to lead, unless the newest one is newer than the
 	// term known.
 	Claim struct{ Known fleet.Term }
@@ -133,7 +133,8 @@
 		Records []fleet.Record
 		Span    time.Duration // it is waited for so long
 	}
-	// Check reads what lies where an append was tried.
+	// Check reads what lies where an append was tried, or behind the newest one,
+	// for batch 0.
 	Check struct {
 		Batch uint64
 		At    fleet.Offset
--- a/fleet/helm/helm.go
+++ b/fleet/helm/helm.go
@@ -104,7 +104,7 @@
 	h.box = box{}
 	h.guesses = map[string]*guess{}
 	h.peers = map[*flow.Step]*peers{}
-	h.quorum = quorum{}
+	h.confirm()
 	h.muted, h.pulsed = nil, map[fleet.DomainID]time.Time{}
 }
 
@@ -162,8 +162,7 @@
 	case Beaten:
 		h.hear(e.Beat)
 	case Sighted:
-		h.quorum.answers++
-		h.Elect.Answer(e.Reply)
+		h.sighted(e.Reply)
 	case Members:
 		h.Elect.Members(e.All)
 	case Claimed:
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -44,7 +44,7 @@
 func (h *Helm) due(w *crew.Worker) bool {
 	since := h.now.Sub(w.Tried)
 	switch {
-	case w.Listed && w.Quiet(h.now):
+	case w.Quiet(h.now) && (w.Listed || len(w.Runs) > 0):
 		return w.Looking < looksMost && since >= lookRetry
 	case w.Looking > 0:
 		return w.Looking == 1 && w.Synced && since >= settleGap && stopping(w)
--- a/fleet/helm/lost_test.go
+++ b/fleet/helm/lost_test.go
@@ -7,7 +7,9 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/crew"
+	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/helm"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
 )
@@ -349,3 +351,25 @@
 	}
 	w.until(time.Second, "word from the domain", func() bool { return w.count(event.DomainHeard) == 1 })
 }
+
+// Load pattern: a failure domain is cut off with the lead in it, for longer than it
+// takes to choose another. The old lead gives no leases any more once it knows, so that
+// the new one is right to take them for lapsed. Found by trouble-3 of acampa-prod-grown.
+func TestLeadThatIsCutOffGivesNoLeases(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.lead()
+	spans["inside"] = time.Minute
+	w.accept(flow("inside", "bulk", tasks(1, 1, time.Minute)))
+	w.run(time.Second)
+	w.post(helm.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}})
+	w.answers = 3
+	w.run(2 * limits.Lease)
+	qt.Assert(t, w.running("inside"), qt.Equals, 1, qt.Commentf("most peers answer"))
+	w.answers, w.store.down = 1, true
+	cut := w.now
+	w.run(2 * time.Second)
+	until := w.workers["w0-0"].until
+	w.run(3 * time.Second)
+	qt.Assert(t, w.workers["w0-0"].until, qt.Equals, until)
+	qt.Assert(t, until.Sub(cut) <= limits.Lease+1250*time.Millisecond, qt.IsTrue, qt.Commentf("%s after the cut", until.Sub(cut)))
+}
--- a/fleet/helm/reach.go
+++ b/fleet/helm/reach.go
@@ -60,7 +60,7 @@
 // look asks a worker what runs and what has ended.
 func (h *Helm) look(w *crew.Worker, wait time.Duration) {
 	o := fleet.LookOrder{Term: h.term, Taken: w.Taken, Wait: wait}
-	if w.Synced && len(w.Runs) > 0 && h.now.Sub(w.Heard) < silentSpan {
+	if w.Synced && len(w.Runs) > 0 && h.now.Sub(w.Heard) < silentSpan && !w.Quiet(h.now) && !h.quorum.alone {
 		o.Until = w.Lease(h.limits.Lease, h.now)
 	}
 	w.Looking++
--- a/fleet/helm/stand.go
+++ b/fleet/helm/stand.go
@@ -68,7 +68,7 @@
 	h.restore(e.Records)
 	h.list(h.listed)
 	for _, w := range h.crew.Sorted() {
-		w.Foreign(h.now)
+		w.Foreign(h.now.Add(aloneSpan)) // a lead that is cut off gives leases until it knows
 	}
 	h.changed = true
 	h.note(event.LeadReady, string(h.self.Host), "term=%d jobs=%d workers=%d", h.term, len(h.jobs), len(h.crew.Workers))
