--- a/deckd/site/passon.go
+++ b/deckd/site/passon.go
@@ -9,8 +9,8 @@
 
 // Spans of passing a job on.
 const (
-	noLeadWait = 700 * time.Millisecond  // a caller who comes back finds the next lead as soon as one who waits on
-	doubtWait  = 1500 * time.Millisecond // a lead is mostly replaced within this, and then tells what became of the job
+	noLeadWait = 700 * time.Millisecond // a caller who comes back finds the next lead as soon as one who waits on
+	doubtWait  = leadWait               // the next lead tells what became of the job
 )
 
 // view is what a daemon knows about the lead of its site.
--- a/fleet/helm/clear.go
+++ b/fleet/helm/clear.go
@@ -70,12 +70,10 @@
 	s := j.Step(r.Task)
 	j.evicted[s.Task(j.ID, member(s, r))]++
 	for i := range s.Tasks {
-		k := &s.Tasks[i]
-		if k.At == "" || i != r.Task.Index && !s.Spec.Gang {
+		if i != r.Task.Index && !s.Spec.Gang {
 			continue
 		}
-		w := h.crew.Workers[k.At]
-		if o := w.Runs[crew.Key{Task: s.Task(j.ID, i), No: k.Run}]; o != nil {
+		if w, o := h.newest(j, s, i); o != nil {
 			h.stop(w, o, why)
 		}
 	}
@@ -112,12 +110,8 @@
 // wasted returns what a run that is stopped now has done for nothing, in seconds
 // of a core.
 func (h *Helm) wasted(r *crew.Run) float64 {
-	j, ok := h.jobs[r.Task.Job]
-	if !ok || r.Phase != crew.Running {
-		return 0
-	}
-	s := j.Step(r.Task)
-	if s == nil {
+	_, s := h.stepOf(r.Task)
+	if s == nil || r.Phase != crew.Running {
 		return 0
 	}
 	return h.lost(s, r)
--- a/fleet/helm/leave.go
+++ b/fleet/helm/leave.go
@@ -29,15 +29,15 @@
 // more later, and be missed until the worker's lease has lapsed.
 func (h *Helm) clearOut(w *crew.Worker) {
 	for _, r := range w.Sorted() {
-		j, ok := h.jobs[r.Task.Job]
-		if !ok || r.Phase != crew.Running || j.Step(r.Task) == nil {
+		j, s := h.stepOf(r.Task)
+		if s == nil || r.Phase != crew.Running {
 			continue
 		}
 		left := w.Gone.Sub(h.now)
 		switch {
 		case w.Short:
 			left += shortSlack
-		case !j.Step(r.Task).Spec.Saves:
+		case !s.Spec.Saves:
 			left += leaveSlack
 		}
 		if h.remaining(j, r) > left {
--- a/fleet/helm/look.go
+++ b/fleet/helm/look.go
@@ -169,20 +169,18 @@
 
 // worked estimates how long a run that is seen for the first time has worked.
 func (h *Helm) worked(seen fleet.RunSeen) time.Duration {
-	j, ok := h.jobs[seen.Task.Job]
-	if !ok || j.Step(seen.Task) == nil {
+	j, s := h.stepOf(seen.Task)
+	if s == nil {
 		return 0
 	}
-	return h.span(j, j.Step(seen.Task)) * time.Duration(seen.Percent) / 100
+	return h.span(j, s) * time.Duration(seen.Percent) / 100
 }
 
 // stray stops a run that the records do not know.
 func (h *Helm) stray(w *crew.Worker, seen fleet.RunSeen) {
 	r := &crew.Run{Task: seen.Task, No: seen.Run, Phase: crew.Running, Since: h.now, Moved: h.now, Left: true}
-	if j, ok := h.jobs[seen.Task.Job]; ok {
-		if s := j.Step(seen.Task); s != nil {
-			r.Each = s.Each()
-		}
+	if _, s := h.stepOf(seen.Task); s != nil {
+		r.Each = s.Each()
 	}
 	w.Add(r)
 	w.Bound(h.now)
--- a/fleet/helm/runs.go
+++ b/fleet/helm/runs.go
@@ -7,6 +7,7 @@
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/crew"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/flow"
 )
 
 // Spans of orders.
@@ -91,6 +92,27 @@
 	return w, w.Runs[k]
 }
 
+// stepOf returns the job and the step of a task; the step is nil if the job is not
+// known or has no such task.
+func (h *Helm) stepOf(t fleet.Task) (*job, *flow.Step) {
+	j, ok := h.jobs[t.Job]
+	if !ok {
+		return nil, nil
+	}
+	return j, j.Step(t)
+}
+
+// newest returns the newest run of a task that has not ended, and its worker; nil if
+// there is none.
+func (h *Helm) newest(j *job, s *flow.Step, index int) (*crew.Worker, *crew.Run) {
+	k := &s.Tasks[index]
+	w, ok := h.crew.Workers[k.At]
+	if !ok {
+		return nil, nil
+	}
+	return w, w.Runs[crew.Key{Task: s.Task(j.ID, index), No: k.Run}]
+}
+
 // close notes that a run is no longer on its worker and did not end there.
 func (h *Helm) close(w *crew.Worker, r *crew.Run, why string) {
 	w.Drop(key(r))
@@ -111,15 +133,8 @@
 		return
 	}
 	for i := range s.Tasks {
-		k := &s.Tasks[i]
-		if k.At == "" || k.Run != lost.No {
-			continue
-		}
-		t := s.Task(j.ID, i)
-		if w, ok := h.crew.Workers[k.At]; ok {
-			if r := w.Runs[crew.Key{Task: t, No: k.Run}]; r != nil {
-				h.stop(w, r, "its gang is not whole")
-			}
+		if w, r := h.newest(j, s, i); r != nil && r.No == lost.No {
+			h.stop(w, r, "its gang is not whole")
 		}
 	}
 }
--- a/fleet/helm/tend.go
+++ b/fleet/helm/tend.go
@@ -96,13 +96,7 @@
 // allDone reports whether every member of a gang has done its part.
 func (h *Helm) allDone(j *job, s *flow.Step) bool {
 	for i := range s.Tasks {
-		k := &s.Tasks[i]
-		w, ok := h.crew.Workers[k.At]
-		if !ok {
-			return false
-		}
-		r := w.Runs[crew.Key{Task: s.Task(j.ID, i), No: k.Run}]
-		if r == nil || r.Percent < wholePercent {
+		if _, r := h.newest(j, s, i); r == nil || r.Percent < wholePercent {
 			return false
 		}
 	}
