Processor time of tests is that of their thread

Cause: TestOverloadedSiteIsPlannedInTime and two tests of fleet/bench took wall time for processor time, so that other processes on the machine counted. Now fleet/usage measures the thread, as the benchmarks did before. Bounds and loads are unchanged.

--- a/fleet/bench/naive_test.go
+++ b/fleet/bench/naive_test.go
@@ -5,6 +5,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/place"
+	"dragonflydeck.example/fleet/usage"
 )
 
 // maxTries is how often the baseline tries a job that fails.
@@ -99,7 +100,7 @@
 
 func (n *naive) plan(time.Time) []decision {
 	var acts []decision
-	n.cpu += cpuTime(func() { acts = n.startAll() })
+	n.cpu += usage.Of(func() { acts = n.startAll() })
 	return acts
 }
 
--- a/fleet/bench/planners_test.go
+++ b/fleet/bench/planners_test.go
@@ -6,6 +6,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/place"
+	"dragonflydeck.example/fleet/usage"
 )
 
 // planners is the scheduler under test: one planner for each failure domain, driven as by the daemons.
@@ -221,7 +222,7 @@
 // timeDecision runs one decision and adds its processor time to the total.
 func timeDecision[T any](o *planners, f func() T) T {
 	var v T
-	o.cpu += cpuTime(func() { v = f() })
+	o.cpu += usage.Of(func() { v = f() })
 	return v
 }
 
--- a/fleet/bench/slopes_test.go
+++ b/fleet/bench/slopes_test.go
@@ -11,6 +11,7 @@
 	"dragonflydeck.example/fleet/board"
 	"dragonflydeck.example/fleet/core"
 	"dragonflydeck.example/fleet/state"
+	"dragonflydeck.example/fleet/usage"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
@@ -100,16 +101,15 @@
 	l.append(&wire.Entry{Id: "p" + id, Kind: &wire.Entry_Place{Place: place}})
 }
 
-// advance moves the virtual clock in ticks and returns the time taken by the core's steps.
+// advance moves the virtual clock in ticks and returns the processor time taken by the core's steps.
 func (l *leadSim) advance(span time.Duration) time.Duration {
 	var took time.Duration
 	var events []board.Event
 	for end := l.now.Add(span); l.now.Before(end); l.now = l.now.Add(100 * time.Millisecond) {
 		events = l.due()
 		for first := true; first || len(events) > 0; first = false {
-			begun := time.Now()
-			actions := l.core.Step(l.now, events)
-			took += time.Since(begun)
+			var actions []board.Action
+			took += usage.Of(func() { actions = l.core.Step(l.now, events) })
 			events = nil
 			for _, a := range actions {
 				if e := l.answer(a); e != nil {
@@ -251,23 +251,22 @@
 	for _, jobs := range []int{250, 500, 1000, 2000} {
 		l := newLeadSim(11, 64, jobs, 25)
 		s := state.New()
-		begun := time.Now()
-		for i, e := range l.log {
-			_ = s.Apply(fleet.Offset(i+1), e)
-		}
-		fold := time.Since(begun)
-		begun = time.Now()
-		pieces := s.Images()
-		image := time.Since(begun)
+		fold := usage.Of(func() {
+			for i, e := range l.log {
+				_ = s.Apply(fleet.Offset(i+1), e)
+			}
+		})
+		var pieces []*wire.Image
+		image := usage.Of(func() { pieces = s.Images() })
 		size := 0
 		for _, p := range pieces {
 			size += proto.Size(p)
 		}
-		begun = time.Now()
-		_, err := state.Load(pieces)
+		var err error
+		load := usage.Of(func() { _, err = state.Load(pieces) })
 		qt.Assert(t, err, qt.IsNil)
 		fmt.Printf("slope: state jobs=%d tasks=%d records=%d fold=%s image=%s pieces=%d bytes=%d load=%s\n",
-			jobs, jobs*25, len(l.log), fold, image, len(pieces), size, time.Since(begun))
+			jobs, jobs*25, len(l.log), fold, image, len(pieces), size, load)
 	}
 }
 
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -11,6 +11,7 @@
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/queue"
 	"dragonflydeck.example/fleet/sched"
+	"dragonflydeck.example/fleet/usage"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
 )
@@ -50,7 +51,7 @@
 	appends       int
 	leavingBeats  int           // heartbeats that announce that the lead leaves
 	appendedBytes int           // total size of appended records
-	stepTime      time.Duration // real time spent in Step
+	stepTime      time.Duration // processor time spent in Step
 	appendDelay   time.Duration // extra duration of appends
 	peerAnswers   int           // number of peers that answer
 	alone         bool          // as in the newest heartbeat
@@ -189,9 +190,8 @@
 	w.later = remaining
 	events := w.events
 	w.events = nil
-	begun := time.Now()
-	actions := w.scheduler.Step(w.now, events)
-	w.stepTime += time.Since(begun)
+	var actions []sched.Action
+	w.stepTime += usage.Of(func() { actions = w.scheduler.Step(w.now, events) })
 	for _, a := range actions {
 		w.execute(a)
 	}
