The lead of a large site plans at most each 20 ms, from workers indexed once

Cause: on a full site of 540 workers each run end, answer and commit made the lead plan anew, hundreds of times a second, and each plan asked every worker for every waiting unit whether it is usable, and sorted the victims of preemption by a cost that it computed anew for each comparison. What the issue lists followed from that: dials that time out, connections that run out, starts taken for unanswered, stops of their gangs, questions to peers that hear nothing in time, guarantees late.

Change: a plan at most each 20 ms; usable workers with rank and record are computed once a plan; so are the runs that urgent work may stop, with their costs.

Ruled out: the number of connections to a worker, and admission, as causes: both are as before.

Conclusion: the lead's processor was what bound.

--- a/fleet/assign/assign.go
+++ b/fleet/assign/assign.go
@@ -24,12 +24,41 @@
 	Avoid       map[fleet.HostID]time.Time // workers that failed it: not eligible until the given time, and the last choice after it
 }
 
-// Site is the state that placement reads.
+// Site is the state that placement reads, at one time.
 type Site struct {
 	Now          time.Time
 	Pool         *pool.Pool
 	OutOfService map[fleet.DomainID]bool // failure domains that are out of service
 	Unreachable  map[fleet.DomainID]bool // failure domains that count as unreachable
+
+	usable map[string][]usableWorker // by service; computed at the first use
+}
+
+// usableWorker is a worker on which tasks may start now, with what every search for
+// room asks about it.
+type usableWorker struct {
+	*pool.Worker
+	rank   rank
+	proven bool
+}
+
+// workers returns the usable workers of a service. They are computed once, as many
+// units are placed at one time.
+func (s *Site) workers(service string) []usableWorker {
+	list, ok := s.usable[service]
+	if ok {
+		return list
+	}
+	for _, w := range s.Pool.Sorted() {
+		if w.Service == service && w.Usable(s.Now) && !s.OutOfService[w.Domain] && !s.Unreachable[w.Domain] {
+			list = append(list, usableWorker{w, s.rankOf(w), w.Proven(s.Now)})
+		}
+	}
+	if s.usable == nil {
+		s.usable = map[string][]usableWorker{}
+	}
+	s.usable[service] = list
+	return list
 }
 
 // Placement assigns a task to a worker.
@@ -64,38 +93,49 @@
 
 const lastRank = rank(pool.VerySlow) + 1
 
-func (s *Site) rank(u Unit, w *pool.Worker) rank {
-	if _, failed := u.Avoid[w.Endpoint.Host]; failed {
-		return lastRank
-	}
+// rankOf returns the rank of a worker for a unit that it has not failed.
+func (s *Site) rankOf(w *pool.Worker) rank {
 	if w.Suspect(s.Now) {
 		return rank(pool.VerySlow)
 	}
 	return rank(s.pace(w))
 }
 
+func (w usableWorker) rankFor(u Unit) rank {
+	if len(u.Avoid) > 0 {
+		if _, failed := u.Avoid[w.Endpoint.Host]; failed {
+			return lastRank
+		}
+	}
+	return w.rank
+}
+
 func (s candidate) rack() string { return s.worker.Rack }
 
 // candidates returns the eligible workers with room for at least one task of the
 // unit.
 func (s *Site) candidates(u Unit) []candidate {
 	var out []candidate
-	for _, w := range s.Pool.Sorted() {
-		if !s.eligible(u, w) {
+	each := u.Step.Each()
+	for _, w := range s.workers(u.Service) {
+		room := w.Free()
+		if !each.Fits(room) || !s.eligible(u, w) {
 			continue
 		}
-		if n := s.taskCount(u, w, w.Free()); n > 0 {
-			out = append(out, candidate{w, n, s.rank(u, w)})
+		if n := s.taskCount(u, w.Worker, room); n > 0 {
+			out = append(out, candidate{w.Worker, n, w.rankFor(u)})
 		}
 	}
 	return out
 }
 
-func (s *Site) eligible(u Unit, w *pool.Worker) bool {
-	if u.LastAttempt && !w.Proven(s.Now) {
+// eligible reports whether a usable worker may run tasks of the unit.
+func (s *Site) eligible(u Unit, w usableWorker) bool {
+	switch {
+	case u.LastAttempt && !w.proven, !w.HasLabel(u.Step.Spec.Label), !w.AvailableTo(u.Job.ID, s.Now):
 		return false
 	}
-	return !s.Now.Before(u.Avoid[w.Endpoint.Host]) && w.Service == u.Service && w.Usable(s.Now) && !s.OutOfService[w.Domain] && !s.Unreachable[w.Domain] && w.HasLabel(u.Step.Spec.Label) && w.AvailableTo(u.Job.ID, s.Now)
+	return len(u.Avoid) == 0 || !s.Now.Before(u.Avoid[w.Endpoint.Host])
 }
 
 // taskCount returns how many tasks of the unit fit into the given room of a worker.
--- a/fleet/assign/assign_test.go
+++ b/fleet/assign/assign_test.go
@@ -138,7 +138,14 @@
 		cost[busy(w, 4)] = float64(100 * (4 - i))
 		cost[busy(w, 4)] = 1000
 	}
-	plan, ok := s.PlanPreemption(unit(tight(2, 4)), func(r *pool.Run) float64 { return cost[r] })
+	plan, ok := s.PlanPreemption(unit(tight(2, 4)), func(w *pool.Worker) []assign.Victim {
+		var out []assign.Victim
+		for _, r := range w.Sorted() {
+			out = append(out, assign.Victim{Run: r, Cost: cost[r]})
+		}
+		assign.SortVictims(out)
+		return out
+	})
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, plan.Cost, qt.Equals, 300.0)
 	qt.Assert(t, plan.Workers, qt.HasLen, 2)
--- a/fleet/assign/room.go
+++ b/fleet/assign/room.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
@@ -42,9 +43,23 @@
 	return n
 }
 
-// StopCost returns how much work is lost if a run is stopped, in core seconds.
-// A negative cost means that the run may not be stopped for the unit.
-type StopCost func(*pool.Run) float64
+// Victim is a run that may be stopped to make room.
+type Victim struct {
+	Run  *pool.Run
+	Cost float64 // work that is lost if it is stopped, in core seconds
+}
+
+// Victims returns the runs of a worker that may be stopped, in the order in which to
+// stop them.
+type Victims func(*pool.Worker) []Victim
+
+// SortVictims orders runs by the work that is lost for each accelerator that their
+// stop frees.
+func SortVictims(v []Victim) {
+	slices.SortStableFunc(v, func(a, b Victim) int { return cmp.Compare(a.costPerAccel(), b.costPerAccel()) })
+}
+
+func (v Victim) costPerAccel() float64 { return v.Cost / float64(max(v.Run.Each.Accels, 1)) }
 
 // Preemption is a plan to stop runs so that a unit has room.
 type Preemption struct {
@@ -55,11 +70,11 @@
 
 // PlanPreemption returns the preemption that makes room for the unit at the least cost. It
 // reports false if none does.
-func (s *Site) PlanPreemption(u Unit, stopCost StopCost) (Preemption, bool) {
+func (s *Site) PlanPreemption(u Unit, victims Victims) (Preemption, bool) {
 	var all []option
-	for _, w := range s.Pool.Sorted() {
+	for _, w := range s.workers(u.Service) {
 		if s.eligible(u, w) {
-			all = append(all, s.options(u, w, stopCost)...)
+			all = append(all, s.options(u, w.Worker, victims(w.Worker))...)
 		}
 	}
 	if !u.Step.Spec.Gang || u.AnyRack || (!u.Step.Spec.Tight && u.Step.Spec.Rack == "") {
@@ -88,7 +103,7 @@
 func (o option) rack() string { return o.worker.Rack }
 
 // options returns the room that a worker can offer, task by task, the cheapest first.
-func (s *Site) options(u Unit, w *pool.Worker, stopCost StopCost) []option {
+func (s *Site) options(u Unit, w *pool.Worker, victims []Victim) []option {
 	var out []option
 	for range s.taskCount(u, w, w.Free()) {
 		out = append(out, option{worker: w})
@@ -96,10 +111,10 @@
 	room := w.Free()
 	var runs []*pool.Run
 	cost := 0.0
-	for _, r := range stoppable(w, stopCost) {
-		room = room.Add(r.Each)
-		runs = append(runs, r)
-		cost += stopCost(r)
+	for _, v := range victims {
+		room = room.Add(v.Run.Each)
+		runs = append(runs, v.Run)
+		cost += v.Cost
 		if more := min(s.taskCount(u, w, room), len(u.Indexes)) - len(out); more > 0 {
 			out = append(out, shareCost(w, runs, cost, more, out)...)
 			runs, cost = nil, 0
@@ -122,21 +137,6 @@
 	return out
 }
 
-func stoppable(w *pool.Worker, stopCost StopCost) []*pool.Run {
-	var out []*pool.Run
-	for _, r := range w.Sorted() {
-		if stopCost(r) >= 0 {
-			out = append(out, r)
-		}
-	}
-	sort.SliceStable(out, func(a, b int) bool { return costPerAccel(out[a], stopCost) < costPerAccel(out[b], stopCost) })
-	return out
-}
-
-func costPerAccel(r *pool.Run, stopCost StopCost) float64 {
-	return stopCost(r) / float64(max(r.Each.Accels, 1))
-}
-
 // cheapest combines the n options that cost least. It reports false if there are
 // fewer.
 func cheapest(all []option, n int) (Preemption, bool) {
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -17,6 +17,7 @@
 const (
 	provenWait            = 3 * time.Second        // how long a task on its last attempt waits for a worker with a proven record
 	planInterval          = 250 * time.Millisecond // between two plans while nothing has changed
+	minPlanInterval       = 20 * time.Millisecond  // between two plans, so that a burst of events costs one plan
 	idleOffRackAfter      = time.Second            // wait after which work may run off its rack on a site with much free capacity
 	guaranteeOffRackAfter = 2 * time.Second        // wait after which work within its guarantee may run off its rack
 	offRackAfterRunTimes  = 6                      // other work may run off its rack after a wait of this many times its run time
@@ -35,13 +36,16 @@
 	waited   time.Duration
 }
 
-// plan places all waiting work that can start now.
+// plan places all waiting work that can start now. Load pattern: on a large, full
+// site, hundreds of run ends arrive each second, one by one, and each changes what
+// can be placed. A plan for each would leave no time for anything else.
 func (sc *Scheduler) plan() {
-	if !sc.changed && sc.now.Sub(sc.plannedAt) < planInterval || sc.outbox.stuck(sc.now) {
+	since := sc.now.Sub(sc.plannedAt)
+	if since < minPlanInterval || !sc.changed && since < planInterval || sc.outbox.stuck(sc.now) {
 		return
 	}
 	sc.changed, sc.plannedAt = false, sc.now
-	p := &planState{Site: sc.site(), full: assign.FullCache{}, loads: map[string]float64{}}
+	p := &planState{Site: sc.site(), full: assign.FullCache{}, loads: map[string]float64{}, victims: map[victimsOf][]assign.Victim{}}
 	for _, u := range sc.units() {
 		sc.placedAt = sc.now
 		u.AnyRack = sc.mayRunOffRack(p, u)
@@ -52,8 +56,9 @@
 // planState caches what one pass of plan has found out about the site.
 type planState struct {
 	*assign.Site
-	full  assign.FullCache
-	loads map[string]float64 // by service
+	full    assign.FullCache
+	loads   map[string]float64 // by service
+	victims map[victimsOf][]assign.Victim
 }
 
 // load returns the load of a service's workers as of the first call in this pass.
@@ -206,7 +211,7 @@
 func (sc *Scheduler) place(p *planState, u unit) {
 	placements := sc.findPlacements(p, u)
 	if len(placements) == 0 {
-		sc.preempt(p.Site, u)
+		sc.preempt(p, u)
 		return
 	}
 	run := sc.nextRun(u.Step)
--- a/fleet/sched/preempt.go
+++ b/fleet/sched/preempt.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -24,13 +25,13 @@
 // This serves bursts of urgent jobs on a site full of long ones. The work lost must
 // not exceed the work of the urgent job, unless its workspace is entitled to the
 // capacity.
-func (sc *Scheduler) preempt(site *assign.Site, u unit) {
+func (sc *Scheduler) preempt(p *planState, u unit) {
 	if u.priority != 0 || !u.job.stored || u.waited < preemptAfter || sc.now.Sub(u.job.preemptedAt) < preemptRetry {
 		return
 	}
 	entitled := sc.withinGuarantee(u.job)
 	claimsGuarantee := entitled && u.waited >= guaranteePreemptAfter
-	clearing, ok := site.PlanPreemption(u.Unit, func(r *pool.Run) float64 { return sc.preemptionCost(u, r, claimsGuarantee) })
+	clearing, ok := p.PlanPreemption(u.Unit, func(w *pool.Worker) []assign.Victim { return sc.victims(p, w, claimsGuarantee) })
 	if !ok || len(clearing.Runs) == 0 || clearing.Cost > coreSeconds(u) && !claimsGuarantee {
 		return
 	}
@@ -79,13 +80,38 @@
 	}
 }
 
+// victimsOf identifies the runs of a worker that urgent work may stop.
+type victimsOf struct {
+	host            fleet.HostID
+	claimsGuarantee bool
+}
+
+// victims returns the runs of a worker that urgent work may stop. They are computed
+// once in a plan; runs that were stopped since are left out.
+func (sc *Scheduler) victims(p *planState, w *pool.Worker, claimsGuarantee bool) []assign.Victim {
+	k := victimsOf{w.Endpoint.Host, claimsGuarantee}
+	all, ok := p.victims[k]
+	if !ok {
+		for _, r := range w.Sorted() {
+			if cost := sc.preemptionCost(r, claimsGuarantee); cost >= 0 {
+				all = append(all, assign.Victim{Run: r, Cost: cost})
+			}
+		}
+		assign.SortVictims(all)
+	} else {
+		all = slices.DeleteFunc(all, func(v assign.Victim) bool { return v.Run.Phase != pool.Running })
+	}
+	p.victims[k] = all
+	return all
+}
+
 // preemptionCost returns the work in core-seconds that is lost by stopping a run
-// for a unit, or a negative number if it must not be stopped. A unit that claims
+// for urgent work, or a negative number if it must not be stopped. Work that claims
 // its workspace's guarantee may stop any less urgent run that is running, except
 // for lasting tasks.
-func (sc *Scheduler) preemptionCost(u unit, r *pool.Run, claimsGuarantee bool) float64 {
+func (sc *Scheduler) preemptionCost(r *pool.Run, claimsGuarantee bool) float64 {
 	j, ok := sc.jobs[r.Task.Job]
-	if !ok || j.Spec.Priority <= u.priority || r.Phase != pool.Running || j.Step(r.Task).Spec.Lasting {
+	if !ok || j.Spec.Priority <= 0 || r.Phase != pool.Running || j.Step(r.Task).Spec.Lasting {
 		return -1
 	}
 	s := j.Step(r.Task)
--- a/fleet/sched/worker_test.go
+++ b/fleet/sched/worker_test.go
@@ -22,7 +22,7 @@
 	fails        bool          // every run fails
 	flaky        bool          // every other run fails
 	hangs        bool          // no run makes progress
-	slow         int           // factor by which runs take longer; 0 counts as 1
+	slow         float64       // factor by which runs take longer; 0 counts as 1
 	capacity     fleet.Res
 	maxAccels    int64 // most accelerators ever in use at one time
 
@@ -44,6 +44,7 @@
 	longPolls        []longPoll
 
 	gangFinished func(fleet.JobID) bool // reports whether all members of a gang have finished their part; nil if they do not wait for each other
+	rush         *rush                  // knows the gangs and run times of a simulated day; nil otherwise
 }
 
 type running struct {
@@ -51,6 +52,9 @@
 	left  time.Duration
 	stop  time.Time // when a stop completes; zero if none is under way
 	odd   bool      // it is the first, third ... run on its worker
+	gang  *gangRun  // nil if its members do not wait for each other
+	begun time.Time
+	total time.Duration // work of the run from its beginning, for a simulated day
 }
 
 // runTimes is how long the tasks of a job really run.
@@ -132,12 +136,14 @@
 		switch {
 		case !r.stop.IsZero():
 			if !now.Before(r.stop) {
-				w.end(k, fleet.EndStopped, "saved")
+				w.end(k, fleet.EndStopped, w.checkpoint(k, r))
 			}
 		case w.fails, w.flaky && r.odd:
 			w.end(k, fleet.EndFailed, "")
+		case r.gang != nil:
+			w.advanceMember(k, r, now, span)
 		case !w.hangs:
-			r.left -= span / time.Duration(max(w.slow, 1))
+			r.left -= w.progress(span)
 			if r.left <= 0 && (w.gangFinished == nil || w.gangFinished(k.Task.Job)) {
 				w.end(k, fleet.EndDone, "")
 			}
@@ -145,7 +151,23 @@
 	}
 }
 
+// checkpoint returns the checkpoint that a stopped run leaves.
+func (w *worker) checkpoint(k pool.Key, r *running) string {
+	if w.rush == nil {
+		return "saved"
+	}
+	return w.rush.checkpoint(k, r)
+}
+
+// progress returns how much of a run's work the worker does in a span.
+func (w *worker) progress(span time.Duration) time.Duration {
+	return time.Duration(float64(span) / max(w.slow, 1))
+}
+
 func (w *worker) end(k pool.Key, how fleet.End, saved string) {
+	if r := w.runs[k]; w.rush != nil {
+		w.rush.noteEnd(k, r, how)
+	}
 	delete(w.runs, k)
 	w.closed[k.Task] = max(w.closed[k.Task], k.No)
 	w.ended++
@@ -195,7 +217,11 @@
 	w.term = o.Term
 	w.extend(now, o.LeaseUntil)
 	w.startCount++
-	w.runs[k] = &running{order: o, left: runTimes[o.Task.Job], odd: w.startCount%2 == 1}
+	r := &running{order: o, left: runTimes[o.Task.Job], odd: w.startCount%2 == 1, begun: now}
+	if w.rush != nil {
+		w.rush.begin(w, k, r)
+	}
+	w.runs[k] = r
 	w.started[o.Task.Job]++
 	used := int64(0)
 	for k := range w.runs {
@@ -253,8 +279,12 @@
 func (w *worker) report(now time.Time) fleet.WorkerReport {
 	s := fleet.WorkerReport{Clock: w.clock(now), Inc: w.inc, Ends: append([]fleet.EndReport(nil), w.ends...)}
 	for k, r := range w.runs {
-		done := runTimes[k.Task.Job] - r.left
-		s.Runs = append(s.Runs, fleet.RunReport{Task: k.Task, Run: k.No, Percent: min(int(100*done/max(runTimes[k.Task.Job], 1)), 100)})
+		span := runTimes[k.Task.Job]
+		if w.rush != nil {
+			span = r.total
+		}
+		done := span - r.left
+		s.Runs = append(s.Runs, fleet.RunReport{Task: k.Task, Run: k.No, Percent: min(int(100*done/max(span, 1)), 100)})
 	}
 	return s
 }
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -16,10 +16,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-const (
-	tick    = 10 * time.Millisecond
-	service = "desk"
-)
+const service = "desk"
 
 var (
 	startTime = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -34,6 +31,7 @@
 type world struct {
 	t             *testing.T
 	now           time.Time
+	tick          time.Duration // by which a step advances the time
 	scheduler     *sched.Scheduler
 	inc           fleet.Incarnation
 	store         *store
@@ -106,7 +104,7 @@
 
 func newWorld(t *testing.T, racks, perRack int) *world {
 	w := &world{
-		t: t, now: startTime, store: &store{}, workers: map[fleet.HostID]*worker{}, outOfService: map[fleet.DomainID]bool{},
+		t: t, now: startTime, tick: 10 * time.Millisecond, store: &store{}, workers: map[fleet.HostID]*worker{}, outOfService: map[fleet.DomainID]bool{},
 		submitReplies: map[sched.Waiter]*wire.HandReply{}, cancelReplies: map[sched.Waiter]*wire.FlowReply{}, configEnd: 1,
 	}
 	w.config = queue.New(queue.Config{Version: 1, Queues: []queue.Queue{
@@ -174,7 +172,7 @@
 }
 
 func (w *world) step() {
-	w.now = w.now.Add(tick)
+	w.now = w.now.Add(w.tick)
 	for _, one := range w.workers {
 		one.advance(w.now)
 		one.answerLongPolls(w.now)
