An idle lead asks only the store whether it still leads; polls are checked each 10 ms

Cause: after 300 ms without an append the lead asked the store and all peers at once. The store, which answers within 10 ms, is now asked after 200 ms; the peers, as before, after 300 ms without its answer, so the time until a lead knows that it is cut off is unchanged. And each event made the lead look at all workers for polls that are due, which takes as long as the rest of the step; now each 10 ms.

--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -11,6 +11,7 @@
 // Timing of polls. A poll asks a worker for its runs and their ends.
 const (
 	pollWait            = 1500 * time.Millisecond // long-poll wait for a run's end; also bounds the age of known progress
+	pollCheckInterval   = 10 * time.Millisecond   // between two checks of all workers for polls that are due
 	settleInterval      = 50 * time.Millisecond   // between two polls that confirm stops
 	pollRetry           = 250 * time.Millisecond  // after a failed poll
 	leaseCutoff         = 2500 * time.Millisecond // a worker silent for this long has missed a poll; its lease is no longer renewed, so that it expires if the worker is gone
@@ -25,8 +26,13 @@
 const maxEndsListed = 500
 
 // pollWorkers polls the workers that have runs, those whose runs are not known
-// yet, and those with run ends to acknowledge.
+// yet, and those with run ends to acknowledge. Load pattern: as for plan, each event
+// would otherwise cost a look at every worker.
 func (sc *Scheduler) pollWorkers() {
+	if sc.now.Sub(sc.pollsCheckedAt) < pollCheckInterval {
+		return
+	}
+	sc.pollsCheckedAt = sc.now
 	for _, w := range sc.pool.Sorted() {
 		if w.Endpoint.Addr == "" || !sc.pollDue(w) {
 			continue
--- a/fleet/sched/quorum.go
+++ b/fleet/sched/quorum.go
@@ -11,15 +11,17 @@
 
 // How a lead detects that it is cut off and may have been replaced.
 const (
-	quorumAfter    = 300 * time.Millisecond                                               // all peers are asked if the store has not confirmed the lead for this long
-	quorumInterval = 500 * time.Millisecond                                               // between two rounds of asking the peers
-	aloneDetection = quorumAfter + quorumInterval + elect.AskTimeout + elect.BeatInterval // upper bound on how long it takes a lead to notice that it is cut off
+	storeCheckAfter = 200 * time.Millisecond                                               // the store is asked if it has not confirmed the lead for this long; it normally answers within 10 ms
+	quorumAfter     = 300 * time.Millisecond                                               // all peers are asked if the store has not confirmed the lead for this long
+	quorumInterval  = 500 * time.Millisecond                                               // between two rounds of asking the store or the peers
+	aloneDetection  = quorumAfter + quorumInterval + elect.AskTimeout + elect.BeatInterval // upper bound on how long it takes a lead to notice that it is cut off
 )
 
 // quorum is what the lead knows about its connection to the store and its peers.
 type quorum struct {
 	confirmedAt time.Time // when the store last confirmed the lead
-	askedAt     time.Time // zero while there is no need to ask
+	checkedAt   time.Time // when the store was last asked; zero while there is no need to ask
+	askedAt     time.Time // when the peers were last asked; zero while there is no need to ask
 	counted     bool      // the answers of the current round were counted
 	answers     int       // in the current round
 	alone       bool      // neither the store nor a majority answers
@@ -28,23 +30,26 @@
 // confirmLead records that the store shows no claim newer than this lead's.
 func (sc *Scheduler) confirmLead() { sc.quorum = quorum{confirmedAt: sc.now} }
 
-// checkQuorum asks the store and all peers if the store has not confirmed the lead
-// for a moment. If a failure domain is cut off together with the lead, another
+// checkQuorum asks the store if it has not confirmed the lead for a moment, and then
+// all peers if it does not answer. Load pattern: a site of a hundred daemons with
+// little to store; a question to all peers costs far more than one to the store. If a failure domain is cut off together with the lead, another
 // daemon may take over. The old lead continues to serve the workers on its side of
 // the partition but stops renewing leases, and callers are better served by the other
 // daemons.
 func (sc *Scheduler) checkQuorum() {
 	q := &sc.quorum
-	if sc.now.Sub(q.confirmedAt) < quorumAfter {
+	silent := sc.now.Sub(q.confirmedAt)
+	if silent >= storeCheckAfter && sc.outbox.inFlight == nil && (q.checkedAt.IsZero() || sc.now.Sub(q.checkedAt) >= quorumInterval) {
+		q.checkedAt = sc.now
+		sc.emit(Check{At: sc.outbox.end})
+	}
+	if silent < quorumAfter {
 		return
 	}
 	switch since := sc.now.Sub(q.askedAt); {
 	case q.askedAt.IsZero() || since >= quorumInterval:
 		q.askedAt, q.counted, q.answers = sc.now, false, 0
 		sc.emit(AskPeers{All: true})
-		if sc.outbox.inFlight == nil {
-			sc.emit(Check{At: sc.outbox.end})
-		}
 	case !q.counted && since >= elect.AskTimeout:
 		sc.countAnswers()
 	}
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -83,6 +83,7 @@
 	unreachable       map[fleet.DomainID]bool
 	domainPolledAt    map[fleet.DomainID]time.Time // when workers were last polled because their domain was silent
 	supervisedAt      time.Time
+	pollsCheckedAt    time.Time // when the workers were last checked for polls that are due
 	changed           bool // something that placement depends on has changed
 	endsToAcknowledge bool // workers have reported run ends that are not acknowledged yet
 
--- a/fleet/sched/store_test.go
+++ b/fleet/sched/store_test.go
@@ -212,3 +212,19 @@
 	qt.Assert(t, w.stage(f), qt.Equals, wire.Stage_WITHDRAWN)
 	qt.Assert(t, w.startCount("cancelled"), qt.Equals, 1)
 }
+
+// Load pattern: none. A lead that has nothing to store must ask the store alone whether
+// it still leads. It asked all peers three times a second, which on a site of a hundred
+// daemons was most of what an idle lead did.
+func TestIdleLeadAsksOnlyTheStore(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.peerAnswers = 3
+	w.post(sched.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}})
+	w.becomeLead()
+	w.peerAsks = 0
+	w.run(10 * time.Second)
+	qt.Assert(t, w.peerAsks, qt.Equals, 0)
+	w.store.down = true
+	w.run(time.Second)
+	qt.Assert(t, w.peerAsks > 0, qt.IsTrue, qt.Commentf("the peers are asked once the store is silent"))
+}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -52,6 +52,7 @@
 	stepTime      time.Duration // processor time spent in Step
 	appendDelay   time.Duration // extra duration of appends
 	peerAnswers   int           // number of peers that answer
+	peerAsks      int           // how often the peers were asked
 	alone         bool          // as in the newest heartbeat
 }
 
@@ -218,6 +219,7 @@
 		}
 		w.alone = a.Beat.Alone
 	case sched.AskPeers:
+		w.peerAsks++
 		for range w.peerAnswers {
 			w.postAfter(callTime, sched.PeerAnswered{Reply: &wire.SightReply{}})
 		}
