Polls of a worker have connections of their own

A worker that takes connections and answers nothing held them with the repeats of its eight starts, so that the poll which would tell what runs there failed for want of one, and so did stops.

--- a/deckd/cmd_site.go
+++ b/deckd/cmd_site.go
@@ -49,9 +49,8 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	client := platform.NewClient()
 	daemon := site.New(s, options, site.Dependencies{
-		Store: platform.NewStore(client, s.Store), Exec: platform.NewWorkers(client), Reader: platform.Reader{},
+		Store: platform.NewStore(s.Store), Exec: platform.NewWorkers(), Reader: platform.Reader{},
 		NewFrontend: func(i fleet.Intake) site.Frontend { return platform.NewFrontend(i) },
 	}, os.Stdout)
 	reloaded := make(chan struct{})
--- a/deckd/site/dispatch_test.go
+++ b/deckd/site/dispatch_test.go
@@ -23,7 +23,7 @@
 	t.Cleanup(func() { _ = ln.Close() })
 	s := &Site{
 		self: sched.Identity{Host: host, Addr: "127.0.0.1:7000", Inc: 1},
-		deps: Dependencies{Store: platform.NewStore(platform.NewClient(), ln.Addr().String())},
+		deps: Dependencies{Store: platform.NewStore(ln.Addr().String())},
 	}
 	return &dispatcher{ctx: context.Background(), site: s}, standin
 }
