--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -84,8 +84,8 @@
 	domainPolledAt    map[fleet.DomainID]time.Time // when workers were last polled because their domain was silent
 	supervisedAt      time.Time
 	pollsCheckedAt    time.Time // when the workers were last checked for polls that are due
-	changed           bool // something that placement depends on has changed
-	endsToAcknowledge bool // workers have reported run ends that are not acknowledged yet
+	changed           bool      // something that placement depends on has changed
+	endsToAcknowledge bool      // workers have reported run ends that are not acknowledged yet
 
 	actions   []Action
 	logEvents []event.Event
