A new lead polls its workers some at a time, and silent ones less often

A new lead polled all its workers in one step and each again every 250 ms, up to four at a time, until it answered: up to 12,000 connections, of which a host has 8,192 at most, and the processor time for them. It then read neither the store nor sent heartbeats, and was replaced. The same after a failure domain was lost, whose 600 workers were polled 2,400 times a second.

Change: 128 workers whose runs are not known yet are polled at a time, those that are late do not count; a silent worker is polled again after half its silence, 1 s at most, and has two polls in flight at most. All daemons store their entry at the same time after a restart of all: that append may take 2 s.

Ruled out: the connections that starts hold (unchanged here).

Tests: TestNewLeadAsksFewWorkersAtOnce (1,000 at once before), TestSilentWorkersDoNotHoldUpANewLead (3,251 polls of 200 silent workers in 5 s before); both failed first.

--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// ownRecordTimeout bounds the append of a daemon's own claim or member entry.
-const ownRecordTimeout = 500 * time.Millisecond
+// claimTimeout bounds the append of a claim to the lead.
+const claimTimeout = 500 * time.Millisecond
 
 func (d *dispatcher) appendRecords(timeout time.Duration, topic fleet.Topic, at fleet.Offset, records []fleet.Record) (fleet.Offset, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, timeout)
@@ -136,7 +136,7 @@
 	if err != nil {
 		return sched.Claimed{Err: err}
 	}
-	after, err := d.appendRecords(ownRecordTimeout, topicJobs, end, []fleet.Record{{Key: sched.LeadKey, Value: value}})
+	after, err := d.appendRecords(claimTimeout, topicJobs, end, []fleet.Record{{Key: sched.LeadKey, Value: value}})
 	if err != nil {
 		return sched.Claimed{Err: err}
 	}
--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -16,10 +16,11 @@
 // topicHosts holds the member entry of each daemon, keyed by host.
 const topicHosts fleet.Topic = "keyed.hosts"
 
-// Timeouts of following a topic.
+// Timeouts of following and writing the topic of members.
 const (
 	readWait         = 2 * time.Second        // how long a read waits for a new record
 	followRetryDelay = 200 * time.Millisecond // after a read that failed
+	registerTimeout  = 2 * time.Second        // for storing the own entry; all daemons of a site may do so at the same time
 )
 
 // members is the set of known daemons of the site.
@@ -73,7 +74,7 @@
 		return
 	}
 	for ctx.Err() == nil {
-		_, err := s.dispatcher.appendRecords(ownRecordTimeout, topicHosts, -1, []fleet.Record{{Key: own.Host, Value: value}})
+		_, err := s.dispatcher.appendRecords(registerTimeout, topicHosts, -1, []fleet.Record{{Key: own.Host, Value: value}})
 		if err == nil {
 			break
 		}
--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -13,30 +13,43 @@
 	pollWait            = 1500 * time.Millisecond // long-poll wait for a run's end; also bounds the age of known progress
 	pollCheckInterval   = 10 * time.Millisecond   // between two checks of all workers for polls that are due
 	settleInterval      = 50 * time.Millisecond   // between two polls that confirm stops
-	pollRetry           = 250 * time.Millisecond  // after a failed poll
+	pollRetry           = 250 * time.Millisecond  // after a failed poll; longer for a worker that stays silent
+	maxPollRetry        = 1 * time.Second         // for a worker that has been silent for long
 	leaseCutoff         = 2500 * time.Millisecond // a worker silent for this long has missed a poll; its lease is no longer renewed, so that it expires if the worker is gone
 	maxAcknowledgeDelay = 800 * time.Millisecond  // the next poll waits no longer than this for run ends to be stored and acknowledged
 )
 
-// maxPollsInFlight limits the concurrent polls of a worker that is late with an
-// answer. More than one is needed, as the first may hang on a dead connection.
-const maxPollsInFlight = 4
+// Limits of concurrent polls.
+const (
+	maxPollsInFlight = 2   // of a worker that is late with an answer; the first may hang on a dead connection
+	maxSyncPolls     = 128 // of workers whose runs are not known yet
+)
 
 // maxEndsListed is how many run ends a worker reports in one answer.
 const maxEndsListed = 500
 
 // pollWorkers polls the workers that have runs, those whose runs are not known
 // yet, and those with run ends to acknowledge. Load pattern: as for plan, each event
-// would otherwise cost a look at every worker.
+// would otherwise cost a look at every worker. A new lead of a site of thousands of
+// workers polls some at a time: with a connection to each at once it has neither
+// descriptors nor processor time left for its heartbeats. Workers that are late with
+// their answer do not keep others waiting.
 func (sc *Scheduler) pollWorkers() {
 	if sc.now.Sub(sc.pollsCheckedAt) < pollCheckInterval {
 		return
 	}
 	sc.pollsCheckedAt = sc.now
+	syncing := sc.syncPolls()
 	for _, w := range sc.pool.Sorted() {
 		if w.Endpoint.Addr == "" || !sc.pollDue(w) {
 			continue
 		}
+		if !w.Synced && !w.Overdue(sc.now) {
+			if syncing == maxSyncPolls {
+				continue
+			}
+			syncing++
+		}
 		wait := time.Duration(0)
 		if w.Synced && len(w.Runs) > 0 && w.EndsSeen == w.EndsStored && !hasUnsettledStop(w) && !w.Overdue(sc.now) {
 			wait = pollWait
@@ -45,13 +58,31 @@
 	}
 }
 
+// syncPolls returns how many workers whose runs are not known yet have a poll in flight
+// that is not late.
+func (sc *Scheduler) syncPolls() int {
+	n := 0
+	for _, w := range sc.pool.Workers {
+		if !w.Synced && w.PollsInFlight > 0 && !w.Overdue(sc.now) {
+			n++
+		}
+	}
+	return n
+}
+
+// retryAfter returns the time between two polls of a worker that does not answer. It
+// grows with the silence, up to a limit.
+func (sc *Scheduler) retryAfter(w *pool.Worker) time.Duration {
+	return min(max(pollRetry, w.LastPoll.Sub(w.LastHeard)/2), maxPollRetry)
+}
+
 // pollDue reports whether a worker is to be polled now. A long poll in flight does
 // not delay another poll that confirms a stop.
 func (sc *Scheduler) pollDue(w *pool.Worker) bool {
 	since := sc.now.Sub(w.LastPoll)
 	switch {
 	case w.Overdue(sc.now) && (w.Listed || len(w.Runs) > 0):
-		return w.PollsInFlight < maxPollsInFlight && since >= pollRetry
+		return w.PollsInFlight < maxPollsInFlight && since >= sc.retryAfter(w)
 	case w.PollsInFlight > 0:
 		return w.PollsInFlight == 1 && w.Synced && since >= settleInterval && hasUnsettledStop(w)
 	case !w.Synced:
--- a/fleet/sched/recovery_test.go
+++ b/fleet/sched/recovery_test.go
@@ -374,3 +374,54 @@
 	qt.Assert(t, w.workers["w0-0"].leaseUntil, qt.Equals, until)
 	qt.Assert(t, until.Sub(cut) <= limits.Lease+1250*time.Millisecond, qt.IsTrue, qt.Commentf("%s after the cut", until.Sub(cut)))
 }
+
+// pollsOfNewLead replaces the lead and returns the most polls that were open at a time
+// until it knew the idle workers, and how many starts it makes in a second for a job as
+// wide as the site.
+func (w *world) pollsOfNewLead() (open, starts int) {
+	w.restartDaemon()
+	w.openPolls, w.maxOpenPolls = 0, 0
+	w.becomeLead()
+	w.run(500 * time.Millisecond)
+	open = w.maxOpenPolls
+	runTimes["wide"] = time.Minute
+	w.submit(newFlow("wide", "bulk", taskStep(int32(len(w.workers)), 8, time.Minute)))
+	w.run(time.Second)
+	return open, w.startCount("wide")
+}
+
+// mostOpenPolls is how many workers a new lead may ask at one time. Each question is a
+// connection, and the smallest hosts have 3,900 of them for all purposes.
+const mostOpenPolls = 256
+
+// Load pattern: a new lead of a site of 1,000 workers. It must not open a connection
+// to each of them at once, and still use all of them within a second. When it did, a
+// site of 300 hosts and 3,000 workers had no lead for 30 s after all hosts were killed:
+// each new one ran out of descriptors, sent no heartbeats and was replaced.
+func TestNewLeadAsksFewWorkersAtOnce(t *testing.T) {
+	w := newWorld(t, 50, 20)
+	w.becomeLead()
+	open, starts := w.pollsOfNewLead()
+	qt.Check(t, open <= mostOpenPolls, qt.IsTrue, qt.Commentf("%d polls at once", open))
+	qt.Check(t, starts, qt.Equals, 1000)
+}
+
+// Load pattern: a new lead of a site of 1,000 workers of which a fifth does not answer.
+// The others must not wait for those, and those must not be asked over and over.
+func TestSilentWorkersDoNotHoldUpANewLead(t *testing.T) {
+	w := newWorld(t, 50, 20)
+	for r := range 10 {
+		for i := range 20 {
+			w.workers[fleet.HostID(fmt.Sprintf("w%d-%d", r, i))].cutOff = true
+		}
+	}
+	w.becomeLead()
+	open, starts := w.pollsOfNewLead()
+	qt.Check(t, open <= 2*200+mostOpenPolls, qt.IsTrue, qt.Commentf("%d polls at once", open))
+	qt.Check(t, starts, qt.Equals, 800)
+	w.run(4 * time.Second)
+	w.polls = 0
+	w.run(5 * time.Second)
+	silent := w.polls - 800*4 // a worker that runs something is polled each 1.5 s
+	qt.Check(t, silent <= 200*6, qt.IsTrue, qt.Commentf("%d polls of silent workers in 5 s", silent))
+}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -46,6 +46,8 @@
 	cancelReplies map[sched.Waiter]*wire.FlowReply
 	waiters       sched.Waiter
 	polls         int
+	openPolls     int // polls without an answer so far
+	maxOpenPolls  int
 	appends       int
 	leavingBeats  int           // heartbeats that announce that the lead leaves
 	appendedBytes int           // total size of appended records
@@ -184,6 +186,9 @@
 			remaining = append(remaining, d)
 			continue
 		}
+		if _, ok := d.event.(sched.Polled); ok {
+			w.openPolls--
+		}
 		w.post(d.event)
 	}
 	w.later = remaining
@@ -259,6 +264,8 @@
 		w.postAfter(span, sched.Stopped{Host: a.Endpoint.Host, Key: a.Key, Clock: clock, Err: err})
 	case sched.Poll:
 		w.polls++
+		w.openPolls++
+		w.maxOpenPolls = max(w.maxOpenPolls, w.openPolls)
 		w.poll(a)
 	case sched.AnswerSubmit:
 		w.submitReplies[a.Waiter] = a.Reply
