--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -63,8 +63,9 @@
 	}
 }
 
-// register stores this daemon's own member entry, and then follows the entries of
-// all members until the context ends.
+// register reads the entries of all members, stores this daemon's own, and then
+// follows all of them until the context ends. The entries are read first, as after a
+// restart of all daemons the appends of their own take longer than an election.
 func (s *Site) register(ctx context.Context) {
 	own := &wire.Member{Host: string(s.self.Host), Addr: s.self.Addr, Domain: string(s.self.Domain), Inc: int64(s.self.Inc), Power: int64(s.self.Power)}
 	s.members.update(own)
@@ -73,6 +74,10 @@
 		s.log(event.StoreFailed, string(topicHosts), "%v", err)
 		return
 	}
+	f := follower{site: s, topic: topicHosts, wait: readWait, apply: s.applyMembers}
+	if err := f.step(ctx); err != nil {
+		f.noteFailure(err)
+	}
 	for ctx.Err() == nil {
 		_, err := s.dispatcher.appendRecords(registerTimeout, topicHosts, -1, []fleet.Record{{Key: own.Host, Value: value}})
 		if err == nil {
@@ -81,7 +86,6 @@
 		s.log(event.StoreFailed, string(topicHosts), "register: %v", err)
 		sleep(ctx, followRetryDelay)
 	}
-	f := follower{site: s, topic: topicHosts, wait: readWait, apply: s.applyMembers}
 	f.run(ctx)
 }
 
--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -70,7 +70,7 @@
 
 const (
 	noReason  reason = iota
-	noLead           // the site never had a lead
+	noLead           // no lead is known: the site never had one, or this daemon has just started
 	restarted        // the lead's host runs a newer process
 	silent           // no heartbeats of the lead arrive
 	leaving          // the lead reports that it is being stopped
@@ -96,8 +96,8 @@
 	storeSince time.Time // since when the store has answered this daemon; zero if it does not
 }
 
-// New returns the election for a daemon that has just started. It listens for the
-// lead before it claims, unless the site never had one.
+// New returns the election for a daemon that has just started. It does not claim before
+// the members of the site are known, as its rank among them decides when.
 func New(self Member, now time.Time) *Elector {
 	return &Elector{self: self, lead: Lead{LastHeard: now}}
 }
@@ -266,6 +266,9 @@
 
 // Next returns the next step.
 func (e *Elector) Next(now time.Time) Step {
+	if len(e.members) == 0 {
+		return Wait
+	}
 	r := e.claimReason(now)
 	if r != e.reason {
 		e.reset()
--- a/fleet/elect/elect_test.go
+++ b/fleet/elect/elect_test.go
@@ -56,6 +56,19 @@
 	}
 }
 
+// Load pattern: all daemons of a site of 300 start again at the same time. A claim reads
+// all jobs, so a daemon must know its rank before it claims. When all of them claimed
+// at once, the store needed seconds to send each of them all jobs.
+func TestDaemonKnowsItsRankBeforeItClaims(t *testing.T) {
+	s := &site{elect.New(elect.Member{Host: "c", Power: 190}, start), start}
+	step, _ := s.until(10*time.Second, nil)
+	qt.Assert(t, step, qt.Equals, elect.Wait)
+	s.SetMembers([]elect.Member{{"a", 1, 800, "x"}, {"b", 1, 800, "x"}, {"c", 1, 190, "x"}})
+	step, after := s.until(10*time.Second, nil)
+	qt.Assert(t, step, qt.Equals, elect.Claim)
+	qt.Assert(t, after >= 2*elect.ClaimStagger, qt.IsTrue, qt.Commentf("claimed after %s", after))
+}
+
 func TestTheStrongestClaimsFirst(t *testing.T) {
 	_, first := newSite("a", 800).until(10*time.Second, nil)
 	_, last := newSite("e", 190).until(10*time.Second, nil)
