--- a/deckd/site/heartbeat.go
+++ b/deckd/site/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/event"
@@ -11,8 +12,10 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// maxBeatBytes is the size of the receive buffer; a heartbeat is smaller.
-const maxBeatBytes = 1024
+const (
+	maxBeatBytes      = 1024                   // size of the receive buffer; a heartbeat is smaller
+	receiveRetryDelay = 100 * time.Millisecond // after a failed receive, as the failure may last
+)
 
 // heartbeats sends and receives the lead's heartbeats as UDP datagrams.
 type heartbeats struct {
@@ -59,6 +62,7 @@
 		}
 		if err != nil {
 			h.site.log(event.CallFailed, "beat", "receive: %v", err)
+			sleep(ctx, receiveRetryDelay)
 			continue
 		}
 		b := &wire.Beat{}
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -215,6 +215,20 @@
 	return &Pool{Workers: map[fleet.HostID]*Worker{}, maxLease: maxLease, lastHeard: map[fleet.DomainID]time.Time{}}
 }
 
+// SetMaxLease sets the longest lease that the platform allows. A raised limit also
+// counts for leases whose length is unknown; one that is lowered does not end leases
+// that were granted before.
+func (p *Pool) SetMaxLease(limit time.Duration, now time.Time) {
+	p.maxLease = limit
+	for _, w := range p.Workers {
+		raised := limit > w.maxLease
+		w.maxLease = limit
+		if raised {
+			w.AssumeLease(now)
+		}
+	}
+}
+
 // Sorted returns the workers ordered by host name.
 func (p *Pool) Sorted() []*Worker {
 	if len(p.sorted) != len(p.Workers) {
@@ -245,6 +259,9 @@
 	if restarted {
 		w.resetProcess(now)
 	}
+	if e.Inc == 0 {
+		e.Inc = w.Inc // an entry without a start time says nothing about the process
+	}
 	if !w.Listed || w.Service != e.Service || w.Capacity != e.Capacity || !slices.Equal(w.Labels, e.Labels) {
 		p.Generation++
 	}
--- a/fleet/pool/pool_test.go
+++ b/fleet/pool/pool_test.go
@@ -119,3 +119,27 @@
 	}
 	qt.Assert(t, w.Suspect(now), qt.IsTrue, qt.Commentf("four of the last eight failed"))
 }
+
+// An entry without its process's start time must not hide that the worker was
+// restarted since.
+func TestEntryWithoutAStartTimeKeepsTheKnownOne(t *testing.T) {
+	p := pool.New(lease)
+	p.Update(entry(0), "r1", now)
+	e := entry(0)
+	e.Inc = 0
+	w, _ := p.Update(e, "r1", now)
+	qt.Assert(t, w.Inc, qt.Equals, fleet.Incarnation(1))
+	e.Inc = 2
+	_, restarted := p.Update(e, "r1", now)
+	qt.Assert(t, restarted, qt.IsTrue)
+}
+
+// A raised limit also counts for leases that are unknown already.
+func TestRaisedLeaseLimitCountsForUnknownLeases(t *testing.T) {
+	p := pool.New(lease)
+	w, _ := p.Update(entry(0), "r1", now)
+	p.SetMaxLease(2*lease, now)
+	qt.Assert(t, w.LeasesExpireAt().Sub(now) > 2*lease, qt.IsTrue, qt.Commentf("expires after %s", w.LeasesExpireAt().Sub(now)))
+	p.SetMaxLease(lease, now)
+	qt.Assert(t, w.LeasesExpireAt().Sub(now) > 2*lease, qt.IsTrue, qt.Commentf("a lease that was granted does not become shorter"))
+}
--- a/fleet/sched/domains.go
+++ b/fleet/sched/domains.go
@@ -29,7 +29,7 @@
 	unreachable := sc.pool.Unreachable(sc.now)
 	for d := range unreachable {
 		if !sc.unreachable[d] {
-			sc.logf(event.DomainMuted, string(d), "heard=%s ago: no worker answers, nothing is placed there", sc.now.Sub(sc.pool.LastHeard(d)))
+			sc.logf(event.DomainMuted, string(d), "heard=%s: no worker answers, nothing is placed there", ago(sc.now, sc.pool.LastHeard(d)))
 		}
 	}
 	for d := range sc.unreachable {
@@ -41,6 +41,14 @@
 	sc.unreachable = unreachable
 }
 
+// ago formats how long before now a time was; a zero time was never.
+func ago(now, at time.Time) string {
+	if at.IsZero() {
+		return "never"
+	}
+	return now.Sub(at).String() + " ago"
+}
+
 // pollSilentDomains polls a few workers of each silent failure domain.
 func (sc *Scheduler) pollSilentDomains() {
 	polled := map[fleet.DomainID]int{}
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -104,7 +104,7 @@
 func (sc *Scheduler) reset() {
 	sc.jobs = map[fleet.JobID]*job{}
 	sc.pool = pool.New(sc.limits.Lease)
-	sc.outbox = outbox{}
+	sc.outbox = outbox{batchNo: sc.outbox.batchNo} // a late answer to an earlier batch must match no later one
 	sc.estimateErrors = map[string]*estimateError{}
 	sc.stepMeans = map[*flow.Step]*stepMean{}
 	sc.confirmLead()
@@ -182,6 +182,7 @@
 		sc.updateWorkers(e.Entries)
 	case LimitsChanged:
 		sc.limits = e.Limits
+		sc.pool.SetMaxLease(e.Limits.Lease, sc.now)
 	case Leave:
 		sc.leave()
 	case JobSubmitted:
--- a/fleet/sched/store_test.go
+++ b/fleet/sched/store_test.go
@@ -228,3 +228,25 @@
 	w.run(time.Second)
 	qt.Assert(t, w.peerAsks > 0, qt.IsTrue, qt.Commentf("the peers are asked once the store is silent"))
 }
+
+// An answer of the store may arrive after the daemon has given up the lead and claimed
+// it again. It must not be taken for the answer to a newer append.
+func TestAnswerFromAnEarlierLeadIsNotTakenForANewerOne(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	w.submitAccepted(newFlow("first", "bulk", taskStep(1, 1, time.Minute)))
+	w.run(200 * time.Millisecond)
+	old := w.lastBatch
+	w.post(sched.BeatReceived{Beat: &wire.Beat{Host: "e2", Term: int64(len(w.store.records)), Inc: 1}})
+	w.run(50 * time.Millisecond)
+	qt.Assert(t, w.scheduler.Leads(), qt.IsFalse)
+	w.becomeLead()
+	w.store.down = true
+	id := w.submit(newFlow("second", "bulk", taskStep(1, 1, time.Minute)))
+	w.run(50 * time.Millisecond)
+	for n := range old {
+		w.post(sched.Appended{Batch: n + 1, End: fleet.Offset(len(w.store.records))})
+		w.run(30 * time.Millisecond)
+	}
+	qt.Assert(t, w.submitReplies[id] == nil || w.submitReplies[id].Verdict != wire.Verdict_OK, qt.IsTrue, qt.Commentf("accepted, but not stored"))
+}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -49,6 +49,7 @@
 	openPolls     int // polls without an answer so far
 	maxOpenPolls  int
 	appends       int
+	lastBatch     uint64 // number of the newest append
 	leavingBeats  int           // heartbeats that announce that the lead leaves
 	appendedBytes int           // total size of appended records
 	stepTime      time.Duration // processor time spent in Step
@@ -238,6 +239,7 @@
 		w.postAfter(storeCallTime, sched.Probed{Err: err})
 	case sched.Append:
 		w.appends++
+		w.lastBatch = a.Batch
 		for _, r := range a.Records {
 			w.appendedBytes += len(r.Key) + len(r.Value)
 		}
