Jobs in an append that the store rejects are refused, not held until their deadline

The store says that nothing was done, but the lead sent the append again each 0.1 s until the caller's deadline passed: 504 after 3 s, while jobs that arrived later were refused within milliseconds. Now, once every attempt of an append was answered as not done and 0.6 s have passed, its jobs are taken out of it and refused with a time to come back. If any attempt had no answer, they are not, as it may still take effect. A lead that is replaced meanwhile passes such jobs on as never stored, too.

Tests: TestJobInARejectedAppendIsRefused failed first (no refusal within 1 s); TestJobInAnAppendInDoubtIsNotRefused.

--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -208,15 +208,20 @@
 // refuseUnsent refuses the jobs queued behind an append without an answer, as none
 // of them has been sent to the store.
 func (sc *Scheduler) refuseUnsent() {
-	for _, j := range sc.outbox.accepted {
+	sc.refuseJobs(sc.outbox.accepted)
+	sc.outbox.accepted = nil
+}
+
+// refuseJobs refuses jobs that are certainly not stored while the store is unavailable.
+func (sc *Scheduler) refuseJobs(list []*job) {
+	for _, j := range list {
 		sc.logRefusal(j.Spec, storeDownRetry, storeDownReason)
 		sc.answerSubmit(j, &wire.HandReply{Verdict: wire.Verdict_REFUSED, Retry: storeDownRetry.Milliseconds(), Why: storeDownReason})
 		sc.discard(j)
 	}
-	sc.outbox.accepted = nil
 }
 
-// discard removes a job that was not sent to the store, and frees the capacity
+// discard removes a job that is certainly not stored, and frees the capacity
 // assigned to it.
 func (sc *Scheduler) discard(j *job) {
 	for _, w := range sc.pool.Workers {
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -57,6 +57,7 @@
 	firstTry  time.Time // when it was first sent
 	retryAt   time.Time // earliest time of the next attempt; zero while an attempt is in flight
 	uncertain bool      // the store is being read to see whether it took effect
+	doubtful  bool      // an attempt got no answer, so it may have taken effect, or may still do so
 	checkedAt time.Time // when that read was last sent
 	accepted  []*job
 	cancels   []pendingCancel
@@ -100,6 +101,10 @@
 	sc.sendBatch(b.inFlight)
 }
 
+// undone reports whether the batch is certainly not stored and no attempt to store it
+// is in flight.
+func (s *batch) undone() bool { return !s.doubtful && !s.retryAt.IsZero() }
+
 // resumeBatch sends a batch again, or repeats the read that tells whether it took
 // effect.
 func (sc *Scheduler) resumeBatch(s *batch) {
@@ -208,16 +213,37 @@
 		// A read is more conclusive than another append, whose answer may be lost
 		// too.
 		sc.logRetry("append", e.Err)
+		b.inFlight.doubtful = true
 		sc.checkBatch(b.inFlight)
 	default:
-		sc.scheduleRetry(e.Err)
+		sc.logRetry("append", e.Err)
+		sc.retryUndone(b.inFlight)
 	}
 }
 
-// scheduleRetry sends the append again after a delay.
-func (sc *Scheduler) scheduleRetry(err error) {
-	sc.logRetry("append", err)
-	sc.outbox.inFlight.retryAt = sc.now.Add(appendRetry)
+// retryUndone sends an append again that was certainly not done. If the store has
+// rejected it for long, the jobs that it would accept are refused instead.
+func (sc *Scheduler) retryUndone(s *batch) {
+	s.retryAt = sc.now.Add(appendRetry)
+	if s.doubtful || !sc.outbox.stuck(sc.now) {
+		return
+	}
+	sc.refuseJobs(s.accepted)
+	for _, j := range s.accepted {
+		s.removeRecords(j.ID)
+	}
+	s.accepted = nil
+	if len(s.records) == 0 {
+		s.retryAt = time.Time{}
+		sc.checkBatch(s) // nothing is left to append; a read tells when the store is back
+	}
+}
+
+// removeRecords removes the records of a job that is not to be stored.
+func (s *batch) removeRecords(id fleet.JobID) {
+	s.records = slices.DeleteFunc(s.records, func(r fleet.Record) bool {
+		return r.Key == flowKey+string(id) || r.Key == trackKey+string(id)
+	})
 }
 
 func (sc *Scheduler) logRetry(op string, err error) {
@@ -319,6 +345,10 @@
 		return
 	}
 	for _, j := range b.inFlight.accepted {
+		if b.inFlight.undone() {
+			sc.answerSubmit(j, &wire.HandReply{Verdict: wire.Verdict_ASTRAY})
+			continue
+		}
 		sc.answerSubmit(j, &wire.HandReply{Verdict: wire.Verdict_UNKNOWN, Why: "the lead changed while the job was being stored"})
 	}
 	for _, d := range b.inFlight.cancels {
--- a/fleet/sched/store_test.go
+++ b/fleet/sched/store_test.go
@@ -250,3 +250,44 @@
 	}
 	qt.Assert(t, w.submitReplies[id] == nil || w.submitReplies[id].Verdict != wire.Verdict_OK, qt.IsTrue, qt.Commentf("accepted, but not stored"))
 }
+
+// Load pattern: the store begins to reject appends just as a job is being stored. As it
+// says that nothing was done, the caller is told so within a second, and when to come
+// back, and does not wait until its deadline passes (inc-afa4).
+func TestJobInARejectedAppendIsRefused(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	old := newFlow("old", "bulk", taskStep(1, 1, time.Minute))
+	runTimes["old"], runTimes["new"] = time.Minute, time.Minute
+	w.submitAccepted(old)
+	w.store.rejects = true
+	f := newFlow("new", "bulk", taskStep(1, 1, time.Minute))
+	id := w.submit(f)
+	w.runUntil(time.Second, "refusal", func() bool { return w.submitReplies[id] != nil })
+	qt.Assert(t, w.submitReplies[id].Verdict, qt.Equals, wire.Verdict_REFUSED)
+	qt.Assert(t, w.submitReplies[id].Retry > 0, qt.IsTrue)
+	w.store.rejects = false
+	w.run(time.Second)
+	qt.Assert(t, w.scheduler.Status(&wire.FlowAsk{Id: "new", Queue: "bulk", Space: "a"}).Verdict, qt.Equals, wire.Verdict_ABSENT)
+	qt.Assert(t, w.startCount("new"), qt.Equals, 0)
+	qt.Assert(t, w.startCount("old"), qt.Equals, 1)
+	w.submitAccepted(f)
+	w.runUntil(time.Second, "start", func() bool { return w.startCount("new") == 1 })
+	w.restartDaemon()
+	w.becomeLead()
+	qt.Assert(t, w.stage(f), qt.Equals, wire.Stage_RUNS)
+}
+
+// An append without an answer may still take effect. A job in it is not refused, even
+// if the store rejects every later attempt.
+func TestJobInAnAppendInDoubtIsNotRefused(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	w.run(100 * time.Millisecond)
+	w.store.down = true
+	id := w.submit(newFlow("doubt", "bulk", taskStep(1, 1, time.Minute)))
+	w.run(600 * time.Millisecond)
+	w.store.down, w.store.rejects = false, true
+	w.run(4 * time.Second)
+	qt.Assert(t, w.submitReplies[id].Verdict, qt.Equals, wire.Verdict_UNKNOWN)
+}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -49,7 +49,7 @@
 	openPolls     int // polls without an answer so far
 	maxOpenPolls  int
 	appends       int
-	lastBatch     uint64 // number of the newest append
+	lastBatch     uint64        // number of the newest append
 	leavingBeats  int           // heartbeats that announce that the lead leaves
 	appendedBytes int           // total size of appended records
 	stepTime      time.Duration // processor time spent in Step
@@ -68,6 +68,7 @@
 // store simulates a topic of keyed records.
 type store struct {
 	down    bool
+	rejects bool // appends are answered, and not done
 	lost    bool // appends take effect, but their answers are lost
 	records []fleet.Record
 }
@@ -90,6 +91,9 @@
 	if s.down {
 		return 0, &fleet.Error{Op: "append", Kind: fleet.OutcomeUnknown, Err: errUnreachable}
 	}
+	if s.rejects {
+		return 0, &fleet.Error{Op: "append", Kind: fleet.NotApplied, Err: errUnreachable}
+	}
 	if at != fleet.Offset(len(s.records)) {
 		if s.lost {
 			return 0, &fleet.Error{Op: "append", Kind: fleet.OutcomeUnknown, Err: errUnreachable}
