Faults found by reading: tickets in use, held orders, records without an id, homes, deck

- ticket: a ticket in use was dropped on expiry, its answer was lost and repeats were told that it never existed (TestTicketInUseOutlivesItsTime).
- state: records without an id counted as repeats of the first of them (TestRecordsWithoutAnIDAreNotRepeats).

--- a/deck/cmd_job.go
+++ b/deck/cmd_job.go
@@ -5,9 +5,11 @@
 	"strconv"
 	"time"
 
+	"dragonflydeck.example/fleet/refuse"
 	"dragonflydeck.example/fleet/wire"
 	"github.com/google/uuid"
 	"github.com/spf13/cobra"
+	"github.com/twitchtv/twirp"
 )
 
 // waitPollInterval is how often waitJob asks for the state of the job.
@@ -126,8 +128,13 @@
 	deadline := time.Now().Add(timeout)
 	for {
 		r, err := callDesk(a, "wait for job", &wire.JobsAsk{Job: id}, wire.Desk.Jobs)
-		if err == nil && hasEnded(r.Jobs[0].Phase) {
+		switch {
+		case err == nil && len(r.Jobs) == 0:
+			return exitError{fmt.Errorf("wait for job %s: the answer names no job", id), exitUnknown}
+		case err == nil && hasEnded(r.Jobs[0].Phase):
 			return printEnded(a, r)
+		case err != nil && isFinal(err):
+			return err
 		}
 		if time.Now().After(deadline) {
 			if err != nil {
@@ -139,6 +146,15 @@
 	}
 }
 
+// isFinal reports whether asking again cannot give another answer.
+func isFinal(err error) bool {
+	switch refuse.From("", err).Kind {
+	case twirp.NotFound, twirp.InvalidArgument, twirp.Malformed, twirp.BadRoute, twirp.Unauthenticated, twirp.PermissionDenied, twirp.Unimplemented:
+		return true
+	}
+	return false
+}
+
 func hasEnded(p wire.Phase) bool { return p >= wire.Phase_DONE }
 
 func printEnded(a *app, r *wire.JobsReply) error {
--- a/deck/cmd_request.go
+++ b/deck/cmd_request.go
@@ -35,6 +35,9 @@
 			"%d in the body by the number of the request, and prints a summary.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
+			if err := l.check(); err != nil {
+				return exitError{err, exitUsage}
+			}
 			if l.count > 1 {
 				return l.run(a, args[0])
 			}
@@ -58,6 +61,19 @@
 	return cmd
 }
 
+// check checks the flags.
+func (l *load) check() error {
+	for _, f := range []struct {
+		name  string
+		value int
+	}{{"count", l.count}, {"parallel", l.parallel}, {"tries", l.tries}} {
+		if f.value < 1 {
+			return fmt.Errorf("%s is %d: must be at least 1", f.name, f.value)
+		}
+	}
+	return nil
+}
+
 // send sends a request and retries it while the refusal says that this is safe.
 func (l *load) send(a *app, n int, body string) (*wire.CallReply, error) {
 	q := &wire.CallAsk{
--- a/deck/golden_test.go
+++ b/deck/golden_test.go
@@ -84,6 +84,7 @@
 	}
 	for _, command := range []string{
 		"space set a --shape nonsense", "space set a --shape 1x2:1,2", "job submit a --each 1", "domain out d --drain sideways", "nothing", "--limit 0s health",
+		"request x --tries 0", "request x --count 0", "request x --parallel 0",
 	} {
 		out := &bytes.Buffer{}
 		qt.Check(t, Main(strings.Fields(command), out, out), qt.Equals, exitUsage, qt.Commentf("%s: %s", command, out))
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -103,9 +103,14 @@
 
 // Hold applies an operator's order before it is in the log, and puts it into
 // the outbox to be appended. It replaces older orders for the same failure
-// domain.
+// domain, and has no effect beside a newer one.
 func Hold(b *board.Board, e *wire.Entry) {
 	t := e.GetTurn()
+	for _, have := range b.Holds {
+		if have.GetTurn().GetName() == t.Name && have.At > e.At {
+			return
+		}
+	}
 	for id, have := range b.Holds {
 		if have.GetTurn().GetName() == t.Name && have.At < e.At {
 			delete(b.Holds, id)
--- a/fleet/home/admit.go
+++ b/fleet/home/admit.go
@@ -59,7 +59,7 @@
 func Rehome(b *board.Board, w *wire.Space) []*wire.Home {
 	var staying, lost []*wire.Home
 	for _, h := range w.Homes {
-		if b.State.OutOfService(fleet.DomainID(h.Domain)) {
+		if b.State.OutOfService(fleet.DomainID(h.Domain)) && h.Shape >= 0 && int(h.Shape) < len(w.Shapes) {
 			lost = append(lost, h)
 		} else {
 			staying = append(staying, h)
--- a/fleet/home/home.go
+++ b/fleet/home/home.go
@@ -133,8 +133,9 @@
 			continue
 		}
 		if j.Phase == wire.Phase_QUEUED {
-			c.move(b, loads, j)
-			moved++
+			if c.move(b, loads, j) {
+				moved++ // one that fits nowhere takes no move from those that do
+			}
 			continue
 		}
 		id := fmt.Sprintf("lost/%s/%d/%d", j.Spec.Id, j.Attempt, d.Rev)
--- a/fleet/state/apply.go
+++ b/fleet/state/apply.go
@@ -18,6 +18,9 @@
 	}
 	s.Next = at + 1
 	id := fleet.EntryID(e.GetId())
+	if id == "" {
+		return s.applyEntry(at, e) // of another writer; it repeats no known entry
+	}
 	if found, err := s.seen.get(id); found {
 		return err
 	}
--- a/fleet/state/state_test.go
+++ b/fleet/state/state_test.go
@@ -226,3 +226,13 @@
 	// <nil>
 	// set workspace: conflict: orders is at revision 1, not 0
 }
+
+// Records of other writers may lack an id. They are not repeats of each other.
+func TestRecordsWithoutAnIDAreNotRepeats(t *testing.T) {
+	s := state.New()
+	for i, name := range []string{"a", "b"} {
+		err := s.Apply(fleet.Offset(i+1), &wire.Entry{Kind: &wire.Entry_Space{Space: &wire.Space{Name: name}}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, s.Spaces, qt.HasLen, 2)
+}
--- a/fleet/ticket/ticket.go
+++ b/fleet/ticket/ticket.go
@@ -85,11 +85,28 @@
 	return id, e.until, nil
 }
 
-// removeExpired removes expired tickets, whether or not a request uses them.
+// removeExpired removes expired tickets. One whose request has not ended stays valid,
+// as repeats of the request wait for its answer.
 func (b *Book) removeExpired(now time.Time) {
 	for len(b.byExpiry) > 0 && now.After(b.byExpiry[0].until) {
-		delete(b.entries, b.byExpiry[0].id)
+		e := b.byExpiry[0]
 		b.byExpiry = b.byExpiry[1:]
+		if e.inUse() {
+			e.until = now.Add(Lifetime)
+			b.byExpiry = append(b.byExpiry, e)
+			continue
+		}
+		delete(b.entries, e.id)
+	}
+}
+
+// inUse reports whether the ticket's request has begun and not ended.
+func (e *entry) inUse() bool {
+	select {
+	case <-e.done:
+		return false
+	default:
+		return e.used
 	}
 }
 
--- a/fleet/ticket/ticket_test.go
+++ b/fleet/ticket/ticket_test.go
@@ -82,3 +82,27 @@
 	// e1 7 KEY <nil>
 	// read ticket: "nonsense" is not host.incarnation.key
 }
+
+// A request may take longer than its ticket is valid. Repeats must still wait for its
+// answer, and must not be told that it was never issued.
+func TestTicketInUseOutlivesItsTime(t *testing.T) {
+	b := ticket.New("e1", 7)
+	now := time.Unix(1000, 0)
+	id, _, err := b.Issue(now)
+	qt.Assert(t, err, qt.IsNil)
+	_, _, err = b.Use(id, now)
+	qt.Assert(t, err, qt.IsNil)
+	later := now.Add(ticket.Lifetime + time.Second)
+	_, _, err = b.Issue(later)
+	qt.Assert(t, err, qt.IsNil)
+	first, done, err := b.Use(id, later)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, first, qt.IsFalse)
+	b.Complete(id, ticket.Result{Body: []byte("42")})
+	<-done
+	res, ok := b.Result(id)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, string(res.Body), qt.Equals, "42")
+	_, _, err = b.Use(id, later.Add(2*ticket.Lifetime))
+	qt.Assert(t, err, qt.ErrorMatches, ".* has expired or was never issued")
+}
