--- a/fleet/sched/recovery_test.go
+++ b/fleet/sched/recovery_test.go
@@ -425,3 +425,33 @@
 	silent := w.polls - 800*4 // a worker that runs something is polled each 1.5 s
 	qt.Check(t, silent <= 200*6, qt.IsTrue, qt.Commentf("%d polls of silent workers in 5 s", silent))
 }
+
+// A lead is frozen for longer than a lease, and wakes under its successor, which has
+// started the lapsed task again. The old one must start and stop nothing, and notice
+// that it no longer leads.
+func TestLeadFrozenForLongerThanALeaseStepsDown(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.becomeLead()
+	runTimes["slept"] = time.Hour
+	f := newFlow("slept", "bulk", taskStep(1, 8, time.Hour))
+	w.submitAccepted(f)
+	w.runUntil(time.Second, "start", func() bool { return w.startCount("slept") == 1 })
+	for end := w.now.Add(limits.Lease + 2*time.Second); w.now.Before(end); {
+		w.now = w.now.Add(w.tick)
+		for _, one := range w.workers {
+			one.advance(w.now)
+		}
+	}
+	end, err := w.store.append(fleet.Offset(len(w.store.records)), []fleet.Record{{Key: sched.LeadKey, Value: []byte{2}}})
+	qt.Assert(t, err, qt.IsNil)
+	next := w.workers["w0-1"]
+	task := fleet.Task{Job: "slept"}
+	_, _, err = next.start(w.now, fleet.StartOrder{Task: task, Run: 1 << 13, Term: fleet.Term(end), LeaseUntil: next.clock(w.now.Add(limits.Lease))})
+	qt.Assert(t, err, qt.IsNil)
+	w.runUntil(2*time.Second, "step down", func() bool { return !w.scheduler.Leads() })
+	qt.Assert(t, w.startCount("slept"), qt.Equals, 2)
+	qt.Assert(t, next.runs, qt.HasLen, 1)
+	for _, r := range next.runs {
+		qt.Assert(t, r.stop.IsZero(), qt.IsTrue)
+	}
+}
