--- a/fleet/assign/assign.go
+++ b/fleet/assign/assign.go
@@ -32,6 +32,13 @@
 	Unreachable  map[fleet.DomainID]bool // failure domains that count as unreachable
 
 	usable map[string][]usableWorker // by service; computed at the first use
+	roomy  map[size][]usableWorker   // usable workers with room for a task; computed at the first use
+}
+
+// size is what decides whether a worker has room for a task.
+type size struct {
+	service string
+	each    fleet.Res
 }
 
 // usableWorker is a worker on which tasks may start now, with what every search for
@@ -80,6 +87,27 @@
 	return s.placeTasks(u, cands)
 }
 
+// withRoom returns the usable workers that had room for a task when it was first asked
+// for. Placing tasks only takes room, so on a full site later searches look at few
+// workers.
+func (s *Site) withRoom(service string, each fleet.Res) []usableWorker {
+	k := size{service, each}
+	list, ok := s.roomy[k]
+	if ok {
+		return list
+	}
+	for _, w := range s.workers(service) {
+		if each.Fits(w.Free()) {
+			list = append(list, w)
+		}
+	}
+	if s.roomy == nil {
+		s.roomy = map[size][]usableWorker{}
+	}
+	s.roomy[k] = list
+	return list
+}
+
 // candidate is a worker with room for some tasks of a unit.
 type candidate struct {
 	worker *pool.Worker
@@ -117,7 +145,7 @@
 func (s *Site) candidates(u Unit) []candidate {
 	var out []candidate
 	each := u.Step.Each()
-	for _, w := range s.workers(u.Service) {
+	for _, w := range s.withRoom(u.Service, each) {
 		room := w.Free()
 		if !each.Fits(room) || !s.eligible(u, w) {
 			continue
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -206,6 +206,8 @@
 
 	maxLease  time.Duration // longest lease that the platform allows
 	sorted    []*Worker
+	domains   []fleet.DomainID // of the workers; computed for one generation
+	domainsOf int              // that generation
 	lastHeard map[fleet.DomainID]time.Time
 }
 
@@ -229,6 +231,20 @@
 	}
 }
 
+// Domains returns the failure domains of the listed workers.
+func (p *Pool) Domains() []fleet.DomainID {
+	if p.domainsOf == p.Generation {
+		return p.domains
+	}
+	p.domains, p.domainsOf = nil, p.Generation
+	for _, w := range p.Workers {
+		if w.Listed && !slices.Contains(p.domains, w.Domain) {
+			p.domains = append(p.domains, w.Domain)
+		}
+	}
+	return p.domains
+}
+
 // Sorted returns the workers ordered by host name.
 func (p *Pool) Sorted() []*Worker {
 	if len(p.sorted) != len(p.Workers) {
--- a/fleet/pool/reach.go
+++ b/fleet/pool/reach.go
@@ -57,6 +57,17 @@
 	p.lastHeard[w.Domain] = now
 }
 
+// HasSilentDomain reports whether no worker of some failure domain has answered for
+// the given time.
+func (p *Pool) HasSilentDomain(silence time.Duration, now time.Time) bool {
+	for _, d := range p.Domains() {
+		if now.Sub(p.lastHeard[d]) >= silence {
+			return true
+		}
+	}
+	return false
+}
+
 // LastHeard returns when any worker of a failure domain last answered.
 func (p *Pool) LastHeard(d fleet.DomainID) time.Time { return p.lastHeard[d] }
 
--- a/fleet/sched/domains.go
+++ b/fleet/sched/domains.go
@@ -51,6 +51,9 @@
 
 // pollSilentDomains polls a few workers of each silent failure domain.
 func (sc *Scheduler) pollSilentDomains() {
+	if !sc.pool.HasSilentDomain(domainPollAfter, sc.now) {
+		return
+	}
 	polled := map[fleet.DomainID]int{}
 	for _, w := range sc.pool.Sorted() {
 		d := w.Domain
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -17,14 +17,15 @@
 // job is a job with the state that only the current lead has and that is not stored.
 type job struct {
 	*flow.Job
-	stored      bool // the job itself is stored, and thereby accepted
-	dirty       bool
-	lastBatch   uint64 // number of the batch with its newest progress
-	waiters     []submitter
-	preemptedAt time.Time                  // when runs were last preempted for it
-	failed      map[fleet.HostID]time.Time // workers where one of its tasks failed; not used for it until the time given
-	evicted     map[fleet.Task]int         // how often each task was preempted
-	rackFits    map[*flow.Step]rackFit
+	stored         bool // the job itself is stored, and thereby accepted
+	dirty          bool
+	lastBatch      uint64 // number of the batch with its newest progress
+	waiters        []submitter
+	preemptedAt    time.Time                  // when runs were last preempted for it
+	preemptTriedAt time.Time                  // when runs to preempt for it were last searched for
+	failed         map[fleet.HostID]time.Time // workers where one of its tasks failed; not used for it until the time given
+	evicted        map[fleet.Task]int         // how often each task was preempted
+	rackFits       map[*flow.Step]rackFit
 }
 
 // rackFit caches whether a step fits where it runs at full speed, for one generation
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -17,7 +17,7 @@
 const (
 	provenWait            = 3 * time.Second        // how long a task on its last attempt waits for a worker with a proven record
 	planInterval          = 250 * time.Millisecond // between two plans while nothing has changed
-	minPlanInterval       = 20 * time.Millisecond  // between two plans, so that a burst of events costs one plan
+	minPlanInterval       = 40 * time.Millisecond  // between two plans, so that a burst of events costs one plan
 	idleOffRackAfter      = time.Second            // wait after which work may run off its rack on a site with much free capacity
 	guaranteeOffRackAfter = 2 * time.Second        // wait after which work within its guarantee may run off its rack
 	offRackAfterRunTimes  = 6                      // other work may run off its rack after a wait of this many times its run time
@@ -45,7 +45,7 @@
 		return
 	}
 	sc.changed, sc.plannedAt = false, sc.now
-	p := &planState{Site: sc.site(), full: assign.FullCache{}, loads: map[string]float64{}, victims: map[victimsOf][]assign.Victim{}}
+	p := &planState{Site: sc.site(), full: assign.FullCache{}, loads: map[string]float64{}, victims: newVictimsCache()}
 	for _, u := range sc.units() {
 		sc.placedAt = sc.now
 		u.AnyRack = sc.mayRunOffRack(p, u)
@@ -58,7 +58,7 @@
 	*assign.Site
 	full    assign.FullCache
 	loads   map[string]float64 // by service
-	victims map[victimsOf][]assign.Victim
+	victims victimsCache
 }
 
 // load returns the load of a service's workers as of the first call in this pass.
--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -23,6 +23,7 @@
 const (
 	maxPollsInFlight = 2   // of a worker that is late with an answer; the first may hang on a dead connection
 	maxSyncPolls     = 128 // of workers whose runs are not known yet
+	unknownSyncPolls = -1  // their number was not needed so far
 )
 
 // maxEndsListed is how many run ends a worker reports in one answer.
@@ -39,13 +40,16 @@
 		return
 	}
 	sc.pollsCheckedAt = sc.now
-	syncing := sc.syncPolls()
+	syncing := unknownSyncPolls
 	for _, w := range sc.pool.Sorted() {
 		if w.Endpoint.Addr == "" || !sc.pollDue(w) {
 			continue
 		}
 		if !w.Synced && !w.Overdue(sc.now) {
-			if syncing == maxSyncPolls {
+			if syncing == unknownSyncPolls {
+				syncing = sc.syncPolls()
+			}
+			if syncing >= maxSyncPolls {
 				continue
 			}
 			syncing++
--- a/fleet/sched/preempt.go
+++ b/fleet/sched/preempt.go
@@ -17,6 +17,7 @@
 	restoreCost           = 250 * time.Millisecond // a task with checkpoints loses only the time of a restore
 	preemptAfter          = 150 * time.Millisecond // urgent work waits this long for capacity before it preempts
 	preemptRetry          = 800 * time.Millisecond // the stopped runs have ended by then
+	preemptSearchRetry    = 250 * time.Millisecond // after a search that found no runs worth stopping
 	reservationTime       = 900 * time.Millisecond // slightly longer than preemptRetry
 	guaranteePreemptAfter = 800 * time.Millisecond // a workspace gets its guaranteed capacity within 2.9 s, at any cost
 )
@@ -26,9 +27,10 @@
 // not exceed the work of the urgent job, unless its workspace is entitled to the
 // capacity.
 func (sc *Scheduler) preempt(p *planState, u unit) {
-	if u.priority != 0 || !u.job.stored || u.waited < preemptAfter || sc.now.Sub(u.job.preemptedAt) < preemptRetry {
+	if u.priority != 0 || !u.job.stored || u.waited < preemptAfter || sc.now.Sub(u.job.preemptedAt) < preemptRetry || sc.now.Sub(u.job.preemptTriedAt) < preemptSearchRetry {
 		return
 	}
+	u.job.preemptTriedAt = sc.now
 	entitled := sc.withinGuarantee(u.job)
 	claimsGuarantee := entitled && u.waited >= guaranteePreemptAfter
 	clearing, ok := p.PlanPreemption(u.Unit, func(w *pool.Worker) []assign.Victim { return sc.victims(p, w, claimsGuarantee) })
@@ -80,17 +82,19 @@
 	}
 }
 
-// victimsOf identifies the runs of a worker that urgent work may stop.
-type victimsOf struct {
-	host            fleet.HostID
-	claimsGuarantee bool
+// victimsCache holds the runs that urgent work may stop, by worker, for work that
+// claims its workspace's guarantee and for other work.
+type victimsCache map[bool]map[*pool.Worker][]assign.Victim
+
+func newVictimsCache() victimsCache {
+	return victimsCache{true: {}, false: {}}
 }
 
 // victims returns the runs of a worker that urgent work may stop. They are computed
 // once in a plan; runs that were stopped since are left out.
 func (sc *Scheduler) victims(p *planState, w *pool.Worker, claimsGuarantee bool) []assign.Victim {
-	k := victimsOf{w.Endpoint.Host, claimsGuarantee}
-	all, ok := p.victims[k]
+	cache := p.victims[claimsGuarantee]
+	all, ok := cache[w]
 	if !ok {
 		for _, r := range w.Sorted() {
 			if cost := sc.preemptionCost(r, claimsGuarantee); cost >= 0 {
@@ -101,7 +105,7 @@
 	} else {
 		all = slices.DeleteFunc(all, func(v assign.Victim) bool { return v.Run.Phase != pool.Running })
 	}
-	p.victims[k] = all
+	cache[w] = all
 	return all
 }
 
--- a/fleet/sched/rush_test.go
+++ b/fleet/sched/rush_test.go
@@ -393,7 +393,7 @@
 // workersBy returns a random share of the workers.
 func (d *rush) workersBy(share float64) []*worker {
 	var out []*worker
-	for _, one := range d.w.scheduledWorkers() {
+	for _, one := range d.w.sorted() {
 		if d.random.Float64() < share {
 			out = append(out, one)
 		}
@@ -401,23 +401,6 @@
 	return out
 }
 
-func (w *world) scheduledWorkers() []*worker {
-	var out []*worker
-	for r := 0; ; r++ {
-		n := 0
-		for ; ; n++ {
-			one := w.workers[fleet.HostID(fmt.Sprintf("w%d-%d", r, n))]
-			if one == nil {
-				break
-			}
-			out = append(out, one)
-		}
-		if n == 0 {
-			return out
-		}
-	}
-}
-
 // newBurstDay returns a day on which urgent gangs and long ones come in bursts to a
 // site of 540 workers that is nearly full without them.
 func newBurstDay(t *testing.T, seed uint64) *rush {
@@ -482,7 +465,7 @@
 	at := d.w.now.Sub(d.begun) + notice
 	d.troubles = append(d.troubles, trouble{at, func(d *rush) {
 		for _, one := range gone {
-			for k := range one.runs {
+			for _, k := range one.sortedRuns() {
 				one.end(k, fleet.EndLapsed, "")
 			}
 			one.crash(d.w.now)
--- a/fleet/sched/worker_test.go
+++ b/fleet/sched/worker_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"slices"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -30,6 +31,7 @@
 	leaseUntil       time.Time
 	advancedAt       time.Time
 	runs             map[pool.Key]*running
+	order            []pool.Key               // of the runs, as they began; some may have ended
 	closed           map[fleet.Task]fleet.Run // newest run that ended or was stopped here
 	ends             []fleet.EndReport
 	ended            fleet.EndNo
@@ -128,11 +130,12 @@
 		w.pending = nil
 	}
 	if len(w.runs) > 0 && now.After(w.leaseUntil) {
-		for k := range w.runs {
+		for _, k := range w.sortedRuns() {
 			w.end(k, fleet.EndLapsed, "")
 		}
 	}
-	for k, r := range w.runs {
+	for _, k := range w.sortedRuns() {
+		r := w.runs[k]
 		switch {
 		case !r.stop.IsZero():
 			if !now.Before(r.stop) {
@@ -151,6 +154,12 @@
 	}
 }
 
+// sortedRuns returns the runs in the order in which they began.
+func (w *worker) sortedRuns() []pool.Key {
+	w.order = slices.DeleteFunc(w.order, func(k pool.Key) bool { return w.runs[k] == nil })
+	return slices.Clone(w.order)
+}
+
 // checkpoint returns the checkpoint that a stopped run leaves.
 func (w *worker) checkpoint(k pool.Key, r *running) string {
 	if w.rush == nil {
@@ -222,6 +231,7 @@
 		w.rush.begin(w, k, r)
 	}
 	w.runs[k] = r
+	w.order = append(w.order, k)
 	w.started[o.Task.Job]++
 	used := int64(0)
 	for k := range w.runs {
@@ -278,7 +288,8 @@
 // report returns the worker's answer to a poll.
 func (w *worker) report(now time.Time) fleet.WorkerReport {
 	s := fleet.WorkerReport{Clock: w.clock(now), Inc: w.inc, Ends: append([]fleet.EndReport(nil), w.ends...)}
-	for k, r := range w.runs {
+	for _, k := range w.sortedRuns() {
+		r := w.runs[k]
 		span := runTimes[k.Task.Job]
 		if w.rush != nil {
 			span = r.total
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -1,8 +1,11 @@
 package sched_test
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,6 +39,7 @@
 	inc           fleet.Incarnation
 	store         *store
 	workers       map[fleet.HostID]*worker
+	order         []*worker
 	config        *queue.Config
 	outOfService  map[fleet.DomainID]bool
 	configEnd     fleet.Offset
@@ -159,6 +163,15 @@
 
 func (w *world) post(e sched.Event) { w.events = append(w.events, e) }
 
+// sorted returns the workers in a fixed order, so that each run of a test sees the same
+// events.
+func (w *world) sorted() []*worker {
+	if len(w.order) != len(w.workers) {
+		w.order = slices.SortedFunc(maps.Values(w.workers), func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+	}
+	return w.order
+}
+
 // run advances the virtual time.
 func (w *world) run(span time.Duration) {
 	for end := w.now.Add(span); w.now.Before(end); {
@@ -181,7 +194,7 @@
 
 func (w *world) step() {
 	w.now = w.now.Add(w.tick)
-	for _, one := range w.workers {
+	for _, one := range w.sorted() {
 		one.advance(w.now)
 		one.answerLongPolls(w.now)
 	}
