Reading the diff: polls of workers that were never heard, domains of workers that move, comments

A worker that a new lead has not heard yet was polled again after 1 s at once, as its silence counted from the year one; it now counts from the claim. A worker whose failure domain changes renews the list of domains.

--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -202,7 +202,7 @@
 // Pool is the set of workers that the lead knows.
 type Pool struct {
 	Workers    map[fleet.HostID]*Worker
-	Generation int // rises when the set of workers or their total resources change
+	Generation int // rises when the set of workers, their domains or their total resources change
 
 	maxLease  time.Duration // longest lease that the platform allows
 	sorted    []*Worker
@@ -278,7 +278,7 @@
 	if e.Inc == 0 {
 		e.Inc = w.Inc // an entry without a start time says nothing about the process
 	}
-	if !w.Listed || w.Service != e.Service || w.Capacity != e.Capacity || !slices.Equal(w.Labels, e.Labels) {
+	if !w.Listed || w.Service != e.Service || w.Domain != e.Domain || w.Capacity != e.Capacity || !slices.Equal(w.Labels, e.Labels) {
 		p.Generation++
 	}
 	w.WorkerEntry, w.Rack, w.Listed = e, rack, true
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -62,7 +62,7 @@
 		return
 	}
 	sc.reset()
-	sc.mode, sc.term, sc.epoch = leading, e.Term, e.Lead.Epoch
+	sc.mode, sc.term, sc.epoch, sc.leadingSince = leading, e.Term, e.Lead.Epoch, sc.now
 	sc.outbox.end = e.End
 	sc.logf(event.LeadTaken, string(sc.self.Host), "term=%d epoch=%d", sc.term, sc.epoch)
 	sc.sendBeat()
--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -75,9 +75,13 @@
 }
 
 // retryAfter returns the time between two polls of a worker that does not answer. It
-// grows with the silence, up to a limit.
+// grows with the time for which this lead has not heard the worker, up to a limit.
 func (sc *Scheduler) retryAfter(w *pool.Worker) time.Duration {
-	return min(max(pollRetry, w.LastPoll.Sub(w.LastHeard)/2), maxPollRetry)
+	heard := w.LastHeard
+	if heard.IsZero() {
+		heard = sc.leadingSince
+	}
+	return min(max(pollRetry, w.LastPoll.Sub(heard)/2), maxPollRetry)
 }
 
 // pollDue reports whether a worker is to be polled now. A long poll in flight does
--- a/fleet/sched/quorum.go
+++ b/fleet/sched/quorum.go
@@ -32,10 +32,11 @@
 
 // checkQuorum asks the store if it has not confirmed the lead for a moment, and then
 // all peers if it does not answer. Load pattern: a site of a hundred daemons with
-// little to store; a question to all peers costs far more than one to the store. If a failure domain is cut off together with the lead, another
-// daemon may take over. The old lead continues to serve the workers on its side of
-// the partition but stops renewing leases, and callers are better served by the other
-// daemons.
+// little to store; a question to all peers costs far more than one to the store.
+//
+// If a failure domain is cut off together with the lead, another daemon may take over.
+// The old lead continues to serve the workers on its side of the partition but stops
+// renewing leases, and callers are better served by the other daemons.
 func (sc *Scheduler) checkQuorum() {
 	q := &sc.quorum
 	silent := sc.now.Sub(q.confirmedAt)
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -68,6 +68,8 @@
 	term    fleet.Term
 	epoch   int64
 
+	leadingSince time.Time // when this daemon became the lead
+
 	leftTerm     fleet.Term // in which this daemon led until it began to shut down
 	leavingUntil time.Time  // when it stops announcing that it shuts down
 
