Ends are reported while a healthy append is storing them

Callers ask at the moment of the end; told that it runs, they learn of the end at their next question, much later than the 8 ms of the append.

Change: an end may be reported while its append is in flight, has not failed and is younger than 50 ms.

--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -70,6 +70,15 @@
 	return b.inFlight != nil && now.Sub(b.inFlight.firstTry) > b.appendTimeout(minStuckAfter)
 }
 
+// healthyAppend is how long an append to a healthy store takes at most.
+const healthyAppend = 50 * time.Millisecond
+
+// isHealthy reports whether no append is in flight that has failed or is late.
+func (b *outbox) isHealthy(now time.Time) bool {
+	s := b.inFlight
+	return s == nil || !s.doubtful && !s.uncertain && s.retryAt.IsZero() && now.Sub(s.firstTry) < healthyAppend
+}
+
 // stuckFor returns for how long the store has seemed to be unavailable.
 func (b *outbox) stuckFor(now time.Time) time.Duration {
 	if !b.stuck(now) {
