How old the list of workers is by which the lead places, in logs and metrics

- 302 job-placed: list=, the age of the list that decided
- 610 workers-read: the first list of a term, or the first after a gap of a second
- deckd_workers_list_age_seconds

A list now says when the read that completed it was sent. A read whose answer does not reach the end of the topic does not complete it. No decision uses this yet.

--- a/deckd/site/forward.go
+++ b/deckd/site/forward.go
@@ -15,6 +15,7 @@
 
 // leadView is a snapshot of what a daemon knows about the lead of its site.
 type leadView struct {
+	listReadAt time.Time // as of when this daemon, if it leads, knows the workers
 	term       fleet.Term
 	addr       string // of the lead
 	leading    bool   // this daemon is the lead
--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -112,6 +112,7 @@
 	onFailure func() // optional, called after each failed read
 
 	next   fleet.Offset
+	readAt time.Time // when the newest read that reached the end of the topic was sent
 	loaded bool
 	failed bool
 }
@@ -132,12 +133,13 @@
 // step reads once and applies what is new. If the store no longer has the records
 // at the next offset, the following step starts again with the newest records.
 func (f *follower) step(ctx context.Context) error {
+	sentAt := time.Now()
 	if !f.loaded {
 		records, end, err := readNewest(ctx, f.site.deps.Store, f.topic)
 		if err != nil {
 			return err
 		}
-		f.loaded, f.next = true, end
+		f.loaded, f.next, f.readAt = true, end, sentAt
 		f.apply(records, end)
 		return nil
 	}
@@ -149,6 +151,9 @@
 	if err != nil {
 		return err
 	}
+	if b.Next >= b.End {
+		f.readAt = sentAt
+	}
 	if b.Next > f.next {
 		f.next = b.Next
 		f.apply(b.Records, b.Next)
--- a/deckd/site/metrics.go
+++ b/deckd/site/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/wire"
@@ -19,6 +20,9 @@
 	if v.term > 0 {
 		fmt.Fprintf(&w, "deckd_lead_known{addr=%q} 1\n", v.addr)
 	}
+	if v.leading {
+		fmt.Fprintf(&w, "deckd_workers_list_age_seconds %.3f\n", time.Since(v.listReadAt).Seconds())
+	}
 	metrics.WritePrometheus(&w, true)
 	return http.StatusOK, w.String()
 }
--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -184,7 +184,7 @@
 	now, lead := time.Now(), sc.Elect.Lead()
 	v := leadView{
 		term: lead.Term, addr: lead.Addr, leading: sc.Leads(),
-		responsive: sc.Elect.LeadResponsive(now), isolated: sc.Elect.Isolated(),
+		responsive: sc.Elect.LeadResponsive(now), isolated: sc.Elect.Isolated(), listReadAt: sc.ListReadAt(),
 	}
 	if v != *s.view.Load() {
 		s.view.Store(&v)
--- a/deckd/site/workers.go
+++ b/deckd/site/workers.go
@@ -39,12 +39,15 @@
 			continue
 		}
 		f.noteSuccess()
+		if f.loaded {
+			w.site.loop.Post(sched.WorkersListed{Entries: maps.Clone(w.entries), ReadAt: f.readAt})
+		}
 		sleep(ctx, f.interval)
 	}
 }
 
-// apply updates the entries from newer records and posts all of them to the
-// control loop. A worker whose entry cannot be decoded counts as not listed.
+// apply updates the entries from newer records. A worker whose entry cannot be decoded
+// counts as not listed.
 func (w *workerFollower) apply(records []fleet.Record, _ fleet.Offset) {
 	for _, r := range records {
 		id := fleet.HostID(r.Key)
@@ -60,5 +63,4 @@
 		}
 		w.entries[id] = e
 	}
-	w.site.loop.Post(sched.WorkersListed{Entries: maps.Clone(w.entries)})
 }
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -78,6 +78,7 @@
 	WorkerLeaves    Code = 607
 	DomainMuted     Code = 608
 	DomainHeard     Code = 609
+	WorkersRead     Code = 610
 )
 
 // Entry is the catalogue's entry for one code.
@@ -166,6 +167,7 @@
 	{WorkerLeaves, "worker-leaves", Info, "a worker announced that it is shutting down; runs that would not end in time are moved", "nothing"},
 	{DomainMuted, "domain-muted", Warn, "no worker of a failure domain answers the lead; nothing starts there until one answers", "check the links of the failure domain if this lasts"},
 	{DomainHeard, "domain-heard", Info, "workers of a failure domain answer again", "nothing"},
+	{WorkersRead, "workers-read", Info, "the lead read the list of workers for the first time, or for the first time in more than a second; the line says how old it is and how old the one before was", "check the store if `before` is often long in the middle of a term"},
 }
 
 // Lookup returns the entry for a code.
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -30,6 +30,9 @@
 	Phase Phase
 	Since time.Time // when it entered the phase
 
+	PlacedAt time.Time // when this lead decided to start it; zero if another one did
+	SentAt   time.Time // when its start order was first sent
+
 	Percent      int           // progress in the worker's newest report
 	ProgressAt   time.Time     // when Percent last rose
 	FromPercent  int           // progress when it was first reported
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -57,9 +57,11 @@
 		OutOfService map[fleet.DomainID]bool
 		End          fleet.Offset
 	}
-	// WorkersListed are the workers in the service discovery.
+	// WorkersListed are the workers in the service discovery, complete as of ReadAt,
+	// when the newest read of them was sent.
 	WorkersListed struct {
 		Entries map[fleet.HostID]fleet.WorkerEntry
+		ReadAt  time.Time
 	}
 	// LimitsChanged are changed limits of the platform.
 	LimitsChanged struct{ Limits Limits }
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -327,7 +327,7 @@
 	if !ok || w.Runs[pool.Key{Task: st.run.Task, No: st.run.No}] != st.run || st.run.Phase != pool.Sent {
 		return
 	}
-	st.run.Since, st.run.Dispatched = sc.now, true
+	st.run.Since, st.run.SentAt, st.run.Dispatched = sc.now, sc.now, true
 	sc.sendStart(w, st.run)
 }
 
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -221,13 +221,13 @@
 	}
 	for _, pl := range placements {
 		t := u.Step.Task(u.job.ID, pl.Index)
-		r := &pool.Run{Task: t, No: run, Each: u.Step.Each(), Phase: pool.Sent, Since: sc.now, ProgressAt: sc.now}
+		r := &pool.Run{Task: t, No: run, Each: u.Step.Each(), Phase: pool.Sent, Since: sc.now, ProgressAt: sc.now, PlacedAt: sc.now}
 		pl.Worker.Add(r)
 		u.job.Start(t, run, pl.Worker.Endpoint.Host)
 		sc.outbox.starts = append(sc.outbox.starts, pendingStart{pl.Worker.Endpoint.Host, r})
 	}
 	sc.outbox.markDirty(u.job)
-	sc.logf(event.JobPlaced, string(u.job.ID), "round=%d step=%d run=%d tasks=%d of %d waited=%s far=%t on=%s", u.Step.Round, u.Step.Index, run, len(placements), len(u.Indexes), u.waited, u.AnyRack, hostList(placements))
+	sc.logf(event.JobPlaced, string(u.job.ID), "round=%d step=%d run=%d tasks=%d of %d waited=%s far=%t list=%s on=%s", u.Step.Round, u.Step.Index, run, len(placements), len(u.Indexes), u.waited, u.AnyRack, ago(sc.now, sc.list.readAt), hostList(placements))
 }
 
 // findPlacements returns the workers on which a unit can start now.
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -58,9 +58,9 @@
 
 	Elect      *elect.Elector
 	config     *queue.Config
-	domainsOut map[fleet.DomainID]bool            // taken out of service by the operator
-	configEnd  fleet.Offset                       // offset up to which the operator's records are known
-	entries    map[fleet.HostID]fleet.WorkerEntry // workers in the service discovery
+	domainsOut map[fleet.DomainID]bool // taken out of service by the operator
+	configEnd  fleet.Offset            // offset up to which the operator's records are known
+	list       workerList
 
 	mode    mode
 	leaving bool
@@ -97,7 +97,7 @@
 func New(self Identity, limits Limits, now time.Time) *Scheduler {
 	sc := &Scheduler{
 		self: self, limits: limits, Elect: elect.New(elect.Member{Host: self.Host, Inc: self.Inc, Power: self.Power}, now), now: now,
-		domainsOut: map[fleet.DomainID]bool{}, entries: map[fleet.HostID]fleet.WorkerEntry{},
+		domainsOut: map[fleet.DomainID]bool{},
 	}
 	sc.reset()
 	return sc
@@ -181,7 +181,7 @@
 	case ConfigChanged:
 		sc.handleConfig(e)
 	case WorkersListed:
-		sc.updateWorkers(e.Entries)
+		sc.handleWorkersListed(e)
 	case LimitsChanged:
 		sc.limits = e.Limits
 		sc.pool.SetMaxLease(e.Limits.Lease, sc.now)
--- a/fleet/sched/workers.go
+++ b/fleet/sched/workers.go
@@ -8,12 +8,49 @@
 	"dragonflydeck.example/fleet/pool"
 )
 
-// updateWorkers applies the list of workers in the service discovery.
-func (sc *Scheduler) updateWorkers(entries map[fleet.HostID]fleet.WorkerEntry) {
-	sc.entries = entries
+// maxListGap is the time between two reads of the list of workers above which the
+// next one is logged.
+const maxListGap = time.Second
+
+// workerList is the newest list of workers from the service discovery.
+type workerList struct {
+	entries map[fleet.HostID]fleet.WorkerEntry
+	readAt  time.Time // when the read that completed it was sent; zero before the first
+	term    fleet.Term
+}
+
+// count returns how many workers of the list are ready and how many are draining.
+func (l *workerList) count() (ready, draining int) {
+	for _, e := range l.entries {
+		if e.State == fleet.WorkerDraining {
+			draining++
+		} else {
+			ready++
+		}
+	}
+	return ready, draining
+}
+
+// ListReadAt returns when the read of the newest list of workers was sent.
+func (sc *Scheduler) ListReadAt() time.Time { return sc.list.readAt }
+
+// handleWorkersListed replaces the list of workers.
+func (sc *Scheduler) handleWorkersListed(e WorkersListed) {
+	before := sc.list
+	sc.list = workerList{entries: e.Entries, readAt: e.ReadAt, term: sc.term}
 	if sc.mode != leading {
 		return
 	}
+	if before.term != sc.term || e.ReadAt.Sub(before.readAt) > maxListGap {
+		ready, draining := sc.list.count()
+		sc.logf(event.WorkersRead, string(sc.self.Host), "term=%d ready=%d draining=%d read=%s before=%s", sc.term, ready, draining, ago(sc.now, e.ReadAt), ago(sc.now, before.readAt))
+	}
+	sc.updateWorkers()
+}
+
+// updateWorkers applies the list of workers to the pool.
+func (sc *Scheduler) updateWorkers() {
+	entries := sc.list.entries
 	for _, e := range entries {
 		old, known := sc.pool.Workers[e.Endpoint.Host]
 		state := fleet.WorkerState(0)
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -158,7 +158,7 @@
 			entries[id] = one.entry()
 		}
 	}
-	w.post(sched.WorkersListed{Entries: entries})
+	w.post(sched.WorkersListed{Entries: entries, ReadAt: w.now})
 }
 
 func (w *world) post(e sched.Event) { w.events = append(w.events, e) }
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -27,6 +27,7 @@
 type Batch struct {
 	Records []Record
 	Next    Offset // offset to read from next
+	End     Offset // end of the topic; above Next if the answer did not hold every record
 }
 
 // Store is the platform's store of keyed logs. Its errors are of type *Error.
