--- /dev/null
+++ b/fleet/sched/leaving_test.go
@@ -0,0 +1,124 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/sched"
+	"dragonflydeck.example/fleet/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+// leave makes a worker announce that it leaves.
+func (w *worker) leave() { w.draining, w.drainLeft = true, limits.Drain }
+
+// follow lets another daemon lead for a while.
+func (w *world) follow(span time.Duration) {
+	term := int64(len(w.store.records) + 1)
+	for end := w.now.Add(span); w.now.Before(end); {
+		w.post(sched.BeatReceived{Beat: &wire.Beat{Host: "e2", Term: term, Inc: 1}})
+		w.run(100 * time.Millisecond)
+	}
+}
+
+// A daemon leads, follows another lead while a worker leaves, and leads again before it
+// has read the present list of workers.
+func TestLeadThatReturnsStartsNothingOnWorkersThatLeft(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.becomeLead()
+	w.run(500 * time.Millisecond)
+	w.listHangs = true
+	w.follow(500 * time.Millisecond)
+	qt.Assert(t, w.scheduler.Leads(), qt.IsFalse)
+	left := w.workers["w0-0"]
+	left.leave()
+	w.follow(limits.Drain)
+	w.becomeLead()
+	runTimes["returns"] = 100 * time.Millisecond
+	f := newFlow("returns", "bulk", taskStep(16, 1, 100*time.Millisecond))
+	w.submitAccepted(f)
+	w.run(500 * time.Millisecond)
+	qt.Check(t, left.started["returns"], qt.Equals, 0)
+	w.listHangs = false
+	w.postWorkers()
+	w.awaitCompleted(f, 2*time.Second)
+	qt.Check(t, left.started["returns"], qt.Equals, 0)
+}
+
+// The list of workers cannot be read while the store takes appends, and a worker leaves
+// meanwhile.
+func TestNothingStartsByAListThatIsNotRenewed(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.becomeLead()
+	w.run(500 * time.Millisecond)
+	w.listHangs = true
+	left := w.workers["w0-0"]
+	left.leave()
+	runTimes["unread"] = 100 * time.Millisecond
+	f := newFlow("unread", "bulk", taskStep(16, 1, 100*time.Millisecond))
+	w.run(limits.Drain - 50*time.Millisecond)
+	w.submitAccepted(f)
+	w.run(500 * time.Millisecond)
+	qt.Check(t, left.started["unread"], qt.Equals, 0)
+	w.listHangs = false
+	w.postWorkers()
+	w.awaitCompleted(f, 2*time.Second)
+	qt.Check(t, left.started["unread"], qt.Equals, 0)
+}
+
+// While a placement is being stored, its worker leaves, disappears from the list, or has
+// its failure domain taken out of service.
+func TestStartIsNotSentToWorkerThatLeavesWhileItIsStored(t *testing.T) {
+	for name, leave := range map[string]func(*world, *worker){
+		"leaves":     func(_ *world, one *worker) { one.leave() },
+		"disappears": func(_ *world, one *worker) { one.unlisted = true },
+		"domain out": func(w *world, one *worker) {
+			w.outOfService = map[fleet.DomainID]bool{one.domain: true}
+			w.postConfig()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1, 4)
+			left := w.workers["w0-0"]
+			left.domain = "d2"
+			w.postWorkers()
+			w.becomeLead()
+			w.run(500 * time.Millisecond)
+			runTimes["stored"], runTimes["gang"] = 100*time.Millisecond, 100*time.Millisecond
+			f := newFlow("stored", "bulk", taskStep(16, 1, 100*time.Millisecond))
+			gang := newFlow("gang", "bulk", gangStep(2, 8, 100*time.Millisecond))
+			w.appendDelay = 300 * time.Millisecond
+			w.submit(f)
+			w.submit(gang)
+			w.run(150 * time.Millisecond)
+			leave(w, left)
+			w.postWorkers()
+			w.run(300 * time.Millisecond)
+			qt.Check(t, left.started["stored"]+left.started["gang"], qt.Equals, 0)
+			w.appendDelay = 0
+			w.awaitCompleted(f, 3*time.Second)
+			w.awaitCompleted(gang, 3*time.Second)
+			qt.Check(t, left.started["stored"]+left.started["gang"], qt.Equals, 0)
+			qt.Check(t, w.startCount("gang"), qt.Equals, 2, qt.Commentf("no member starts before the whole gang can"))
+		})
+	}
+}
+
+// A start gets no answer, and its worker leaves before the start would be sent again.
+func TestStartIsNotSentAgainToWorkerThatLeaves(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.becomeLead()
+	w.run(500 * time.Millisecond)
+	left := w.workers["w0-0"]
+	left.cutOff = true
+	runTimes["again"] = 100 * time.Millisecond
+	f := newFlow("again", "bulk", taskStep(16, 1, 100*time.Millisecond))
+	w.submitAccepted(f)
+	w.run(50 * time.Millisecond)
+	left.cutOff = false
+	left.leave()
+	w.postWorkers()
+	w.awaitCompleted(f, 5*time.Second)
+	qt.Check(t, left.started["again"], qt.Equals, 0)
+}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -42,6 +42,9 @@
 	order         []*worker
 	config        *queue.Config
 	outOfService  map[fleet.DomainID]bool
+	listed        map[fleet.HostID]fleet.WorkerEntry // as delivered last
+	listedAt      time.Time
+	listHangs     bool // the list of workers is not renewed
 	configEnd     fleet.Offset
 	events        []sched.Event
 	later         []delayed
@@ -152,15 +155,25 @@
 
 // postWorkers delivers the workers' entries in the service discovery.
 func (w *world) postWorkers() {
-	entries := map[fleet.HostID]fleet.WorkerEntry{}
+	w.listed = map[fleet.HostID]fleet.WorkerEntry{}
 	for id, one := range w.workers {
 		if !one.unlisted {
-			entries[id] = one.entry()
+			w.listed[id] = one.entry()
 		}
 	}
-	w.post(sched.WorkersListed{Entries: entries, ReadAt: w.now})
+	w.repeatWorkers()
 }
 
+// repeatWorkers delivers the entries that were delivered last, as a read does that
+// finds no change.
+func (w *world) repeatWorkers() {
+	w.listedAt = w.now
+	w.post(sched.WorkersListed{Entries: maps.Clone(w.listed), ReadAt: w.now})
+}
+
+// listInterval is the time between two reads of the list of workers.
+const listInterval = 200 * time.Millisecond
+
 func (w *world) post(e sched.Event) { w.events = append(w.events, e) }
 
 // sorted returns the workers in a fixed order, so that each run of a test sees the same
@@ -210,6 +223,9 @@
 		w.post(d.event)
 	}
 	w.later = remaining
+	if w.now.Sub(w.listedAt) >= listInterval && !w.listHangs && !w.store.down && !w.store.rejects {
+		w.repeatWorkers()
+	}
 	events := w.events
 	w.events = nil
 	var actions []sched.Action
