Starts are not sent to workers that stopped taking them while the placement was stored

Callers saw tasks begin on a worker that the same daemon had just logged as leaving.

Cause: a start is decided, stored, and sent. Whether its worker still takes starts was looked at only when it was decided; a slow append or a store that answers late puts seconds between the two. The same for starts that are sent again after no answer, and, besides workers that leave, for workers that have disappeared from the list and for failure domains taken out of service meanwhile.

Why this works: the list, the operator's orders and the dispatch are handled by one thread, so what is known at the moment of sending decides. All withdrawals come before the first send, so that no member of a gang starts that will be stopped.

--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -321,7 +321,8 @@
 	sc.dispatchStarts()
 }
 
-// dispatchStarts sends the starts whose placements are stored.
+// dispatchStarts sends the starts whose placements are stored. Those whose workers take
+// no more starts are withdrawn first, so that no member of their gangs starts either.
 func (sc *Scheduler) dispatchStarts() {
 	b := &sc.outbox
 	if len(b.stored) == 0 || !sc.listIsCurrent() {
@@ -330,16 +331,33 @@
 	starts := b.stored
 	b.stored = nil
 	for _, st := range starts {
-		sc.dispatchStart(st)
+		if w := sc.workerOf(st); w != nil && !sc.takesStarts(w) {
+			sc.stopRun(w, st.run, "its worker takes no more starts")
+		}
+	}
+	for _, st := range starts {
+		if w := sc.workerOf(st); w != nil {
+			sc.dispatchStart(w, st)
+		}
 	}
 }
 
-// dispatchStart sends a start to its worker, unless the run was withdrawn meanwhile.
-func (sc *Scheduler) dispatchStart(st pendingStart) {
+// workerOf returns the worker of a start, or nil if the run was withdrawn meanwhile.
+func (sc *Scheduler) workerOf(st pendingStart) *pool.Worker {
 	w, ok := sc.pool.Workers[st.host]
-	if !ok || w.Runs[pool.Key{Task: st.run.Task, No: st.run.No}] != st.run || st.run.Phase != pool.Sent {
-		return
+	if !ok || w.Runs[key(st.run)] != st.run || st.run.Phase != pool.Sent {
+		return nil
 	}
+	return w
+}
+
+// takesStarts reports whether starts may be sent to a worker. This may have changed since
+// the worker was chosen, as storing the placement takes time.
+func (sc *Scheduler) takesStarts(w *pool.Worker) bool {
+	return w.Listed && w.State == fleet.WorkerReady && !sc.domainsOut[w.Domain]
+}
+
+func (sc *Scheduler) dispatchStart(w *pool.Worker, st pendingStart) {
 	st.run.Since, st.run.SentAt, st.run.Dispatched = sc.now, sc.now, true
 	sc.sendStart(w, st.run)
 }
--- a/fleet/sched/supervise.go
+++ b/fleet/sched/supervise.go
@@ -50,7 +50,7 @@
 		}
 	case sc.isUnwanted(r):
 		sc.stopRun(w, r, "it is no longer needed")
-	case r.Phase == pool.Sent && r.Dispatched && r.Sends < maxStartSends && age >= time.Duration(r.Sends)*startRetry && sc.listIsCurrent():
+	case r.Phase == pool.Sent && r.Dispatched && r.Sends < maxStartSends && age >= time.Duration(r.Sends)*startRetry && sc.listIsCurrent() && sc.takesStarts(w):
 		sc.sendStart(w, r)
 	case r.Phase == pool.Unconfirmed && !r.Inherited && age >= unansweredStartTimeout:
 		sc.stopRun(w, r, "its start was not answered")
