Reads of the list of workers are repeated while they have no answer

Since nothing starts by an old list, the list must be renewed soon after trouble at the store.

Ruled out: a shorter timeout, as no read of a slower store would then succeed.

--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -107,6 +107,7 @@
 	site      *Site
 	topic     fleet.Topic
 	wait      time.Duration // how long a read waits for a new record; 0 returns at once
+	hedges    bool          // a read without an outcome is sent again after hedgeDelay
 	apply     func(records []fleet.Record, end fleet.Offset)
 	onFailure func() // optional, called after each failed read
 
@@ -128,37 +129,60 @@
 	}
 }
 
+// reading is what a read of a topic returned.
+type reading struct {
+	records []fleet.Record
+	next    fleet.Offset // to read from next
+	whole   bool         // the records reach the end of the topic
+	sentAt  time.Time
+}
+
+// read reads the newest record of each key, or the records from an offset on.
+func (f *follower) read(ctx context.Context, loaded bool, from fleet.Offset) (reading, error) {
+	r := reading{sentAt: time.Now()}
+	var err error
+	if !loaded {
+		r.whole = true
+		r.records, r.next, err = readNewest(ctx, f.site.deps.Store, f.topic)
+		return r, err
+	}
+	b, err := f.site.deps.Store.Read(ctx, f.topic, from, f.wait)
+	r.records, r.next, r.whole = b.Records, b.Next, b.Next >= b.End
+	return r, err
+}
+
 // step reads once and applies what is new. If the store no longer has the records
 // at the next offset, the following step starts again with the newest records.
 func (f *follower) step(ctx context.Context) error {
-	sentAt := time.Now()
-	if !f.loaded {
-		records, end, err := readNewest(ctx, f.site.deps.Store, f.topic)
-		if err != nil {
-			return err
-		}
-		f.loaded, f.next, f.readAt = true, end, sentAt
-		f.apply(records, end)
-		return nil
-	}
-	b, err := f.site.deps.Store.Read(ctx, f.topic, f.next, f.wait)
-	if fleet.KindOf(err) == fleet.Forgotten && err != nil {
+	loaded, from := f.loaded, f.next
+	read := func() (reading, error) { return f.read(ctx, loaded, from) }
+	r, err := f.call(ctx, read)
+	if loaded && fleet.KindOf(err) == fleet.Forgotten && err != nil {
 		f.loaded = false
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	if b.Next >= b.End {
-		f.readAt = sentAt
+	if r.whole {
+		f.readAt = r.sentAt
 	}
-	if b.Next > f.next {
-		f.next = b.Next
-		f.apply(b.Records, b.Next)
+	if !loaded || r.next > from {
+		f.loaded, f.next = true, r.next
+		f.apply(r.records, r.next)
 	}
 	return nil
 }
 
+// call makes a read, and repeats it without waiting for its outcome if the follower
+// hedges.
+func (f *follower) call(ctx context.Context, read func() (reading, error)) (reading, error) {
+	if !f.hedges {
+		return read()
+	}
+	return hedge(ctx, hedgeDelay, f.site.dispatcher.group.Go, read)
+}
+
 // noteFailure logs the first of a series of failed reads, and calls onFailure for
 // each.
 func (f *follower) noteFailure(err error) {
--- a/deckd/site/workers.go
+++ b/deckd/site/workers.go
@@ -23,7 +23,7 @@
 
 func (w *workerFollower) follow(ctx context.Context) {
 	_, topic := w.site.deps.Reader.Topics()
-	f := follower{site: w.site, topic: topic, apply: w.apply}
+	f := follower{site: w.site, topic: topic, hedges: true, apply: w.apply}
 	for ctx.Err() == nil {
 		if !w.site.view.Load().leading {
 			f.loaded = false
