--- a/deckd/site/workers.go
+++ b/deckd/site/workers.go
@@ -34,7 +34,11 @@
 			w.entries = map[fleet.HostID]fleet.WorkerEntry{}
 		}
 		sentAt := time.Now()
-		if err := f.step(ctx); err != nil {
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
 			f.noteFailure(err)
 			sleep(ctx, followRetryDelay)
 			continue
--- a/fleet/assign/room.go
+++ b/fleet/assign/room.go
@@ -160,7 +160,7 @@
 func (s *Site) Total(service string) fleet.Accels {
 	var n fleet.Accels
 	for _, w := range s.Pool.Sorted() {
-		if w.Service == service && w.Listed && w.State == fleet.WorkerReady && !s.OutOfService[w.Domain] {
+		if w.Service == service && w.Ready() && !s.OutOfService[w.Domain] {
 			n += w.Capacity.Accels
 		}
 	}
@@ -172,7 +172,7 @@
 func (s *Site) Load(service string) float64 {
 	var used, room fleet.Res
 	for _, w := range s.Pool.Sorted() {
-		if w.Service == service && w.Listed && w.State == fleet.WorkerReady && !s.OutOfService[w.Domain] {
+		if w.Service == service && w.Ready() && !s.OutOfService[w.Domain] {
 			used, room = used.Add(w.Used()), room.Add(w.Capacity)
 		}
 	}
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -97,10 +97,13 @@
 // Used returns the resources that runs take.
 func (w *Worker) Used() fleet.Res { return w.used }
 
-// Usable reports whether tasks may be started on the worker now: it is listed, synced
-// and ready, not in quarantine, and no answer of it is overdue.
+// Ready reports whether the worker is listed in the service discovery and does not leave.
+func (w *Worker) Ready() bool { return w.Listed && w.State == fleet.WorkerReady }
+
+// Usable reports whether tasks may be started on the worker now: it is ready and synced,
+// not in quarantine, and no answer of it is overdue.
 func (w *Worker) Usable(now time.Time) bool {
-	return w.Listed && w.Synced && w.State == fleet.WorkerReady && !now.Before(w.QuarantinedUntil) && !w.Overdue(now)
+	return w.Ready() && w.Synced && !now.Before(w.QuarantinedUntil) && !w.Overdue(now)
 }
 
 // HasLabel reports whether the worker has the label; it is true for an empty one.
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -318,7 +318,6 @@
 		}
 	}
 	b.stored = append(b.stored, s.starts...)
-	sc.dispatchStarts()
 }
 
 // dispatchStarts sends the starts whose placements are stored. Those whose workers take
@@ -354,7 +353,7 @@
 // takesStarts reports whether starts may be sent to a worker. This may have changed since
 // the worker was chosen, as storing the placement takes time.
 func (sc *Scheduler) takesStarts(w *pool.Worker) bool {
-	return w.Listed && w.State == fleet.WorkerReady && !sc.domainsOut[w.Domain]
+	return w.Ready() && !sc.domainsOut[w.Domain]
 }
 
 func (sc *Scheduler) dispatchStart(w *pool.Worker, st pendingStart) {
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -124,6 +124,7 @@
 		sc.repeatLeavingBeat()
 	}
 	if sc.mode == leading {
+		sc.dispatchStarts()
 		sc.checkQuorum()
 		sc.beat()
 		if sc.now.Sub(sc.supervisedAt) >= superviseInterval {
@@ -132,7 +133,6 @@
 			sc.supervise()
 		}
 		sc.checkDomains()
-		sc.dispatchStarts()
 		sc.plan()
 		sc.pollWorkers()
 		sc.flush()
