Soak: workers that leave, and starts that reach them too late

Now workers also leave slowly, and the auditor checks each start against the time at which the store took the notice.

--- a/deckd/soak/rig_test.go
+++ b/deckd/soak/rig_test.go
@@ -37,6 +37,7 @@
 	entryInterval = 1500 * time.Millisecond // between two discovery entries of a worker
 	leaseDuration = 6 * time.Second
 	stopTimeout   = 400 * time.Millisecond // upper bound of a stop by a worker
+	drainTime     = 2 * time.Second        // a worker that leaves gets no start later than this after its notice
 )
 
 // The programs, built for this run.
@@ -225,7 +226,7 @@
 	at := addrs(r.t, 2)
 	e := engine.New(engine.Options{
 		ID: fmt.Sprint("w", i), Zone: fmt.Sprint("d", i%2), Rack: fmt.Sprint("r", i/4), Cores: 64000, Mem: 131072, Accels: 8,
-		MaxLease: leaseDuration, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, Auditor: r.auditor,
+		MaxLease: leaseDuration, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, DrainTime: drainTime, Auditor: r.auditor,
 	})
 	r.serve(at[0], e.Handle)
 	proxy, err := relay.New(at[1], at[0])
@@ -237,7 +238,9 @@
 func (r *rig) publishEntries() {
 	for {
 		for _, e := range r.workers {
-			qt.Check(r.t, r.store.Put(topicWorkers, e.id, e.Entry(service, e.addr)), qt.IsNil)
+			entry := e.Entry(service, e.addr)
+			qt.Check(r.t, r.store.Put(topicWorkers, e.id, entry), qt.IsNil)
+			e.NoteStored(entry)
 		}
 		select {
 		case <-r.stop:
@@ -273,7 +276,7 @@
 	lines := []string{
 		"nodeName=" + name, "zone=d0", "ip=" + ip, "portRange=" + port + "," + port,
 		"listen.frontend=" + at[2], "listen.ready=" + at[3], "platform.address=" + at[4],
-		fmt.Sprint("bounds.maxHoldMs=", leaseDuration.Milliseconds()), fmt.Sprint("bounds.stopMs=", stopTimeout.Milliseconds()), "bounds.gangTimeoutMs=3000", "bounds.drainMs=2000",
+		fmt.Sprint("bounds.maxHoldMs=", leaseDuration.Milliseconds()), fmt.Sprint("bounds.stopMs=", stopTimeout.Milliseconds()), "bounds.gangTimeoutMs=3000", fmt.Sprint("bounds.drainMs=", drainTime.Milliseconds()),
 		"bounds.status_s=600", "bounds.graceS=6", "limits.memoryMb=284", "limits.cpuShare=0.4", "limits.cores=1",
 	}
 	qt.Assert(r.t, os.WriteFile(d.path, []byte(strings.Join(lines, "\n")+"\n"), 0o600), qt.IsNil)
--- a/deckd/soak/soak_test.go
+++ b/deckd/soak/soak_test.go
@@ -23,6 +23,7 @@
 const (
 	warmupTime    = 4 * time.Second             // for the site to elect a lead
 	drainNotice   = 1600 * time.Millisecond     // how long before its removal a worker announces it
+	leaveNotice   = 7 * time.Second             // how long before its end a worker announces that it leaves
 	cancelTimeout = 3*time.Second + stopTimeout // for the tasks of a cancelled job to stop
 	settleTimeout = 45 * time.Second            // for the accepted jobs to end after the last fault
 )
@@ -109,7 +110,13 @@
 		return func() {}
 	}},
 	{"cut from a worker", func(r *rig, rng *rand.Rand) func() {
-		return disturbRelay(rng, pick(rng, r.workers).relay)
+		e := pick(rng, r.workers)
+		e.CutLink(true)
+		undo := disturbRelay(rng, e.relay)
+		return func() {
+			undo()
+			e.CutLink(false)
+		}
 	}},
 	{"worker crashes", func(r *rig, rng *rand.Rand) func() {
 		pick(rng, r.workers).Crash()
@@ -162,6 +169,14 @@
 			e.relay.SetMode(relay.Pass)
 		}
 	}},
+	{"workers leave", func(r *rig, rng *rand.Rand) func() {
+		leaving := []*worker{pick(rng, r.workers), pick(rng, r.workers)}
+		for _, e := range leaving {
+			e.Drain(leaveNotice)
+			time.AfterFunc(leaveNotice, func() { e.Drain(0) }) // another worker takes its place
+		}
+		return func() {}
+	}},
 }
 
 // disturbRelay puts a relay into a random failure mode.
--- a/standin/engine/auditor.go
+++ b/standin/engine/auditor.go
@@ -38,7 +38,8 @@
 
 // Auditor records what all engines do and checks it against the rules of execution:
 // a task runs on one engine at a time and not again after an acknowledged success,
-// and no engine runs more than its capacity.
+// no engine runs more than its capacity, and none starts work after it said that it
+// leaves.
 type Auditor struct {
 	mu         sync.Mutex
 	running    map[string]map[string]int64 // run numbers by task and engine
@@ -127,6 +128,13 @@
 	}
 }
 
+// startedAfterNotice records that a run started on an engine that leaves.
+func (a *Auditor) startedAfterNotice(id string, r *run, after time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.violation("task %s run %d starts on %s %s after the notice that it leaves was stored", r.task, r.number, id, after)
+}
+
 // endAcknowledged records that the lead has acknowledged a successful run while
 // the engine's lease has not expired since its end. Such a run forbids any other
 // start of the task, also one before the acknowledgement.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -21,6 +21,7 @@
 	MaxLease    time.Duration // maximum time from now to the end of the lease
 	StopTime    time.Duration // how long a stop takes
 	GangTimeout time.Duration // how long a member waits for the rest of its gang
+	DrainTime   time.Duration // no start may come later than this after its notice that it leaves was stored
 	Auditor     *Auditor
 }
 
@@ -61,6 +62,9 @@
 	delaysOrders bool
 	orders       int           // starts and stops received
 	drainLeft    time.Duration // announced time until shutdown; 0 if not draining
+	noticeAt     time.Time     // when the store accepted its notice; zero if not draining
+	linkCut      bool          // no order reaches it in time
+	linkCutUntil time.Time     // orders that were held up may arrive until then
 	failsRuns    bool
 	hangsRuns    bool
 	gone         bool
@@ -97,7 +101,26 @@
 
 // Drain makes the engine announce that it shuts down after some time. 0 revokes
 // this.
-func (e *Engine) Drain(left time.Duration) { e.set(func() { e.drainLeft = left }) }
+func (e *Engine) Drain(left time.Duration) {
+	e.set(func() { e.drainLeft, e.noticeAt = left, time.Time{} })
+}
+
+// heldUpTime is how long after the end of a link's failure a start may still be late.
+const heldUpTime = 3 * time.Second
+
+// CutLink tells the engine that its link fails, so that starts may arrive late.
+func (e *Engine) CutLink(on bool) {
+	e.set(func() { e.linkCut, e.linkCutUntil = on, time.Now().Add(heldUpTime) })
+}
+
+// NoteStored tells the engine that the store has accepted an entry of it.
+func (e *Engine) NoteStored(entry Entry) {
+	e.set(func() {
+		if entry["state"] == stateDraining && e.drainLeft > 0 && e.noticeAt.IsZero() {
+			e.noticeAt = time.Now()
+		}
+	})
+}
 
 // FailRuns makes all runs on the engine fail.
 func (e *Engine) FailRuns(on bool) { e.set(func() { e.failsRuns = on }) }
@@ -111,15 +134,20 @@
 	f()
 }
 
+// Entry is an entry for the service discovery.
+type Entry map[string]any
+
+const stateDraining = "draining"
+
 // Entry returns the engine's entry for the service discovery.
-func (e *Engine) Entry(service, addr string) any {
+func (e *Engine) Entry(service, addr string) Entry {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	state := "ready"
 	if e.drainLeft > 0 {
-		state = "draining"
+		state = stateDraining
 	}
-	return map[string]any{
+	return Entry{
 		"service": service, "address": addr, "zone": e.opts.Zone, "version": "v1", "slots": 8, "state": state,
 		"drainRemainingMs": e.drainLeft.Milliseconds(), "coldRemainingMs": 0, "seq": 1, "clockMs": e.clock(), "born": e.born.UnixMilli(),
 		"capacity": map[string]int64{"cpu": e.opts.Cores, "memMb": e.opts.Mem, "gpu": e.opts.Accels},
@@ -186,6 +214,8 @@
 	FencingToken int64
 	LastSeen     int64
 	WaitMs       int64
+
+	late bool // the engine has delayed it
 }
 
 // Handle serves one call.
@@ -233,6 +263,7 @@
 		same := e.born.Equal(born)
 		e.mu.Unlock()
 		if same {
+			o.late = true
 			do(o)
 		}
 	})
@@ -260,9 +291,21 @@
 	r.working, r.workingSince = r.need.Gang == 0, r.begun
 	e.runs[o.Task] = r
 	e.opts.Auditor.runStarted(e, r)
+	e.checkNotice(r, o.late)
 	return ""
 }
 
+// checkNotice checks that a run does not start too long after the engine's notice that it
+// leaves. Orders that the engine or its link delayed are not counted.
+func (e *Engine) checkNotice(r *run, late bool) {
+	if e.noticeAt.IsZero() || late || e.linkCut || r.begun.Before(e.linkCutUntil) {
+		return
+	}
+	if after := r.begun.Sub(e.noticeAt); after > e.opts.DrainTime {
+		e.opts.Auditor.startedAfterNotice(e.opts.ID, r, after)
+	}
+}
+
 // extendLease extends the lease to a time, at most opts.MaxLease from now.
 func (e *Engine) extendLease(untilMs int64) {
 	at := e.born.Add(time.Duration(untilMs) * time.Millisecond)
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -49,3 +49,38 @@
 	}
 	qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
 }
+
+// A start counts as a violation once the engine's stored notice is older than allowed,
+// unless the engine's link fails.
+func TestStartAfterTheNoticeIsAViolation(t *testing.T) {
+	auditor := engine.NewAuditor()
+	e := engine.New(engine.Options{
+		ID: "w0", Cores: 8000, Mem: 8192, Accels: 8, MaxLease: time.Minute, DrainTime: 20 * time.Millisecond, Auditor: auditor,
+	})
+	ready := e.Entry("desk", "w0:1")
+	e.Drain(time.Second)
+	e.NoteStored(ready)
+	time.Sleep(30 * time.Millisecond)
+	start(t, e, "job.0.0.0", engine.Need{})
+	e.NoteStored(e.Entry("desk", "w0:1"))
+	start(t, e, "job.0.0.1", engine.Need{})
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
+	time.Sleep(30 * time.Millisecond)
+	e.CutLink(true)
+	start(t, e, "job.0.0.2", engine.Need{})
+	e.CutLink(false)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
+	e.Drain(0)
+	start(t, e, "job.0.0.3", engine.Need{})
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
+
+	other := engine.New(engine.Options{
+		ID: "w1", Cores: 8000, Mem: 8192, Accels: 8, MaxLease: time.Minute, DrainTime: 20 * time.Millisecond, Auditor: auditor,
+	})
+	other.Drain(time.Second)
+	other.NoteStored(other.Entry("desk", "w1:1"))
+	time.Sleep(30 * time.Millisecond)
+	start(t, other, "job.0.0.4", engine.Need{})
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
+	qt.Assert(t, auditor.Violations()[0], qt.Contains, "after the notice that it leaves was stored")
+}
