--- a/fleet/sched/domains.go
+++ b/fleet/sched/domains.go
@@ -49,6 +49,14 @@
 	return now.Sub(at).String() + " ago"
 }
 
+// age formats the age of what is known as of a time; what was never known has none.
+func age(now, at time.Time) string {
+	if at.IsZero() {
+		return "none"
+	}
+	return now.Sub(at).String()
+}
+
 // pollSilentDomains polls a few workers of each silent failure domain.
 func (sc *Scheduler) pollSilentDomains() {
 	if !sc.pool.HasSilentDomain(domainPollAfter, sc.now) {
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -228,7 +228,7 @@
 		sc.outbox.starts = append(sc.outbox.starts, pendingStart{pl.Worker.Endpoint.Host, r})
 	}
 	sc.outbox.markDirty(u.job)
-	sc.logf(event.JobPlaced, string(u.job.ID), "round=%d step=%d run=%d tasks=%d of %d waited=%s far=%t list=%s on=%s", u.Step.Round, u.Step.Index, run, len(placements), len(u.Indexes), u.waited, u.AnyRack, ago(sc.now, sc.list.readAt), hostList(placements))
+	sc.logf(event.JobPlaced, string(u.job.ID), "round=%d step=%d run=%d tasks=%d of %d waited=%s far=%t list=%s on=%s", u.Step.Round, u.Step.Index, run, len(placements), len(u.Indexes), u.waited, u.AnyRack, age(sc.now, sc.list.readAt), hostList(placements))
 }
 
 // findPlacements returns the workers on which a unit can start now.
--- a/fleet/sched/runs.go
+++ b/fleet/sched/runs.go
@@ -35,7 +35,7 @@
 	sc.pool.NoteAnswer(w, e.Clock, sc.now)
 	if e.Err == nil {
 		if r.Phase == pool.Sent || r.Phase == pool.Unconfirmed {
-			sc.logf(event.RunStarted, string(r.Task.Job), "%s by=answer placed=%s sent=%s", describeRun(r.Task, r.No, e.Host), ago(sc.now, r.PlacedAt), ago(sc.now, r.SentAt))
+			sc.logf(event.RunStarted, string(r.Task.Job), "%s by=answer placed=%s sent=%s", describeRun(r.Task, r.No, e.Host), age(sc.now, r.PlacedAt), age(sc.now, r.SentAt))
 			r.Phase, r.Since, r.ProgressAt = pool.Running, sc.now, sc.now
 		}
 		return
--- a/fleet/sched/workers.go
+++ b/fleet/sched/workers.go
@@ -46,7 +46,7 @@
 	}
 	if before.term != sc.term || e.ReadAt.Sub(before.readAt) > maxListGap {
 		ready, draining := sc.list.count()
-		sc.logf(event.WorkersRead, string(sc.self.Host), "term=%d ready=%d draining=%d read=%s before=%s", sc.term, ready, draining, ago(sc.now, e.ReadAt), ago(sc.now, before.readAt))
+		sc.logf(event.WorkersRead, string(sc.self.Host), "term=%d ready=%d draining=%d age=%s before=%s", sc.term, ready, draining, age(sc.now, e.ReadAt), age(sc.now, before.readAt))
 	}
 	sc.updateWorkers(e.Entries)
 }
@@ -71,7 +71,7 @@
 		return
 	}
 	sc.list.reported = true
-	sc.logf(event.WorkersUnread, string(sc.self.Host), "term=%d read=%s", sc.term, ago(sc.now, sc.list.readAt))
+	sc.logf(event.WorkersUnread, string(sc.self.Host), "term=%d age=%s", sc.term, age(sc.now, sc.list.readAt))
 }
 
 // recallWorkers adds the workers that this daemon knew when it last led. They are polled,
