--- a/fleet/sched/leaving_test.go
+++ b/fleet/sched/leaving_test.go
@@ -22,6 +22,22 @@
 	}
 }
 
+// checkNothingStartsOn submits a job by a list of workers that is not renewed, renews the
+// list, and checks that the job ends without a start on the worker.
+func (w *world) checkNothingStartsOn(left *worker, id string) {
+	w.t.Helper()
+	const span = 100 * time.Millisecond
+	runTimes[fleet.JobID(id)] = span
+	f := newFlow(id, "bulk", taskStep(16, 1, span))
+	w.submitAccepted(f)
+	w.run(500 * time.Millisecond)
+	qt.Check(w.t, left.started[fleet.JobID(id)], qt.Equals, 0)
+	w.listHangs = false
+	w.postWorkers()
+	w.awaitCompleted(f, 2*time.Second)
+	qt.Check(w.t, left.started[fleet.JobID(id)], qt.Equals, 0)
+}
+
 // A daemon leads, follows another lead while a worker leaves, and leads again before it
 // has read the present list of workers.
 func TestLeadThatReturnsStartsNothingOnWorkersThatLeft(t *testing.T) {
@@ -35,15 +51,7 @@
 	left.leave()
 	w.follow(limits.Drain)
 	w.becomeLead()
-	runTimes["returns"] = 100 * time.Millisecond
-	f := newFlow("returns", "bulk", taskStep(16, 1, 100*time.Millisecond))
-	w.submitAccepted(f)
-	w.run(500 * time.Millisecond)
-	qt.Check(t, left.started["returns"], qt.Equals, 0)
-	w.listHangs = false
-	w.postWorkers()
-	w.awaitCompleted(f, 2*time.Second)
-	qt.Check(t, left.started["returns"], qt.Equals, 0)
+	w.checkNothingStartsOn(left, "returns")
 }
 
 // The list of workers cannot be read while the store takes appends, and a worker leaves
@@ -55,16 +63,8 @@
 	w.listHangs = true
 	left := w.workers["w0-0"]
 	left.leave()
-	runTimes["unread"] = 100 * time.Millisecond
-	f := newFlow("unread", "bulk", taskStep(16, 1, 100*time.Millisecond))
 	w.run(limits.Drain - 50*time.Millisecond)
-	w.submitAccepted(f)
-	w.run(500 * time.Millisecond)
-	qt.Check(t, left.started["unread"], qt.Equals, 0)
-	w.listHangs = false
-	w.postWorkers()
-	w.awaitCompleted(f, 2*time.Second)
-	qt.Check(t, left.started["unread"], qt.Equals, 0)
+	w.checkNothingStartsOn(left, "unread")
 }
 
 // While a placement is being stored, its worker leaves, disappears from the list, or has
