--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -151,12 +151,20 @@
 	return r, err
 }
 
+// attempt makes a read, and makes it again while it has no outcome if the follower hedges.
+func (f *follower) attempt(ctx context.Context, read func() (reading, error)) (reading, error) {
+	if !f.hedges {
+		return read()
+	}
+	return hedge(ctx, hedgeDelay, f.site.dispatcher.group.Go, read)
+}
+
 // step reads once and applies what is new. If the store no longer has the records
 // at the next offset, the following step starts again with the newest records.
 func (f *follower) step(ctx context.Context) error {
 	loaded, from := f.loaded, f.next
 	read := func() (reading, error) { return f.read(ctx, loaded, from) }
-	r, err := f.call(ctx, read)
+	r, err := f.attempt(ctx, read)
 	if loaded && fleet.KindOf(err) == fleet.Forgotten && err != nil {
 		f.loaded = false
 		return nil
@@ -174,15 +182,6 @@
 	return nil
 }
 
-// call makes a read, and repeats it without waiting for its outcome if the follower
-// hedges.
-func (f *follower) call(ctx context.Context, read func() (reading, error)) (reading, error) {
-	if !f.hedges {
-		return read()
-	}
-	return hedge(ctx, hedgeDelay, f.site.dispatcher.group.Go, read)
-}
-
 // noteFailure logs the first of a series of failed reads, and calls onFailure for
 // each.
 func (f *follower) noteFailure(err error) {
--- a/deckd/site/metrics.go
+++ b/deckd/site/metrics.go
@@ -20,7 +20,7 @@
 	if v.term > 0 {
 		fmt.Fprintf(&w, "deckd_lead_known{addr=%q} 1\n", v.addr)
 	}
-	if v.leading {
+	if v.leading && !v.listReadAt.IsZero() {
 		fmt.Fprintf(&w, "deckd_workers_list_age_seconds %.3f\n", time.Since(v.listReadAt).Seconds())
 	}
 	metrics.WritePrometheus(&w, true)
--- a/deckd/site/workers.go
+++ b/deckd/site/workers.go
@@ -21,6 +21,8 @@
 	entries map[fleet.HostID]fleet.WorkerEntry
 }
 
+// follow reads the entries again and again while this daemon leads, until the context
+// ends, and posts them to the control loop.
 func (w *workerFollower) follow(ctx context.Context) {
 	_, topic := w.site.deps.Reader.Topics()
 	f := follower{site: w.site, topic: topic, hedges: true, apply: w.apply}
--- a/fleet/sched/supervise.go
+++ b/fleet/sched/supervise.go
@@ -50,7 +50,7 @@
 		}
 	case sc.isUnwanted(r):
 		sc.stopRun(w, r, "it is no longer needed")
-	case r.Phase == pool.Sent && r.Dispatched && r.Sends < maxStartSends && age >= time.Duration(r.Sends)*startRetry && sc.listIsCurrent() && sc.takesStarts(w):
+	case sc.resendDue(w, r):
 		sc.sendStart(w, r)
 	case r.Phase == pool.Unconfirmed && !r.Inherited && age >= unansweredStartTimeout:
 		sc.stopRun(w, r, "its start was not answered")
@@ -62,6 +62,14 @@
 	}
 }
 
+// resendDue reports whether a start without an answer is to be sent again.
+func (sc *Scheduler) resendDue(w *pool.Worker, r *pool.Run) bool {
+	if r.Phase != pool.Sent || !r.Dispatched || r.Sends >= maxStartSends || sc.now.Sub(r.Since) < time.Duration(r.Sends)*startRetry {
+		return false
+	}
+	return sc.listIsCurrent() && sc.takesStarts(w)
+}
+
 // isUnwanted reports whether a run is no longer needed.
 func (sc *Scheduler) isUnwanted(r *pool.Run) bool {
 	j, ok := sc.jobs[r.Task.Job]
