The list is said to be read again whenever it was said to be too old

611 could come without a later 610 if the reads were just under a second apart, and more than once while a long log was read in parts.

--- a/fleet/sched/leaving_test.go
+++ b/fleet/sched/leaving_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/sched"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
@@ -64,7 +65,10 @@
 	left := w.workers["w0-0"]
 	left.leave()
 	w.run(limits.Drain - 50*time.Millisecond)
+	reads := w.eventCount(event.WorkersRead)
 	w.checkNothingStartsOn(left, "unread")
+	qt.Check(t, w.eventCount(event.WorkersUnread), qt.Equals, 1)
+	qt.Check(t, w.eventCount(event.WorkersRead), qt.Equals, reads+1)
 }
 
 // While a placement is being stored, its worker leaves, disappears from the list, or has
--- a/fleet/sched/workers.go
+++ b/fleet/sched/workers.go
@@ -16,8 +16,8 @@
 // workerList is the newest list of workers from the service discovery.
 type workerList struct {
 	entries map[fleet.HostID]fleet.WorkerEntry
-	readAt  time.Time // when the read that completed it was sent; zero before the first
-	term    fleet.Term
+	readAt  time.Time  // when the read that completed it was sent; zero before the first
+	term    fleet.Term // newest term of this daemon when the list arrived
 
 	reported bool // it was logged that the list is too old
 }
@@ -41,10 +41,12 @@
 func (sc *Scheduler) handleWorkersListed(e WorkersListed) {
 	before := sc.list
 	sc.list = workerList{entries: e.Entries, readAt: e.ReadAt, term: sc.term}
+	sc.list.reported = before.reported && !sc.listIsCurrent()
 	if sc.mode != leading {
 		return
 	}
-	if before.term != sc.term || e.ReadAt.Sub(before.readAt) > maxListGap {
+	renewed := before.reported && !sc.list.reported
+	if before.term != sc.term || renewed || e.ReadAt.Sub(before.readAt) > maxListGap {
 		ready, draining := sc.list.count()
 		sc.logf(event.WorkersRead, string(sc.self.Host), "term=%d ready=%d draining=%d age=%s before=%s", sc.term, ready, draining, age(sc.now, e.ReadAt), age(sc.now, before.readAt))
 	}
@@ -77,6 +79,7 @@
 // recallWorkers adds the workers that this daemon knew when it last led. They are polled,
 // and get no tasks before the present list is read.
 func (sc *Scheduler) recallWorkers() {
+	sc.list.reported = false
 	entries := maps.Clone(sc.list.entries)
 	for id, e := range entries {
 		e.State = fleet.WorkerUnknown
