--- a/deckd/soak/calls_test.go
+++ b/deckd/soak/calls_test.go
@@ -26,22 +26,32 @@
 	ended       time.Time // when the caller first learned that it had ended
 }
 
+// newStep returns a step of tasks that need the same.
+func newStep(count int, need engine.Need) map[string]any {
+	return map[string]any{"count": count, "cpu": need.Cores, "memMb": need.Mem, "gpu": need.Accels, "estimateMs": need.Span.Milliseconds()}
+}
+
+// jobOf returns a job of steps whose tasks need the same.
+func jobOf(id, queue string, need engine.Need, steps ...map[string]any) *job {
+	data, err := json.Marshal(map[string]any{"spec": need.Spec(), "steps": steps})
+	if err != nil {
+		panic(err) // cannot fail for maps of numbers and strings
+	}
+	return &job{id: id, queue: queue, body: data}
+}
+
 // newJob returns a random job.
 func newJob(rng *rand.Rand) *job {
 	need := engine.Need{Cores: 1000, Mem: 1024, Accels: 1 << rng.IntN(4), Span: time.Duration(200+rng.IntN(2500)) * time.Millisecond}
 	count := 1 + rng.IntN(4)
-	step := map[string]any{"count": count, "cpu": need.Cores, "memMb": need.Mem, "gpu": need.Accels, "estimateMs": need.Span.Milliseconds()}
+	step := newStep(count, need)
 	if rng.IntN(2) == 0 {
 		need.Gang = count
 		step["gang"] = true
 		step["sameRack"] = rng.IntN(2) == 0
 	}
-	data, err := json.Marshal(map[string]any{"spec": need.Spec(), "steps": []any{step}})
-	if err != nil {
-		panic(err) // cannot fail for maps of numbers and strings
-	}
 	queue := []string{"urgent", "long", "bulk"}[rng.IntN(3)]
-	return &job{id: fmt.Sprintf("%016x", rng.Uint64()), queue: queue, body: data}
+	return jobOf(fmt.Sprintf("%016x", rng.Uint64()), queue, need, step)
 }
 
 // call sends one request to a daemon. It returns status 0 if there is no answer.
--- a/deckd/soak/leave_test.go
+++ b/deckd/soak/leave_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"net"
 	"strings"
 	"syscall"
@@ -30,17 +29,6 @@
 	return nil
 }
 
-// newWideJob returns a job of many small tasks.
-func newWideJob(id string, count int, span time.Duration) *job {
-	need := engine.Need{Cores: 1000, Mem: 256, Accels: 1, Span: span}
-	step := map[string]any{"count": count, "cpu": need.Cores, "memMb": need.Mem, "gpu": need.Accels, "estimateMs": span.Milliseconds()}
-	data, err := json.Marshal(map[string]any{"spec": need.Spec(), "steps": []any{step}})
-	if err != nil {
-		panic(err) // cannot fail for maps of numbers and strings
-	}
-	return &job{id: id, queue: "bulk", body: data}
-}
-
 // The lead is frozen and replaced, most workers leave, and the replacement is killed: the
 // first lead leads again, with work waiting.
 func TestLeadThatReturnsSendsNothingToWorkersThatLeft(t *testing.T) {
@@ -50,7 +38,8 @@
 		first = r.otherLead(nil)
 		return first != nil
 	})
-	j := newWideJob("00000000000000c3", 1000, 500*time.Millisecond)
+	need := engine.Need{Cores: 1000, Mem: 256, Accels: 1, Span: 500 * time.Millisecond}
+	j := jobOf("00000000000000c3", "bulk", need, newStep(1000, need))
 	waitFor(t, 10*time.Second, "accepted job", func() bool {
 		status, _ := call(fasthttp.MethodPost, first.frontend, j, j.body)
 		return status == fasthttp.StatusOK
--- a/deckd/soak/site_test.go
+++ b/deckd/soak/site_test.go
@@ -27,13 +27,9 @@
 // newTwoStepJob returns a job whose second step depends on its first.
 func newTwoStepJob(id string, span time.Duration) *job {
 	need := engine.Need{Cores: 1000, Mem: 256, Accels: 1, Span: span}
-	step := map[string]any{"count": 3, "cpu": need.Cores, "memMb": need.Mem, "gpu": need.Accels, "estimateMs": span.Milliseconds()}
-	after := map[string]any{"count": 1, "cpu": need.Cores, "memMb": need.Mem, "gpu": need.Accels, "estimateMs": span.Milliseconds(), "dependsOn": []int{0}}
-	data, err := json.Marshal(map[string]any{"spec": need.Spec(), "steps": []any{step, after}})
-	if err != nil {
-		panic(err) // cannot fail for maps of numbers and strings
-	}
-	return &job{id: id, queue: "long", body: data}
+	after := newStep(1, need)
+	after["dependsOn"] = []int{0}
+	return jobOf(id, "long", need, newStep(3, need), after)
 }
 
 // deck runs the deck command against the addresses of all daemons.
