A run that is lost with its worker is logged with how long it had lived and what stood beside it

The logs could not tell a task that crashes its workers from one that stood beside it: 601 and 307 say that a worker was lost, not how soon after the start, nor which other runs were just starting. 318 does, and deckd_events_total{event="run-lost"} counts it.

--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -41,6 +41,7 @@
 	RunStopped      Code = 315
 	StartFailed     Code = 316
 	RunStarted      Code = 317
+	RunLost         Code = 318
 	SpaceSet        Code = 401
 	SpaceDropped    Code = 402
 	DomainOut       Code = 403
@@ -131,6 +132,7 @@
 	{RunStopped, "run-stopped", Info, "a worker was ordered to stop a task's run; the line says why", "nothing"},
 	{StartFailed, "start-failed", Warn, "a worker refused a start, or did not answer it", "check the worker named"},
 	{RunStarted, "run-started", Info, "a worker confirmed that a run started, in its answer to the order or when polled", "nothing"},
+	{RunLost, "run-lost", Warn, "a run was lost with its worker; the line says how long after its start the worker was last heard, whether the run was just starting, and how many other runs stood beside it", "if several workers are lost while the same task starts, tell its owner"},
 	{SpaceSet, "space-set", Info, "a workspace was created or changed", "nothing"},
 	{SpaceDropped, "space-dropped", Info, "a workspace was removed", "nothing"},
 	{DomainOut, "domain-out", Warn, "a failure domain was taken out of service", "nothing"},
--- a/fleet/sched/workers.go
+++ b/fleet/sched/workers.go
@@ -134,6 +134,7 @@
 // closeRuns closes every run of a worker that is lost.
 func (sc *Scheduler) closeRuns(w *pool.Worker, why string) {
 	sc.logf(event.WorkerLost, string(w.Endpoint.Host), "runs=%d heard=%s ago: %s", len(w.Runs), sc.now.Sub(w.LastHeard), why)
+	sc.noteLoss(w, why)
 	for _, r := range w.Sorted() {
 		sc.closeRun(w, r, why)
 	}
@@ -144,6 +145,7 @@
 // before the restart was known, and may still carry out a start that is in flight.
 func (sc *Scheduler) noteRestart(w *pool.Worker) {
 	sc.logf(event.WorkerLost, string(w.Endpoint.Host), "runs=%d heard=%s ago: its process was replaced", len(w.Runs), sc.now.Sub(w.LastHeard))
+	sc.noteLoss(w, "its process was replaced")
 	for _, r := range w.Sorted() {
 		if r.Phase == pool.Sent && r.Dispatched {
 			r.Phase, r.Since = pool.Unconfirmed, sc.now
