--- /dev/null
+++ b/fleet/sched/crash_test.go
@@ -0,0 +1,314 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+// Limits that the platform sets for tasks that crash their workers.
+const (
+	toleratedCrashes = 3 // workers that may crash under a task
+	toleratedStarts  = 2 // starts of it after that
+)
+
+// errDown is what a call to a worker gets whose process is not there.
+var errDown = &fleet.Error{Op: "call", Kind: fleet.Unsent, Err: errUnreachable}
+
+// crasher makes workers crash some time after they start certain tasks, and counts what
+// that costs.
+type crasher struct {
+	after   map[fleet.Task]time.Duration
+	down    time.Duration // how long a worker is down after a crash
+	crashes map[fleet.Task]int
+	late    map[fleet.Task]int // starts after toleratedCrashes
+	beside  map[fleet.Task]int // newest crash: runs of other jobs that were lost with the worker
+}
+
+// entryTTL is how long the entry of a worker that is down stays listed.
+const entryTTL = 4500 * time.Millisecond
+
+// addCrasher adds a crasher without tasks to all workers.
+func (w *world) addCrasher(down time.Duration) *crasher {
+	c := &crasher{down: down, after: map[fleet.Task]time.Duration{}, crashes: map[fleet.Task]int{}, late: map[fleet.Task]int{}, beside: map[fleet.Task]int{}}
+	for _, one := range w.workers {
+		one.crasher = c
+	}
+	return c
+}
+
+func (c *crasher) noteStart(w *worker, t fleet.Task, now time.Time) {
+	if c == nil {
+		return
+	}
+	after, deadly := c.after[t]
+	if !deadly {
+		return
+	}
+	if c.crashes[t] >= toleratedCrashes {
+		c.late[t]++
+	}
+	w.crashAt = now.Add(after)
+}
+
+func (c *crasher) noteCrash(w *worker) {
+	for k := range w.runs {
+		if _, deadly := c.after[k.Task]; !deadly {
+			continue
+		}
+		c.crashes[k.Task]++
+		c.beside[k.Task] = 0
+		for o := range w.runs {
+			if o.Task.Job != k.Task.Job {
+				c.beside[k.Task]++
+			}
+		}
+	}
+}
+
+func (w *worker) isDown() bool { return !w.upAt.IsZero() }
+
+// advanceCrash crashes the worker, and brings it back, when that is due.
+func (w *worker) advanceCrash(now time.Time) {
+	if !w.crashAt.IsZero() && !now.Before(w.crashAt) {
+		w.goDown(now, w.crasher.down)
+	}
+	if w.isDown() && !now.Before(w.upAt) {
+		w.crash(now)
+		w.upAt, w.losesAnswers = time.Time{}, false
+	}
+}
+
+// goDown ends the worker's process. Another one starts after the given time.
+func (w *worker) goDown(now time.Time, span time.Duration) {
+	if w.crasher != nil {
+		w.crasher.noteCrash(w)
+	}
+	inc := w.inc
+	w.crash(now)
+	w.inc, w.crashAt, w.upAt = inc, time.Time{}, now.Add(span)
+}
+
+// postCrashed delivers the list of workers when an entry of a worker that crashed has
+// expired or is back.
+func (w *world) postCrashed() {
+	changed := false
+	for _, one := range w.workers {
+		if one.crasher == nil {
+			continue
+		}
+		unlisted := one.isDown() && one.upAt.Sub(w.now) < one.crasher.down-entryTTL
+		changed = changed || unlisted != one.unlisted || w.listed[one.id].Inc != one.inc
+		one.unlisted = unlisted
+	}
+	if changed && !w.listHangs && !w.store.down {
+		w.postWorkers()
+	}
+}
+
+func task(job string, index int) fleet.Task { return fleet.Task{Job: fleet.JobID(job), Index: index} }
+
+// checkGivenUp waits until a job is given up, and checks that none of its tasks was started
+// more often than the platform allows.
+func (w *world) checkGivenUp(f *wire.Flow, c *crasher) {
+	w.t.Helper()
+	w.runUntil(time.Minute, "end of "+f.Id, func() bool { return w.stage(f) == wire.Stage_BROKE })
+	for t := range c.after {
+		qt.Check(w.t, c.late[t] <= toleratedStarts, qt.IsTrue, qt.Commentf("task %v was started %d times after %d workers had crashed under it", t, c.late[t], toleratedCrashes))
+	}
+	w.run(time.Second)
+	qt.Check(w.t, w.running(fleet.JobID(f.Id)), qt.Equals, 0)
+}
+
+// A task crashes each worker that starts it.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	deadly := map[string]struct {
+		step  *wire.Step
+		index int
+		after time.Duration // from the start to the crash
+		down  time.Duration // until the worker is back
+		mute  bool          // orders are not answered before the first crash of a worker
+	}{
+		"alone":                       {taskStep(1, 8, 8*time.Second), 0, 10 * time.Millisecond, 3 * time.Second, false},
+		"beside its siblings":         {taskStep(4, 1, 8*time.Second), 2, 10 * time.Millisecond, 3 * time.Second, false},
+		"in a gang":                   {gangStep(3, 8, 8*time.Second), 1, 10 * time.Millisecond, 3 * time.Second, false},
+		"before its start's answer":   {taskStep(1, 8, 8*time.Second), 0, time.Nanosecond, 3 * time.Second, true},
+		"back within a poll":          {taskStep(1, 8, 8*time.Second), 0, 10 * time.Millisecond, 100 * time.Millisecond, false},
+		"back after its lease":        {taskStep(1, 8, 8*time.Second), 0, 10 * time.Millisecond, 15 * time.Second, false},
+		"some time after its start":   {taskStep(1, 8, 8*time.Second), 0, 800 * time.Millisecond, 3 * time.Second, false},
+		"a long time after its start": {taskStep(1, 8, 8*time.Second), 0, 5 * time.Second, 3 * time.Second, false},
+	}
+	for name, d := range deadly {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2, 6)
+			c := w.addCrasher(d.down)
+			c.after[task("deadly", d.index)] = d.after
+			for _, one := range w.workers {
+				one.losesAnswers = d.mute
+			}
+			runTimes["deadly"] = 8 * time.Second
+			w.becomeLead()
+			w.run(500 * time.Millisecond)
+			f := newFlow("deadly", "long", d.step)
+			w.submitAccepted(f)
+			w.checkGivenUp(f, c)
+		})
+	}
+}
+
+// A task crashes each worker that starts it, and each time the lead is replaced before the
+// worker is back.
+func TestTaskThatCrashesItsWorkersIsGivenUpByLeadsInTurn(t *testing.T) {
+	w := newWorld(t, 2, 6)
+	c := w.addCrasher(3 * time.Second)
+	c.after[task("deadly", 0)] = 10 * time.Millisecond
+	runTimes["deadly"] = 8 * time.Second
+	w.becomeLead()
+	f := newFlow("deadly", "long", taskStep(1, 8, 8*time.Second))
+	w.submitAccepted(f)
+	for crashes := range toleratedCrashes + toleratedStarts {
+		w.runUntil(time.Minute, "crash or end", func() bool {
+			return c.crashes[task("deadly", 0)] > crashes || w.stage(f) == wire.Stage_BROKE
+		})
+		if w.stage(f) == wire.Stage_BROKE {
+			break
+		}
+		w.restartDaemon()
+		w.becomeLead()
+	}
+	w.checkGivenUp(f, c)
+}
+
+// Tasks stand beside one that crashes its workers. They all can be done, and are.
+func TestTaskBesideOneThatCrashesItsWorkersIsDone(t *testing.T) {
+	w := newWorld(t, 1, 6)
+	c := w.addCrasher(3 * time.Second)
+	w.becomeLead()
+	w.run(500 * time.Millisecond)
+	var sound, deadly []*wire.Flow
+	for i := range 8 {
+		id := fmt.Sprint("sound", i)
+		runTimes[fleet.JobID(id)] = 4 * time.Second
+		sound = append(sound, newFlow(id, "long", taskStep(4, 1, 4*time.Second)))
+	}
+	for i := range 4 {
+		id := fmt.Sprint("deadly", i)
+		runTimes[fleet.JobID(id)] = 4 * time.Second
+		c.after[task(id, 0)] = 10 * time.Millisecond
+		deadly = append(deadly, newFlow(id, "long", taskStep(1, 1, 4*time.Second)))
+	}
+	for i, f := range sound {
+		w.submit(f)
+		if i < len(deadly) {
+			w.submit(deadly[i])
+		}
+	}
+	w.run(time.Second)
+	for _, f := range deadly {
+		w.checkGivenUp(f, c)
+	}
+	for _, f := range sound {
+		w.awaitCompleted(f, time.Minute)
+	}
+}
+
+// A task that has crashed a worker takes no other job's work with it when it crashes the
+// next one, as long as there is an idle worker.
+func TestTaskThatCrashedAWorkerIsStartedApart(t *testing.T) {
+	w := newWorld(t, 1, 8)
+	c := w.addCrasher(3 * time.Second)
+	c.after[task("deadly", 0)] = 10 * time.Millisecond
+	runTimes["deadly"], runTimes["sound"], runTimes["later"] = 8*time.Second, 20*time.Second, 20*time.Second
+	w.becomeLead()
+	w.run(500 * time.Millisecond)
+	sound := newFlow("sound", "long", taskStep(4, 1, 20*time.Second))
+	w.submitAccepted(sound)
+	f := newFlow("deadly", "long", taskStep(1, 1, 8*time.Second))
+	w.submitAccepted(f)
+	w.runUntil(5*time.Second, "first crash", func() bool { return c.crashes[task("deadly", 0)] == 1 })
+	for crashes := 1; crashes <= toleratedCrashes+toleratedStarts && w.stage(f) != wire.Stage_BROKE; crashes = c.crashes[task("deadly", 0)] {
+		w.runUntil(20*time.Second, "crash or end", func() bool {
+			return c.crashes[task("deadly", 0)] > crashes || w.stage(f) == wire.Stage_BROKE
+		})
+		qt.Check(t, c.crashes[task("deadly", 0)] == 1 || c.beside[task("deadly", 0)] == 0, qt.IsTrue)
+	}
+	qt.Check(t, w.stage(f), qt.Equals, wire.Stage_BROKE)
+	w.awaitCompleted(sound, time.Minute)
+}
+
+// Workers crash for their own reasons: half of them at a time, four times in turn, under
+// short tasks, long ones and gangs.
+func TestTaskIsNotGivenUpBecauseWorkersCrashForTheirOwnReasons(t *testing.T) {
+	for _, gap := range []time.Duration{500 * time.Millisecond, 4 * time.Second, 7 * time.Second} {
+		t.Run(gap.String(), func(t *testing.T) {
+			w := newWorld(t, 2, 8)
+			w.addCrasher(3 * time.Second)
+			w.becomeLead()
+			w.run(500 * time.Millisecond)
+			var all []*wire.Flow
+			add := func(step *wire.Step, span time.Duration) {
+				id := fmt.Sprint("own", len(all))
+				runTimes[fleet.JobID(id)] = span
+				all = append(all, newFlow(id, "bulk", step))
+				w.submit(all[len(all)-1])
+			}
+			for wave := range 4 {
+				add(taskStep(4, 8, 9*time.Second), 9*time.Second)
+				add(taskStep(12, 1, 2*time.Second), 2*time.Second)
+				add(gangStep(3, 4, 5*time.Second), 5*time.Second)
+				w.run(gap)
+				for i, one := range w.sorted() {
+					if i%2 == wave%2 && !one.isDown() {
+						one.goDown(w.now, one.crasher.down)
+					}
+				}
+			}
+			for _, f := range all {
+				w.awaitCompleted(f, 2*time.Minute)
+			}
+		})
+	}
+}
+
+// A worker's capacity shrinks while a placement is being stored, and grows again.
+func TestStartIsNotSentToWorkerWhoseCapacityShrankMeanwhile(t *testing.T) {
+	w := newWorld(t, 1, 4)
+	w.becomeLead()
+	w.run(500 * time.Millisecond)
+	runTimes["running"], runTimes["stored"], runTimes["gang"] = 3*time.Second, 100*time.Millisecond, 100*time.Millisecond
+	running := newFlow("running", "bulk", taskStep(4, 4, 3*time.Second))
+	running.Steps[0].Spread = 1
+	w.submitAccepted(running)
+	w.run(200 * time.Millisecond)
+	w.appendDelay = 300 * time.Millisecond
+	f := newFlow("stored", "bulk", taskStep(8, 1, 100*time.Millisecond))
+	gang := newFlow("gang", "bulk", gangStep(2, 4, 100*time.Millisecond))
+	w.submit(f)
+	w.submit(gang)
+	w.run(150 * time.Millisecond)
+	full := w.workers["w0-0"].capacity
+	for _, one := range w.workers {
+		one.capacity.Accels = 5
+	}
+	w.postWorkers()
+	w.run(400 * time.Millisecond)
+	w.appendDelay = 0
+	for _, one := range w.workers {
+		qt.Check(t, one.maxAccels <= 5, qt.IsTrue, qt.Commentf("%s runs tasks of %d accelerators", one.id, one.maxAccels))
+	}
+	w.awaitCompleted(f, 2*time.Second)
+	for _, one := range w.workers {
+		qt.Check(t, one.maxAccels <= 5, qt.IsTrue)
+		one.capacity = full
+	}
+	w.postWorkers()
+	w.awaitCompleted(gang, time.Second)
+	w.awaitCompleted(running, 4*time.Second)
+	qt.Check(t, w.startCount("running"), qt.Equals, 4)
+	qt.Check(t, w.eventCount(event.RunLost), qt.Equals, 0)
+}
--- a/fleet/sched/worker_test.go
+++ b/fleet/sched/worker_test.go
@@ -45,6 +45,10 @@
 	delayedUntil     time.Time
 	longPolls        []longPoll
 
+	crasher *crasher  // knows the tasks that crash their workers; nil if there are none
+	crashAt time.Time // when it crashes; zero if it does not
+	upAt    time.Time // when it is back after a crash; zero while it is up
+
 	gangFinished func(fleet.JobID) bool // reports whether all members of a gang have finished their part; nil if they do not wait for each other
 	rush         *rush                  // knows the gangs and run times of a simulated day; nil otherwise
 }
@@ -123,6 +127,7 @@
 func (w *worker) advance(now time.Time) {
 	span := now.Sub(w.advancedAt)
 	w.advancedAt = now
+	w.advanceCrash(now)
 	if len(w.pending) > 0 && !now.Before(w.delayedUntil) {
 		for _, f := range w.pending {
 			f(now)
@@ -196,6 +201,9 @@
 	if w.cutOff {
 		return w.timedOut("start")
 	}
+	if w.isDown() {
+		return 0, callTime, errDown
+	}
 	if w.startDelay > 0 && (w.maxDelayed == 0 || len(w.pending) < w.maxDelayed) {
 		w.delayedUntil = now.Add(w.startDelay)
 		w.pending = append(w.pending, func(at time.Time) { w.beginRun(at, o) })
@@ -233,6 +241,7 @@
 	w.runs[k] = r
 	w.order = append(w.order, k)
 	w.started[o.Task.Job]++
+	w.crasher.noteStart(w, o.Task, now)
 	used := int64(0)
 	for k := range w.runs {
 		used += accelsOf[k.Task.Job]
@@ -255,6 +264,9 @@
 	if w.cutOff {
 		return w.timedOut("stop")
 	}
+	if w.isDown() {
+		return 0, callTime, errDown
+	}
 	if o.Term < w.term {
 		return w.clock(now), callTime, &fleet.Error{Op: "stop", Kind: fleet.Fenced}
 	}
@@ -274,6 +286,9 @@
 		_, span, err := w.timedOut("look")
 		return fleet.WorkerReport{}, o.Wait + span, err
 	}
+	if w.isDown() {
+		return fleet.WorkerReport{}, callTime, errDown
+	}
 	if o.Term < w.term {
 		return fleet.WorkerReport{}, callTime, &fleet.Error{Op: "look", Kind: fleet.Fenced}
 	}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -211,6 +211,7 @@
 		one.advance(w.now)
 		one.answerLongPolls(w.now)
 	}
+	w.postCrashed()
 	remaining := w.later[:0]
 	for _, d := range w.later {
 		if w.now.Before(d.at) {
