Starts are not sent to a worker whose capacity has shrunk below what is placed on it

Evidence: TestStartIsNotSentToWorkerWhoseCapacityShrankMeanwhile failed before (8 accelerators in use on workers that had lowered theirs to 5). Now a start is sent, or sent again, only if all that is placed on its worker fits; else the whole gang is withdrawn. The search for runs to preempt no longer counts room on a worker that is over its capacity in a resource that the task does not take.

--- a/fleet/assign/assign.go
+++ b/fleet/assign/assign.go
@@ -168,6 +168,9 @@
 
 // taskCount returns how many tasks of the unit fit into the given room of a worker.
 func (s *Site) taskCount(u Unit, w *pool.Worker, room fleet.Res) int {
+	if !u.Step.Each().Fits(room) {
+		return 0 // the capacity may have shrunk below what runs take
+	}
 	n := min(room.Count(u.Step.Each()), len(u.Indexes))
 	if limit := int(u.Step.Spec.Spread); limit > 0 {
 		n = min(n, limit-w.Count(u.Step.Task(u.Job.ID, 0)))
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -350,10 +350,10 @@
 	return w
 }
 
-// takesStarts reports whether starts may be sent to a worker. This may have changed since
-// the worker was chosen, as storing the placement takes time.
+// takesStarts reports whether starts that are placed on a worker may be sent to it. This
+// may have changed since the worker was chosen, as storing the placement takes time.
 func (sc *Scheduler) takesStarts(w *pool.Worker) bool {
-	return w.Ready() && !sc.domainsOut[w.Domain]
+	return w.Ready() && !sc.domainsOut[w.Domain] && !w.Free().Negative()
 }
 
 func (sc *Scheduler) dispatchStart(w *pool.Worker, st pendingStart) {
