A task that crashes its workers is started apart from others and given up after the third crash

Cause: only runs that a worker reports as failed were counted. A run lost with its worker was queued again, without limit, by whichever lead; class: a retry without a budget, as its failure has no report of its own. Ruled out: that the count goes with the lead (there was none), and that one way of losing a worker is missed (none counted).

Now a crash adds blame to tasks: 2 to those that were starting, 1 to all if none was starting, if the worker is known to crash by itself, or if the start was not confirmed or the lead is new. Blame and the worker's incarnation are stored with the task, so that it outlives leads. From 2 on the task starts apart from other jobs, so that it harms none and the next crash tells whether it is the cause; at 5 the job fails. Each crash adds at least 1 and the platform tolerates five, so it holds whatever the cause. Just counting crashes was ruled out: with it, or without the memory of workers that crash by themselves, TestTaskIsNotGivenUpOnWorkersThatGoDownAndUp fails.

--- a/fleet/assign/assign.go
+++ b/fleet/assign/assign.go
@@ -20,10 +20,23 @@
 	Service     string
 	Indexes     []int                      // tasks of the step that need a worker
 	AnyRack     bool                       // it may run away from its data, or on several racks, where it is slower
+	Isolation   Isolation                  // from other jobs
 	LastAttempt bool                       // its next failure fails its job, so that only proven workers may run it
 	Avoid       map[fleet.HostID]time.Time // workers that failed it: not eligible until the given time, and the last choice after it
 }
 
+// Isolation is how far a unit is kept apart from other jobs. Load pattern: a task that
+// crashes each worker that starts it takes with it what runs there, and makes suspects of
+// all tasks that start there at the same time.
+type Isolation int
+
+// The degrees of isolation.
+const (
+	Shared Isolation = iota // other jobs may use its workers
+	Quiet                   // no other job starts a task on its workers while its tasks start
+	Alone                   // its workers have no runs of other jobs and have not crashed lately
+)
+
 // Site is the state that placement reads, at one time.
 type Site struct {
 	Now          time.Time
@@ -129,7 +142,10 @@
 	return rank(s.pace(w))
 }
 
-func (w usableWorker) rankFor(u Unit) rank {
+func (w usableWorker) rankFor(u Unit, now time.Time) rank {
+	if u.Isolation != Shared && w.CrashedLately(now) {
+		return lastRank
+	}
 	if len(u.Avoid) > 0 {
 		if _, failed := u.Avoid[w.Endpoint.Host]; failed {
 			return lastRank
@@ -151,7 +167,7 @@
 			continue
 		}
 		if n := s.taskCount(u, w.Worker, room); n > 0 {
-			out = append(out, candidate{w.Worker, n, w.rankFor(u)})
+			out = append(out, candidate{w.Worker, n, w.rankFor(u, s.Now)})
 		}
 	}
 	return out
@@ -160,6 +176,10 @@
 // eligible reports whether a usable worker may run tasks of the unit.
 func (s *Site) eligible(u Unit, w usableWorker) bool {
 	switch {
+	case w.IsIsolated(u.Job.ID), u.Isolation != Shared && w.HasOthers(u.Job.ID, u.Isolation == Quiet):
+		return false
+	case u.Isolation == Alone && w.CrashedLately(s.Now):
+		return false
 	case u.LastAttempt && !w.proven, !w.HasLabel(u.Step.Spec.Label), !w.AvailableTo(u.Job.ID, s.Now):
 		return false
 	}
@@ -273,13 +293,17 @@
 }
 
 // placeTasks gives tasks to the fastest workers, and among equals to the fullest that
-// still have room, so that empty workers stay free for large tasks.
+// still have room, so that empty workers stay free for large tasks. Tasks that may crash
+// their workers go to the emptiest.
 func (s *Site) placeTasks(u Unit, cands []candidate) []Placement {
 	cands = slices.Clone(cands)
 	slices.SortStableFunc(cands, func(a, b candidate) int {
 		if c := cmp.Compare(a.rank, b.rank); c != 0 {
 			return c
 		}
+		if u.Isolation != Shared {
+			a, b = b, a
+		}
 		return compareFree(a.worker.Free(), b.worker.Free())
 	})
 	var out []Placement
--- a/fleet/assign/full.go
+++ b/fleet/assign/full.go
@@ -36,7 +36,7 @@
 // Add records that there is no room for a unit. A unit with restrictions of its own
 // on the workers is not recorded, as it says nothing about other units.
 func (f FullCache) Add(u Unit) {
-	if len(u.Avoid) > 0 || u.Step.Spec.Spread > 0 {
+	if len(u.Avoid) > 0 || u.Step.Spec.Spread > 0 || u.Isolation != Shared {
 		return
 	}
 	s, n := shapeOf(u), tasksAtOnce(u)
--- a/fleet/flow/apply.go
+++ b/fleet/flow/apply.go
@@ -6,11 +6,11 @@
 	"dragonflydeck.example/fleet"
 )
 
-// Start records that a run of a task is sent to a worker.
-func (j *Job) Start(t fleet.Task, run fleet.Run, worker fleet.HostID) {
+// Start records that a run of a task is sent to a process of a worker.
+func (j *Job) Start(t fleet.Task, run fleet.Run, worker fleet.HostID, inc fleet.Incarnation) {
 	s := j.Step(t)
 	k := &s.Tasks[t.Index]
-	k.Run, k.Worker = max(k.Run, run), worker
+	k.Run, k.Worker, k.Inc = max(k.Run, run), worker, inc
 	s.Run = max(s.Run, run)
 	j.begun = true
 }
@@ -26,7 +26,7 @@
 	if k.Run != run || k.Worker == "" {
 		return false
 	}
-	k.Worker = ""
+	k.Worker, k.Inc = "", 0
 	s.Freed = now
 	return true
 }
--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -49,8 +49,10 @@
 	Done   bool
 	Fails  int
 	Saved  string
-	Run    fleet.Run    // number of the newest run
-	Worker fleet.HostID // worker that the run was sent to; empty once it is on no worker
+	Run    fleet.Run         // number of the newest run
+	Worker fleet.HostID      // worker that the run was sent to; empty once it is on no worker
+	Inc    fleet.Incarnation // of that worker's process when the run was sent; 0 if unknown
+	Blame  Blame             // for the crashes of workers that ran it
 }
 
 // New returns a job of which nothing has started.
--- a/fleet/flow/flow_test.go
+++ b/fleet/flow/flow_test.go
@@ -59,7 +59,7 @@
 	s.Lasting = true
 	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{s}})
 	for run := range 20 {
-		j.Start(task(0, 0, 0), fleet.Run(run+1), "w")
+		j.Start(task(0, 0, 0), fleet.Run(run+1), "w", 7)
 		j.ClearRun(task(0, 0, 0), fleet.Run(run+1), now)
 		j.Fail(task(0, 0, 0), fleet.Run(run+1), 3, now)
 		j.Done(task(0, 0, 0), now)
@@ -73,7 +73,7 @@
 	s.Gang = true
 	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{s}})
 	for i := range 3 {
-		j.Start(task(0, 0, i), 1, "w")
+		j.Start(task(0, 0, i), 1, "w", 7)
 	}
 	for i := range 3 {
 		j.Fail(task(0, 0, i), 1, 2, now)
@@ -95,6 +95,8 @@
 		qt.Check(t, j.ClearRun(unknown, 1, now), qt.IsFalse)
 		j.Save(unknown, "x")
 		j.Fail(unknown, 1, 1, now)
+		j.Accuse(unknown, flow.Likely, now)
+		j.Acquit(unknown)
 	}
 	qt.Assert(t, j.HasEnded(), qt.IsFalse)
 }
@@ -105,14 +107,15 @@
 	gang.Gang, gang.Saves = true, true
 	spec := &wire.Flow{Id: "j", Steps: []*wire.Step{step(3), gang}}
 	j := flow.New(spec)
-	j.Start(task(0, 0, 0), 1, "w1")
-	j.Start(task(0, 0, 1), 1, "w2")
-	j.Start(task(0, 0, 2), 1, "w2")
+	j.Start(task(0, 0, 0), 1, "w1", 7)
+	j.Start(task(0, 0, 1), 1, "w2", 7)
+	j.Start(task(0, 0, 2), 1, "w2", 7)
 	j.Done(task(0, 0, 0), now)
 	j.ClearRun(task(0, 0, 0), 1, now)
 	j.ClearRun(task(0, 0, 1), 1, now)
 	j.Fail(task(0, 0, 1), 1, 3, now)
 	j.Save(task(0, 0, 1), "five")
+	j.Accuse(task(0, 0, 2), flow.Likely, now)
 	j.Save(task(0, 1, 1), "gang")
 	k := flow.New(spec)
 	k.Resume(j.Track())
@@ -121,9 +124,31 @@
 	qt.Assert(t, k.Rounds[0].Steps[0].CheckpointOf(1), qt.Equals, "five")
 	qt.Assert(t, k.Rounds[0].Steps[1].CheckpointOf(0), qt.Equals, "gang")
 	qt.Assert(t, k.Begun(), qt.IsTrue)
+	qt.Assert(t, k.Rounds[0].Steps[0].Tasks[2].Suspected(), qt.IsTrue)
+	qt.Assert(t, k.Rounds[0].Steps[0].Tasks[2].Inc, qt.Equals, fleet.Incarnation(7))
 
 	j.Cancel(now)
 	k = flow.New(spec)
 	k.Resume(j.Track())
 	qt.Assert(t, k.Stage(), qt.Equals, wire.Stage_WITHDRAWN)
 }
+
+// Three crashes that a task is likely to have caused fail its job, or five that nothing
+// explains. A task that was acquitted begins anew.
+func TestJobFailsWithTooMuchBlameOfOneTask(t *testing.T) {
+	for blame, crashes := range map[flow.Blame]int{flow.Likely: 3, flow.Possible: 5} {
+		j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(2)}})
+		for range crashes - 1 {
+			j.Accuse(task(0, 0, 0), blame, now)
+			j.Accuse(task(0, 0, 1), blame, now)
+		}
+		qt.Assert(t, j.Failed, qt.IsFalse)
+		j.Acquit(task(0, 0, 1))
+		j.Accuse(task(0, 0, 1), blame, now)
+		qt.Assert(t, j.Failed, qt.IsFalse)
+		j.Accuse(task(0, 0, 0), flow.Unrelated, now)
+		qt.Assert(t, j.Failed, qt.IsFalse)
+		j.Accuse(task(0, 0, 0), blame, now)
+		qt.Assert(t, j.Stage(), qt.Equals, wire.Stage_BROKE)
+	}
+}
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/flow"
 )
 
 // Phase is the state of a run on a worker, as far as the lead knows it.
@@ -33,16 +34,20 @@
 	PlacedAt time.Time // when this lead decided to start it; zero if another one did
 	SentAt   time.Time // when its start order was first sent
 
-	Percent      int           // progress in the worker's newest report
-	ProgressAt   time.Time     // when Percent last rose
-	FromPercent  int           // progress when it was first reported
-	WorkedBefore time.Duration // how long it had run by then
-	MeasuredAt   time.Time     // when its progress was last measured
-	StopAnswered time.Time     // when a stop order was first answered; zero before
-	Inherited    bool          // a former lead started it
-	Dispatched   bool          // its start order has left this daemon
-	Sends        int           // how often the start order was sent
-	Saved        string        // checkpoint that it resumes from
+	Percent      int               // progress in the worker's newest report
+	ProgressAt   time.Time         // when Percent last rose
+	FromPercent  int               // progress when it was first reported
+	WorkedBefore time.Duration     // how long it had run by then
+	MeasuredAt   time.Time         // when its progress was last measured
+	StopAnswered time.Time         // when a stop order was first answered; zero before
+	Inherited    bool              // a former lead started it
+	Inc          fleet.Incarnation // of the worker's process when it was placed; 0 if unknown
+	Confirmed    bool              // the worker has said that it runs
+	Isolated     bool              // its task is suspected of crashing its workers
+	Blame        flow.Blame        // for the crash by which it was lost
+	Dispatched   bool              // its start order has left this daemon
+	Sends        int               // how often the start order was sent
+	Saved        string            // checkpoint that it resumes from
 }
 
 // Key identifies a run on a worker.
@@ -75,8 +80,11 @@
 	Fails            int       // consecutive failures of jobs that failed on no other worker
 	QuarantinedUntil time.Time // end of its quarantine
 	quarantines      int
-	outcomes         outcomes // of its recent tasks
-	order            []*Run   // Runs in a fixed order, nil if they have changed since
+	outcomes         outcomes  // of its recent tasks
+	crashedAt        time.Time // when it was last found to have crashed
+	unexplainedAt    time.Time // when it last crashed without a task that was starting there
+	isolated         int       // number of isolated runs
+	order            []*Run    // Runs in a fixed order, nil if they have changed since
 	speed            speedEstimate
 	reservedFor      fleet.JobID // job that its free resources are reserved for
 	reservedUntil    time.Time   // end of that reservation
@@ -144,6 +152,9 @@
 	}
 	w.Runs[k], w.order = r, nil
 	w.used = w.used.Add(r.Each)
+	if r.Isolated {
+		w.isolated++
+	}
 }
 
 // Drop removes a run from the worker and frees its resources.
@@ -155,6 +166,9 @@
 	delete(w.Runs, k)
 	w.order = nil
 	w.used = w.used.Sub(r.Each)
+	if r.Isolated {
+		w.isolated--
+	}
 }
 
 // Leased reports whether a lease was granted for any run on the worker. A run whose
--- a/fleet/sched/crash.go
+++ b/fleet/sched/crash.go
@@ -3,38 +3,60 @@
 import (
 	"time"
 
+	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/flow"
 	"dragonflydeck.example/fleet/pool"
 )
 
-// startupTime is how long after its start a task may crash its worker for the crash to
-// count as the start's doing. It covers the time between two answers of a worker.
-const startupTime = time.Second
-
-// noteLoss logs the runs that are lost with their worker.
-func (sc *Scheduler) noteLoss(w *pool.Worker, why string) {
+// judgeLoss decides how much each run of a lost worker is to blame for the loss. A worker
+// that was told to leave, or that may only be out of reach, has not crashed.
+func (sc *Scheduler) judgeLoss(w *pool.Worker, crashed bool, why string) {
 	starting := 0
 	for _, r := range w.Runs {
-		if isStarting(w, r) {
+		if r.Confirmed && w.IsStarting(r) {
 			starting++
 		}
 	}
+	unreliable := w.Unreliable(sc.now)
+	if crashed {
+		w.NoteCrash(starting > 0, sc.now)
+	}
 	for _, r := range w.Sorted() {
-		if _, s := sc.stepOf(r.Task); s == nil || !wasSent(r) {
+		_, s := sc.stepOf(r.Task)
+		if s == nil || !r.Dispatched && !r.Inherited {
 			continue
 		}
-		sc.logf(event.RunLost, string(r.Task.Job), "%s lived=%s starting=%t beside=%d starting_beside=%d: %s",
-			describeRun(r.Task, r.No, w.Endpoint.Host), lived(w, r), isStarting(w, r), len(w.Runs)-1, starting-toInt(isStarting(w, r)), why)
+		if crashed {
+			r.Blame = max(r.Blame, blameOf(w, r, s.Spec.Lasting, starting > 0, unreliable))
+		}
+		sc.logf(event.RunLost, string(r.Task.Job), "%s lived=%s confirmed=%t beside=%d starting=%d crashed=%t blame=%d: %s",
+			describeRun(r.Task, r.No, w.Endpoint.Host), lived(w, r), r.Confirmed, len(w.Runs)-1, starting, crashed, r.Blame, why)
 	}
 }
 
-// wasSent reports whether a run's start order was sent, or may have been by a former lead.
-func wasSent(r *pool.Run) bool { return r.Dispatched || r.Inherited }
+// mayHaveCrashed reports whether a worker whose lease has expired may have crashed. One
+// that the current list still shows lives and is only out of reach.
+func (sc *Scheduler) mayHaveCrashed(w *pool.Worker) bool {
+	return w.State != fleet.WorkerDraining && (!w.Listed || !sc.listIsCurrent())
+}
 
-// isStarting reports whether a run's worker was not heard again later than startupTime
-// after its start order was sent.
-func isStarting(w *pool.Worker, r *pool.Run) bool {
-	return !r.SentAt.IsZero() && w.LastHeard.Sub(r.SentAt) <= startupTime
+// blameOf returns the blame of a run for the crash of its worker. Explained says that a
+// task was starting there, which is the likeliest cause; unreliable, that the worker has
+// crashed by itself before. A lasting task that outlived its start bears none: in time it
+// outlives any number of workers.
+func blameOf(w *pool.Worker, r *pool.Run, lasting, explained, unreliable bool) flow.Blame {
+	switch {
+	case r.SentAt.IsZero() || !r.Confirmed:
+		return flow.Possible
+	case w.IsStarting(r) && !unreliable:
+		return flow.Likely
+	case w.IsStarting(r):
+		return flow.Possible
+	case explained || lasting:
+		return flow.Unrelated
+	}
+	return flow.Possible
 }
 
 // lived formats how long after its start a run's worker was last heard.
@@ -42,12 +64,27 @@
 	if r.SentAt.IsZero() {
 		return "unknown"
 	}
-	return max(w.LastHeard.Sub(r.SentAt), 0).String()
+	return max(w.LastHeard.Sub(r.SentAt), time.Duration(0)).String()
 }
 
-func toInt(on bool) int {
-	if on {
-		return 1
+// accuse adds the blame for the loss of a run to its task, which is given up once workers
+// have crashed under it too often.
+func (sc *Scheduler) accuse(j *job, w *pool.Worker, r *pool.Run) {
+	if r.Inherited && r.Inc != 0 && w.Inc > r.Inc {
+		r.Blame = max(r.Blame, flow.Possible)
+	}
+	s := j.Step(r.Task)
+	if r.Blame == flow.Unrelated {
+		if s.Spec.Lasting && r.Confirmed && !w.IsStarting(r) {
+			j.Acquit(r.Task)
+		}
+		return
+	}
+	if r.Blame == flow.Likely {
+		j.failed[w.Endpoint.Host] = sc.now.Add(failedWorkerPause)
+	}
+	j.Accuse(r.Task, r.Blame, sc.now)
+	if j.Failed {
+		sc.logf(event.JobParked, string(j.ID), "queue=%s blame=%d: workers crashed under %s", j.Spec.Queue, s.Tasks[r.Task.Index].Blame, describeRun(r.Task, r.No, w.Endpoint.Host))
 	}
-	return 0
 }
--- a/fleet/sched/crash_test.go
+++ b/fleet/sched/crash_test.go
@@ -161,27 +161,31 @@
 	}
 }
 
-// A task crashes each worker that starts it, and each time the lead is replaced before the
-// worker is back.
+// A task crashes each worker that starts it, and each time the lead is replaced before or
+// after the worker is back.
 func TestTaskThatCrashesItsWorkersIsGivenUpByLeadsInTurn(t *testing.T) {
-	w := newWorld(t, 2, 6)
-	c := w.addCrasher(3 * time.Second)
-	c.after[task("deadly", 0)] = 10 * time.Millisecond
-	runTimes["deadly"] = 8 * time.Second
-	w.becomeLead()
-	f := newFlow("deadly", "long", taskStep(1, 8, 8*time.Second))
-	w.submitAccepted(f)
-	for crashes := range toleratedCrashes + toleratedStarts {
-		w.runUntil(time.Minute, "crash or end", func() bool {
-			return c.crashes[task("deadly", 0)] > crashes || w.stage(f) == wire.Stage_BROKE
+	for _, down := range []time.Duration{10 * time.Millisecond, 3 * time.Second} {
+		t.Run(down.String(), func(t *testing.T) {
+			w := newWorld(t, 2, 6)
+			c := w.addCrasher(down)
+			c.after[task("deadly", 0)] = 10 * time.Millisecond
+			runTimes["deadly"] = 8 * time.Second
+			w.becomeLead()
+			f := newFlow("deadly", "long", taskStep(1, 8, 8*time.Second))
+			w.submitAccepted(f)
+			for crashes := range toleratedCrashes + toleratedStarts {
+				w.runUntil(time.Minute, "crash or end", func() bool {
+					return c.crashes[task("deadly", 0)] > crashes || w.stage(f) == wire.Stage_BROKE
+				})
+				if w.stage(f) == wire.Stage_BROKE {
+					break
+				}
+				w.restartDaemon()
+				w.becomeLead()
+			}
+			w.checkGivenUp(f, c)
 		})
-		if w.stage(f) == wire.Stage_BROKE {
-			break
-		}
-		w.restartDaemon()
-		w.becomeLead()
 	}
-	w.checkGivenUp(f, c)
 }
 
 // Tasks stand beside one that crashes its workers. They all can be done, and are.
@@ -275,6 +279,77 @@
 	}
 }
 
+// A third of the workers go down and up by turns for a while. The others have no room but
+// beside long tasks, so that those that come back are the emptiest.
+func TestTaskIsNotGivenUpOnWorkersThatGoDownAndUp(t *testing.T) {
+	for _, gap := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+		t.Run(gap.String(), func(t *testing.T) {
+			w := newWorld(t, 2, 6)
+			w.addCrasher(gap)
+			for i, one := range w.sorted() {
+				if i%3 == 0 {
+					one.capacity.Accels = 4 // too few for the long tasks
+				}
+			}
+			w.postWorkers()
+			w.becomeLead()
+			w.run(500 * time.Millisecond)
+			runTimes["long"] = 80 * time.Second
+			long := newFlow("long", "bulk", taskStep(8, 5, 80*time.Second))
+			long.Steps[0].Spread = 1
+			w.submitAccepted(long)
+			w.run(500 * time.Millisecond)
+			var all []*wire.Flow
+			flip := w.now
+			for end := w.now.Add(60 * time.Second); w.now.Before(end); {
+				id := fmt.Sprint("flap", len(all))
+				runTimes[fleet.JobID(id)] = 1500 * time.Millisecond
+				all = append(all, newFlow(id, "long", taskStep(3, 2, 1500*time.Millisecond)))
+				w.submitAccepted(all[len(all)-1])
+				w.run(600 * time.Millisecond)
+				if w.now.Sub(flip) < 2*gap {
+					continue
+				}
+				flip = w.now
+				for i, one := range w.sorted() {
+					if i%3 == 0 && !one.isDown() {
+						one.goDown(w.now, gap)
+					}
+				}
+			}
+			for _, f := range all {
+				w.awaitCompleted(f, time.Minute)
+			}
+		})
+	}
+}
+
+// A lasting task loses any number of workers that crash for their own reasons, and is
+// started again each time. One that crashes its workers is given up.
+func TestLastingTaskIsGivenUpOnlyIfItCrashesItsWorkers(t *testing.T) {
+	w := newWorld(t, 1, 6)
+	c := w.addCrasher(3 * time.Second)
+	w.becomeLead()
+	w.run(500 * time.Millisecond)
+	runTimes["lasts"], runTimes["deadly"] = time.Hour, time.Hour
+	f, deadly := newFlow("lasts", "bulk", taskStep(1, 8, time.Second)), newFlow("deadly", "bulk", taskStep(1, 8, time.Second))
+	f.Steps[0].Lasting, deadly.Steps[0].Lasting = true, true
+	w.submitAccepted(f)
+	for range 12 {
+		w.run(5 * time.Second)
+		for _, one := range w.sorted() {
+			if len(one.runs) > 0 {
+				one.goDown(w.now, one.crasher.down)
+			}
+		}
+	}
+	w.runUntil(10*time.Second, "start after the last crash", func() bool { return w.running("lasts") == 1 })
+	qt.Check(t, w.stage(f), qt.Equals, wire.Stage_RUNS)
+	c.after[task("deadly", 0)] = 10 * time.Millisecond
+	w.submitAccepted(deadly)
+	w.checkGivenUp(deadly, c)
+}
+
 // A worker's capacity shrinks while a placement is being stored, and grows again.
 func TestStartIsNotSentToWorkerWhoseCapacityShrankMeanwhile(t *testing.T) {
 	w := newWorld(t, 1, 4)
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -122,7 +122,7 @@
 					continue
 				}
 				w := sc.workerByID(k.Worker)
-				w.Add(&pool.Run{Task: s.Task(j.ID, i), No: k.Run, Each: s.Each(), Phase: pool.Unconfirmed, Since: sc.now, ProgressAt: sc.now, Inherited: true})
+				w.Add(&pool.Run{Task: s.Task(j.ID, i), No: k.Run, Each: s.Each(), Phase: pool.Unconfirmed, Since: sc.now, ProgressAt: sc.now, Inherited: true, Inc: k.Inc})
 			}
 		}
 	}
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -17,6 +17,8 @@
 const (
 	provenWait            = 3 * time.Second        // how long a task on its last attempt waits for a worker with a proven record
 	planInterval          = 250 * time.Millisecond // between two plans while nothing has changed
+	aloneWait             = time.Second            // how long a suspected task waits for a worker of its own
+	quietWait             = 5 * time.Second        // how long it waits for a worker on which nothing else starts
 	minPlanInterval       = 40 * time.Millisecond  // between two plans, so that a burst of events costs one plan
 	idleOffRackAfter      = time.Second            // wait after which work may run off its rack on a site with much free capacity
 	guaranteeOffRackAfter = 2 * time.Second        // wait after which work within its guarantee may run off its rack
@@ -82,21 +84,60 @@
 	for _, j := range sc.jobs {
 		j.EachOpen(sc.now, func(s *flow.Step) {
 			waiting := waitingTasks(s)
-			last := sc.lastAttempts(j, s, waiting)
-			if len(waiting) > len(last) {
-				out = append(out, sc.unit(j, s, subtract(waiting, last)))
-			}
-			if len(last) > 0 {
-				u := sc.unit(j, s, last)
-				u.LastAttempt = u.waited < provenWait
+			suspects := suspectedTasks(s, waiting)
+			for _, u := range sc.unitsOf(j, s, suspects) {
+				u.Isolation = isolation(u.waited)
 				out = append(out, u)
 			}
+			out = append(out, sc.unitsOf(j, s, subtract(waiting, suspects))...)
 		})
 	}
 	sort.Slice(out, func(a, b int) bool { return less(&out[a], &out[b]) })
 	return out
 }
 
+// unitsOf divides tasks of a step into those on their last attempt and the others.
+func (sc *Scheduler) unitsOf(j *job, s *flow.Step, tasks []int) []unit {
+	var out []unit
+	last := sc.lastAttempts(j, s, tasks)
+	if len(tasks) > len(last) {
+		out = append(out, sc.unit(j, s, subtract(tasks, last)))
+	}
+	if len(last) > 0 {
+		u := sc.unit(j, s, last)
+		u.LastAttempt = u.waited < provenWait
+		out = append(out, u)
+	}
+	return out
+}
+
+// isolation returns how far a suspected unit is kept apart after a wait. On a full site it
+// must not wait forever.
+func isolation(waited time.Duration) assign.Isolation {
+	switch {
+	case waited < aloneWait:
+		return assign.Alone
+	case waited < quietWait:
+		return assign.Quiet
+	}
+	return assign.Shared
+}
+
+// suspectedTasks returns those of the waiting tasks that are suspected of crashing their
+// workers; for a gang with such a member, all of them.
+func suspectedTasks(s *flow.Step, waiting []int) []int {
+	var out []int
+	for _, i := range waiting {
+		if s.Tasks[i].Suspected() {
+			out = append(out, i)
+		}
+	}
+	if s.Spec.Gang && len(out) > 0 {
+		return waiting
+	}
+	return out
+}
+
 // lastAttempts returns those of the waiting tasks whose next failure would fail
 // their job.
 func (sc *Scheduler) lastAttempts(j *job, s *flow.Step, waiting []int) []int {
@@ -222,9 +263,9 @@
 	}
 	for _, pl := range placements {
 		t := u.Step.Task(u.job.ID, pl.Index)
-		r := &pool.Run{Task: t, No: run, Each: u.Step.Each(), Phase: pool.Sent, Since: sc.now, ProgressAt: sc.now, PlacedAt: sc.now}
+		r := &pool.Run{Task: t, No: run, Each: u.Step.Each(), Phase: pool.Sent, Since: sc.now, ProgressAt: sc.now, PlacedAt: sc.now, Inc: pl.Worker.Inc, Isolated: u.Isolation != assign.Shared}
 		pl.Worker.Add(r)
-		u.job.Start(t, run, pl.Worker.Endpoint.Host)
+		u.job.Start(t, run, pl.Worker.Endpoint.Host, pl.Worker.Inc)
 		sc.outbox.starts = append(sc.outbox.starts, pendingStart{pl.Worker.Endpoint.Host, r})
 	}
 	sc.outbox.markDirty(u.job)
--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -5,6 +5,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/flow"
 	"dragonflydeck.example/fleet/pool"
 )
 
@@ -129,7 +130,7 @@
 			entry := w.WorkerEntry
 			entry.Inc = s.Inc
 			sc.pool.Update(entry, w.Rack, sc.now)
-			sc.noteRestart(w)
+			sc.noteRestart(w, w.State)
 		}
 		w.Inc = s.Inc
 	}
@@ -201,7 +202,7 @@
 		sc.stopOrphan(w, seen)
 		return
 	}
-	r.Inherited, r.Dispatched = false, true
+	r.Inherited, r.Dispatched, r.Confirmed, r.Inc, r.Blame = false, true, true, w.Inc, flow.Unrelated
 	if r.Phase == pool.Sent || r.Phase == pool.Unconfirmed {
 		r.Phase, r.Since, r.ProgressAt = pool.Running, sc.now, sc.now
 		r.FromPercent, r.WorkedBefore = seen.Percent, sc.estimateElapsed(seen)
--- a/fleet/sched/runs.go
+++ b/fleet/sched/runs.go
@@ -38,6 +38,7 @@
 			sc.logf(event.RunStarted, string(r.Task.Job), "%s by=answer placed=%s sent=%s", describeRun(r.Task, r.No, e.Host), age(sc.now, r.PlacedAt), age(sc.now, r.SentAt))
 			r.Phase, r.Since, r.ProgressAt = pool.Running, sc.now, sc.now
 		}
+		r.Confirmed = true
 		return
 	}
 	sc.logf(event.StartFailed, string(r.Task.Job), "%s: %v", describeRun(r.Task, r.No, e.Host), e.Err)
@@ -123,6 +124,7 @@
 	}
 	sc.outbox.markDirty(j)
 	sc.logf(event.JobRequeued, string(j.ID), "%s: %s", describeRun(r.Task, r.No, w.Endpoint.Host), why)
+	sc.accuse(j, w, r)
 	sc.stopGang(j, r)
 }
 
--- a/fleet/sched/supervise.go
+++ b/fleet/sched/supervise.go
@@ -26,6 +26,7 @@
 	sc.reportOldList()
 	for _, w := range sc.pool.Sorted() {
 		if w.Leased() && sc.now.After(w.LeasesExpireAt()) {
+			sc.judgeLoss(w, sc.mayHaveCrashed(w), "its lease has expired")
 			sc.closeRuns(w, "its lease has expired")
 			w.Synced, w.UnknownEndsUntil = false, sc.now.Add(expiredEndsWindow)
 			continue
--- a/fleet/sched/workers.go
+++ b/fleet/sched/workers.go
@@ -98,7 +98,7 @@
 		}
 		w, restarted := sc.pool.Update(e, rackOf(e.Labels), sc.now)
 		if restarted {
-			sc.noteRestart(w)
+			sc.noteRestart(w, state)
 		}
 		if !known || state != e.State {
 			sc.changed = true
@@ -126,6 +126,7 @@
 // loseWorker closes the runs of a worker at whose address another process answers,
 // and removes it from the listed workers.
 func (sc *Scheduler) loseWorker(w *pool.Worker) {
+	sc.judgeLoss(w, w.State != fleet.WorkerDraining, "another process answers at its address")
 	sc.closeRuns(w, "another process answers at its address")
 	w.UnknownEndsUntil = time.Time{}
 	sc.pool.Unlist(w.Endpoint.Host)
@@ -134,7 +135,6 @@
 // closeRuns closes every run of a worker that is lost.
 func (sc *Scheduler) closeRuns(w *pool.Worker, why string) {
 	sc.logf(event.WorkerLost, string(w.Endpoint.Host), "runs=%d heard=%s ago: %s", len(w.Runs), sc.now.Sub(w.LastHeard), why)
-	sc.noteLoss(w, why)
 	for _, r := range w.Sorted() {
 		sc.closeRun(w, r, why)
 	}
@@ -142,10 +142,11 @@
 
 // noteRestart handles the replacement of a worker's process by a new one. The runs
 // are not closed until the next poll: the new process may have answered a start
-// before the restart was known, and may still carry out a start that is in flight.
-func (sc *Scheduler) noteRestart(w *pool.Worker) {
+// before the restart was known, and may still carry out a start that is in flight. State
+// is what the former process announced.
+func (sc *Scheduler) noteRestart(w *pool.Worker, state fleet.WorkerState) {
 	sc.logf(event.WorkerLost, string(w.Endpoint.Host), "runs=%d heard=%s ago: its process was replaced", len(w.Runs), sc.now.Sub(w.LastHeard))
-	sc.noteLoss(w, "its process was replaced")
+	sc.judgeLoss(w, state != fleet.WorkerDraining, "its process was replaced")
 	for _, r := range w.Sorted() {
 		if r.Phase == pool.Sent && r.Dispatched {
 			r.Phase, r.Since = pool.Unconfirmed, sc.now
