A repeatable request is given up after two runners broke off under it

Cause: retries draw on a budget of the daemon, not of the request, and a relayed request draws on the peer's too. Now a request ends after two tries without an answer, with the outcome that is true (it may have run); a peer leaves further tries to the daemon that relayed the request. Tries that certainly did not run are not counted.

--- a/deckd/daemon/request.go
+++ b/deckd/daemon/request.go
@@ -18,10 +18,21 @@
 // request is a request that this daemon is processing.
 type request struct {
 	route.Request
-	ask        *wire.CallAsk
-	start      time.Time
-	tries      int
-	mayHaveRun bool // a try may have run the request
+	ask       *wire.CallAsk
+	start     time.Time
+	tries     int
+	brokenOff int // tries that ended without an answer, each of which may have run the request
+}
+
+// maxBrokenOff is after how many tries without an answer a repeatable request is given
+// up, as it may be the request that breaks the runners.
+const maxBrokenOff = 2
+
+// mayRepeat counts a try without an answer, and reports whether another one may follow. A
+// peer leaves that to the daemon that relayed the request.
+func (q *request) mayRepeat() bool {
+	q.brokenOff++
+	return q.ask.Repeat && !q.Relayed && q.brokenOff < maxBrokenOff
 }
 
 // serve processes a request until it is answered or finally refused.
@@ -48,7 +59,7 @@
 // markUnknown returns the refusal with its outcome set to unknown if a try may
 // have run the request.
 func (q *request) markUnknown(r *refuse.Error) *refuse.Error {
-	if !q.mayHaveRun || r.Ran != refuse.No {
+	if q.brokenOff == 0 || r.Ran != refuse.No {
 		return r
 	}
 	return &refuse.Error{Op: r.Op, Kind: r.Kind, Ran: refuse.Unknown, RetryAfter: r.RetryAfter, Text: r.Text + "; an earlier try may have run"}
@@ -154,8 +165,7 @@
 	if client.NotSent(err) || r.Ran == refuse.No {
 		return nil, (*route.Router).Reoffer, nil
 	}
-	q.mayHaveRun = true
-	if q.ask.Repeat && time.Now().Before(q.Deadline) {
+	if q.mayRepeat() && time.Now().Before(q.Deadline) {
 		d.logEvent(event.RequestRetried, q.ID, fmt.Sprintf("%s failed: %v", v.Peer, err))
 		return nil, (*route.Router).Retry, nil
 	}
@@ -223,8 +233,7 @@
 		d.logEvent(event.RequestRetried, q.ID, fmt.Sprintf("%s did not accept it: %v", runner, o.err))
 		return nil, (*route.Router).Reoffer, nil
 	}
-	q.mayHaveRun = true
-	if q.ask.Repeat {
+	if q.mayRepeat() {
 		d.logEvent(event.RequestRetried, q.ID, fmt.Sprintf("%s failed: %v", runner, o.err))
 		return nil, (*route.Router).Retry, nil
 	}
--- a/deckd/daemon/requests_test.go
+++ b/deckd/daemon/requests_test.go
@@ -105,6 +105,22 @@
 	})
 }
 
+// A request breaks each runner that serves it. It may be repeated, and is not sent to one
+// runner after the other.
+func TestRequestThatBreaksItsRunnersIsGivenUp(t *testing.T) {
+	withSite(t, busy, func(s *site) {
+		for _, r := range s.runners {
+			r.Breaks = func(body []byte) bool { return string(body) == "deadly" }
+		}
+		_, err := s.call("e11", "", "deadly", 5*time.Second)
+		qt.Assert(s.t, err, qt.Not(qt.IsNil))
+		qt.Check(s.t, err.Ran, qt.Equals, refuse.Unknown)
+		qt.Check(s.t, s.runs("deadly") <= 2, qt.IsTrue, qt.Commentf("%d runs", s.runs("deadly")))
+		answered, _, _ := s.sendLoad(100, 3*time.Millisecond, false)
+		qt.Check(s.t, answered, qt.Equals, 100)
+	})
+}
+
 func TestCrossedAnswersReachTheirCallers(t *testing.T) {
 	withSite(t, busy, func(s *site) {
 		for _, r := range s.runners {
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -29,6 +29,8 @@
 
 	// RequestTime returns the run time of a request.
 	RequestTime func(body []byte) time.Duration
+	// Breaks reports whether the runner breaks the connection of a request; nil for none.
+	Breaks func(body []byte) bool
 
 	mu      sync.Mutex
 	active  int
@@ -62,7 +64,7 @@
 	}
 	time.Sleep(duration)
 	reply := &wire.RunReply{Id: ask.Id, Body: append([]byte("answer to "), ask.Body...)}
-	if r.Active(Broken) {
+	if r.Active(Broken) || r.Breaks != nil && r.Breaks(ask.Body) {
 		return nil, twirp.NewError(twirp.Internal, "the answer was lost")
 	}
 	if r.Active(Crossed) {
