Soak: jobs that crash their workers, capacities that shrink and grow

The stand-in for workers crashes 10 ms after it starts the first task of a deadly job and is back 2 s later, and can change its capacity while it runs. The auditor counts the starts of a task after three engines have crashed under it (two are allowed), and starts over a smaller capacity later than 4.5 s after the entry that shows it was stored.

--- a/deckd/soak/rig_test.go
+++ b/deckd/soak/rig_test.go
@@ -36,10 +36,14 @@
 
 	entryInterval = 1500 * time.Millisecond // between two discovery entries of a worker
 	leaseDuration = 6 * time.Second
-	stopTimeout   = 400 * time.Millisecond // upper bound of a stop by a worker
-	drainTime     = 2 * time.Second        // a worker that leaves gets no start later than this after its notice
+	stopTimeout   = 400 * time.Millisecond        // upper bound of a stop by a worker
+	drainTime     = 2 * time.Second               // a worker that leaves gets no start later than this after its notice
+	shrinkTime    = 3*time.Second + entryInterval // a capacity that has shrunk counts from then on
 )
 
+// fullRoom is the capacity of a worker that has not shrunk.
+var fullRoom = engine.Room{Cores: 64000, Mem: 131072, Accels: 8}
+
 // The programs, built for this run.
 var deckdPath, deckPath string
 
@@ -170,6 +174,7 @@
 	group       sync.WaitGroup
 	version     atomic.Int64
 	faultsEnded time.Time // when the last fault ended
+	deadly      []*job    // jobs with a task that crashes its workers
 }
 
 func newRig(t *testing.T) *rig {
@@ -225,8 +230,8 @@
 func (r *rig) addWorker(i int) {
 	at := addrs(r.t, 2)
 	e := engine.New(engine.Options{
-		ID: fmt.Sprint("w", i), Zone: fmt.Sprint("d", i%2), Rack: fmt.Sprint("r", i/4), Cores: 64000, Mem: 131072, Accels: 8,
-		MaxLease: leaseDuration, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, DrainTime: drainTime, Auditor: r.auditor,
+		ID: fmt.Sprint("w", i), Zone: fmt.Sprint("d", i%2), Rack: fmt.Sprint("r", i/4), Room: fullRoom,
+		MaxLease: leaseDuration, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, DrainTime: drainTime, ShrinkTime: shrinkTime, Auditor: r.auditor,
 	})
 	r.serve(at[0], e.Handle)
 	proxy, err := relay.New(at[1], at[0])
@@ -238,6 +243,9 @@
 func (r *rig) publishEntries() {
 	for {
 		for _, e := range r.workers {
+			if e.Down() {
+				continue
+			}
 			entry := e.Entry(service, e.addr)
 			qt.Check(r.t, r.store.Put(topicWorkers, e.id, entry), qt.IsNil)
 			e.NoteStored(entry)
--- a/deckd/soak/soak_test.go
+++ b/deckd/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"dragonflydeck.example/standin/engine"
 	"dragonflydeck.example/standin/relay"
 	"dragonflydeck.example/standin/store"
 	qt "github.com/frankban/quicktest"
@@ -24,6 +25,7 @@
 	warmupTime    = 4 * time.Second             // for the site to elect a lead
 	drainNotice   = 1600 * time.Millisecond     // how long before its removal a worker announces it
 	leaveNotice   = 7 * time.Second             // how long before its end a worker announces that it leaves
+	shrunkFor     = 8 * time.Second             // how long a capacity stays shrunk
 	cancelTimeout = 3*time.Second + stopTimeout // for the tasks of a cancelled job to stop
 	settleTimeout = 45 * time.Second            // for the accepted jobs to end after the last fault
 )
@@ -40,6 +42,7 @@
 const (
 	firstFaults  = 15
 	secondFaults = 17
+	thirdFaults  = 20
 )
 
 // regressions lists seeds that once failed, each with the cause.
@@ -51,6 +54,7 @@
 	{116, firstFaults},                   // a delayed start was executed by the worker's next process
 	{519, firstFaults},                   // a job that had failed elsewhere immediately used up its attempts on another such worker
 	{511, firstFaults},                   // a start answered by the worker's next process was dropped once that process became known
+	{28, thirdFaults},                    // never failed: tasks that crash their workers, and capacities that shrink
 	{12926456547503137442, secondFaults}, // no fault in the daemon: a cancellation without an answer had taken effect
 }
 
@@ -177,6 +181,18 @@
 		}
 		return func() {}
 	}},
+	{"job that crashes its workers", func(r *rig, rng *rand.Rand) func() {
+		r.submitDeadly(rng)
+		return func() {}
+	}},
+	{"capacity shrinks", func(r *rig, rng *rand.Rand) func() {
+		for range 1 + rng.IntN(len(r.workers)) {
+			e := pick(rng, r.workers)
+			e.Resize(engine.Room{Cores: fullRoom.Cores / 2, Mem: fullRoom.Mem / 2, Accels: int64(1 + rng.IntN(4))})
+			time.AfterFunc(shrunkFor, func() { e.Resize(fullRoom) })
+		}
+		return func() {}
+	}},
 }
 
 // disturbRelay puts a relay into a random failure mode.
@@ -220,6 +236,7 @@
 	injectFaults(r, rng, faults[:s.faults], until)
 	<-done
 	waitForJobs(t, l)
+	checkDeadly(t, r, l)
 	checkGuarantees(t, r, l)
 }
 
--- a/standin/engine/auditor.go
+++ b/standin/engine/auditor.go
@@ -16,6 +16,7 @@
 	Accels int64
 	Gang   int           // number of members; 0 for a task without a gang
 	Span   time.Duration // run time; nanoseconds in JSON
+	Deadly bool          `json:",omitempty"` // the first task of a step crashes each engine that starts it
 }
 
 // Spec encodes the need as a job's spec.
@@ -39,7 +40,7 @@
 // Auditor records what all engines do and checks it against the rules of execution:
 // a task runs on one engine at a time and not again after an acknowledged success,
 // no engine runs more than its capacity, and none starts work after it said that it
-// leaves.
+// leaves, nor a task again and again that crashes the engines.
 type Auditor struct {
 	mu         sync.Mutex
 	running    map[string]map[string]int64 // run numbers by task and engine
@@ -48,6 +49,8 @@
 	restarts   map[runKey]string           // by successful run, a later start of its task; a violation once the run is acknowledged
 	gangs      map[string]*gang
 	starts     map[string]int // by job
+	crashes    map[string]int // by task: engines that it has crashed
+	lateStarts map[string]int // by task: its starts after toleratedCrashes
 	violations []string
 }
 
@@ -70,6 +73,7 @@
 		running: map[string]map[string]int64{}, done: map[string]bool{},
 		succeeded: map[string]runKey{}, restarts: map[runKey]string{},
 		gangs: map[string]*gang{}, starts: map[string]int{},
+		crashes: map[string]int{}, lateStarts: map[string]int{},
 	}
 }
 
@@ -121,7 +125,7 @@
 		a.running[r.task] = map[string]int64{}
 	}
 	a.running[r.task][e.opts.ID] = r.number
-	a.checkCapacity(e)
+	a.checkCrashes(r)
 	if r.need.Gang > 0 {
 		g := a.gang(r)
 		g.present[r.task] = true
@@ -148,14 +152,41 @@
 	}
 }
 
-// checkCapacity checks that the runs on an engine fit its capacity.
-func (a *Auditor) checkCapacity(e *Engine) {
-	var used Need
-	for _, r := range e.runs {
-		used.Cores, used.Mem, used.Accels = used.Cores+r.need.Cores, used.Mem+r.need.Mem, used.Accels+r.need.Accels
+// overCapacity records that a run took an engine over its capacity.
+func (a *Auditor) overCapacity(id string, r *run, used Need, room Room) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.violation("task %s run %d takes %s over its capacity: %+v of %+v", r.task, r.number, id, used, room)
+}
+
+// crashedBy records that a task has crashed its engine.
+func (a *Auditor) crashedBy(r *run) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.crashes[r.task]++
+}
+
+// Crashes returns how many engines the tasks of a job have crashed.
+func (a *Auditor) Crashes(job string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for task, crashes := range a.crashes {
+		if strings.HasPrefix(task, job+".") {
+			n += crashes
+		}
+	}
+	return n
+}
+
+// checkCrashes checks that a task is not started too often after it has crashed engines.
+func (a *Auditor) checkCrashes(r *run) {
+	if a.crashes[r.task] < toleratedCrashes {
+		return
 	}
-	if used.Cores > e.opts.Cores || used.Mem > e.opts.Mem || used.Accels > e.opts.Accels {
-		a.violation("%s runs more than its capacity: %+v", e.opts.ID, used)
+	a.lateStarts[r.task]++
+	if n := a.lateStarts[r.task]; n > toleratedStarts {
+		a.violation("task %s run %d is start %d after %d engines have crashed under it", r.task, r.number, n, toleratedCrashes)
 	}
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,13 +16,12 @@
 	ID          string
 	Zone        string
 	Rack        string
-	Cores       int64 // thousandths of a core
-	Mem         int64 // MiB
-	Accels      int64
+	Room        Room
 	MaxLease    time.Duration // maximum time from now to the end of the lease
 	StopTime    time.Duration // how long a stop takes
 	GangTimeout time.Duration // how long a member waits for the rest of its gang
 	DrainTime   time.Duration // no start may come later than this after its notice that it leaves was stored
+	ShrinkTime  time.Duration // no start may exceed a smaller capacity later than this after it was stored
 	Auditor     *Auditor
 }
 
@@ -67,12 +67,14 @@
 	linkCutUntil time.Time     // orders that were held up may arrive until then
 	failsRuns    bool
 	hangsRuns    bool
-	gone         bool
+	room         Room      // present capacity
+	roomStoredAt time.Time // when the store accepted an entry that shows it; zero before
+	upAt         time.Time // when a process is back after a crash by a task
 }
 
 // New returns an engine that runs nothing.
 func New(o Options) *Engine {
-	e := &Engine{opts: o}
+	e := &Engine{opts: o, room: o.Room}
 	e.reset()
 	return e
 }
@@ -86,6 +88,10 @@
 func (e *Engine) Crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.crash()
+}
+
+func (e *Engine) crash() {
 	for _, r := range e.runs {
 		e.opts.Auditor.runEnded(e.opts.ID, r, "crashed")
 	}
@@ -116,6 +122,7 @@
 // NoteStored tells the engine that the store has accepted an entry of it.
 func (e *Engine) NoteStored(entry Entry) {
 	e.set(func() {
+		e.noteRoomStored(entry)
 		if entry["state"] == stateDraining && e.drainLeft > 0 && e.noticeAt.IsZero() {
 			e.noticeAt = time.Now()
 		}
@@ -150,7 +157,7 @@
 	return Entry{
 		"service": service, "address": addr, "zone": e.opts.Zone, "version": "v1", "slots": 8, "state": state,
 		"drainRemainingMs": e.drainLeft.Milliseconds(), "coldRemainingMs": 0, "seq": 1, "clockMs": e.clock(), "born": e.born.UnixMilli(),
-		"capacity": map[string]int64{"cpu": e.opts.Cores, "memMb": e.opts.Mem, "gpu": e.opts.Accels},
+		"capacity": map[string]int64{"cpu": e.room.Cores, "memMb": e.room.Mem, "gpu": e.room.Accels},
 		"labels":   []string{"a", e.opts.Rack},
 	}
 }
@@ -230,6 +237,10 @@
 		return
 	}
 	e.Tick()
+	if e.Down() {
+		breakOff(ctx)
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/run-start":
 		e.execute(ctx, o, e.start)
@@ -287,18 +298,25 @@
 		return "late"
 	}
 	e.extendLease(o.UntilMs)
+	if !e.upAt.IsZero() {
+		return "late" // the process is gone since the order arrived
+	}
 	r := &run{task: o.Task, number: o.Run, need: ReadNeed(o.Spec), begun: time.Now()}
 	r.working, r.workingSince = r.need.Gang == 0, r.begun
 	e.runs[o.Task] = r
 	e.opts.Auditor.runStarted(e, r)
 	e.checkNotice(r, o.late)
+	e.checkRoom(r, o.late)
+	if r.need.Deadly && strings.HasSuffix(r.task, deadlyIndex) {
+		time.AfterFunc(crashDelay, func() { e.crashBy(r) })
+	}
 	return ""
 }
 
 // checkNotice checks that a run does not start too long after the engine's notice that it
 // leaves. Orders that the engine or its link delayed are not counted.
 func (e *Engine) checkNotice(r *run, late bool) {
-	if e.noticeAt.IsZero() || late || e.linkCut || r.begun.Before(e.linkCutUntil) {
+	if e.noticeAt.IsZero() || late || e.isHeldUp(r) {
 		return
 	}
 	if after := r.begun.Sub(e.noticeAt); after > e.opts.DrainTime {
@@ -306,6 +324,9 @@
 	}
 }
 
+// isHeldUp reports whether the start of a run may have been held up on its way.
+func (e *Engine) isHeldUp(r *run) bool { return e.linkCut || r.begun.Before(e.linkCutUntil) }
+
 // extendLease extends the lease to a time, at most opts.MaxLease from now.
 func (e *Engine) extendLease(untilMs int64) {
 	at := e.born.Add(time.Duration(untilMs) * time.Millisecond)
@@ -378,6 +399,10 @@
 		}
 		time.Sleep(pollInterval)
 	}
+	if e.Down() {
+		breakOff(ctx)
+		return
+	}
 	writeJSON(ctx, e.report())
 }
 
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -24,13 +24,15 @@
 	qt.Assert(t, ctx.Response.StatusCode(), qt.Equals, fasthttp.StatusOK)
 }
 
+var room = engine.Room{Cores: 8000, Mem: 8192, Accels: 8}
+
 // The members of a gang end together, whichever engine notices the end first.
 func TestMembersOfAGangEndTogether(t *testing.T) {
 	auditor := engine.NewAuditor()
 	var engines []*engine.Engine
 	for i := range 3 {
 		engines = append(engines, engine.New(engine.Options{
-			ID: fmt.Sprint("w", i), Cores: 8000, Mem: 8192, Accels: 8, MaxLease: time.Minute, GangTimeout: 3 * time.Second, Auditor: auditor,
+			ID: fmt.Sprint("w", i), Room: room, MaxLease: time.Minute, GangTimeout: 3 * time.Second, Auditor: auditor,
 		}))
 	}
 	need := engine.Need{Accels: 1, Gang: 3, Span: 20 * time.Millisecond}
@@ -55,7 +57,7 @@
 func TestStartAfterTheNoticeIsAViolation(t *testing.T) {
 	auditor := engine.NewAuditor()
 	e := engine.New(engine.Options{
-		ID: "w0", Cores: 8000, Mem: 8192, Accels: 8, MaxLease: time.Minute, DrainTime: 20 * time.Millisecond, Auditor: auditor,
+		ID: "w0", Room: room, MaxLease: time.Minute, DrainTime: 20 * time.Millisecond, Auditor: auditor,
 	})
 	ready := e.Entry("desk", "w0:1")
 	e.Drain(time.Second)
@@ -75,7 +77,7 @@
 	qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
 
 	other := engine.New(engine.Options{
-		ID: "w1", Cores: 8000, Mem: 8192, Accels: 8, MaxLease: time.Minute, DrainTime: 20 * time.Millisecond, Auditor: auditor,
+		ID: "w1", Room: room, MaxLease: time.Minute, DrainTime: 20 * time.Millisecond, Auditor: auditor,
 	})
 	other.Drain(time.Second)
 	other.NoteStored(other.Entry("desk", "w1:1"))
@@ -84,3 +86,51 @@
 	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
 	qt.Assert(t, auditor.Violations()[0], qt.Contains, "after the notice that it leaves was stored")
 }
+
+// A start counts as a violation if it takes the engine over a smaller capacity that has
+// been stored for long enough, or over its full one.
+func TestStartOverAShrunkCapacityIsAViolation(t *testing.T) {
+	auditor := engine.NewAuditor()
+	e := engine.New(engine.Options{ID: "w0", Room: room, MaxLease: time.Minute, ShrinkTime: 20 * time.Millisecond, Auditor: auditor})
+	need := engine.Need{Accels: 4, Span: time.Minute}
+	e.Resize(engine.Room{Cores: 8000, Mem: 8192, Accels: 3})
+	time.Sleep(30 * time.Millisecond)
+	e.NoteStored(e.Entry("desk", "w0:1"))
+	start(t, e, "job.0.0.0", need)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
+	time.Sleep(30 * time.Millisecond)
+	e.CutLink(true)
+	start(t, e, "job.0.0.1", need)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
+	start(t, e, "job.0.0.2", need)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
+
+	other := engine.New(engine.Options{ID: "w1", Room: room, MaxLease: time.Minute, ShrinkTime: 20 * time.Millisecond, Auditor: auditor})
+	other.Resize(engine.Room{Accels: 3})
+	other.NoteStored(other.Entry("desk", "w1:1"))
+	time.Sleep(30 * time.Millisecond)
+	start(t, other, "job.0.0.3", need)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 2)
+	other.Resize(room)
+	other.NoteStored(other.Entry("desk", "w1:1"))
+	start(t, other, "job.0.0.4", need)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 2)
+}
+
+// A deadly task crashes each engine that starts it. Its sixth start is a violation.
+func TestSixthStartOfADeadlyTaskIsAViolation(t *testing.T) {
+	auditor := engine.NewAuditor()
+	need := engine.Need{Accels: 1, Span: time.Minute, Deadly: true}
+	for i := range 6 {
+		qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
+		e := engine.New(engine.Options{ID: fmt.Sprint("w", i), Room: room, MaxLease: time.Minute, Auditor: auditor})
+		start(t, e, "job.0.0.1", need)
+		time.Sleep(30 * time.Millisecond)
+		qt.Assert(t, e.Down(), qt.IsFalse, qt.Commentf("only the first task is deadly"))
+		start(t, e, "job.0.0.0", need)
+		time.Sleep(30 * time.Millisecond)
+		qt.Assert(t, e.Down(), qt.IsTrue)
+	}
+	qt.Assert(t, auditor.Crashes("job"), qt.Equals, 6)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
+}
