A gang that is lost with its worker as it starts counts as failed there

A gang that a worker loses was queued again without limit, so that a job which crashes its workers took one after the other (TestJobThatCrashesItsWorkersIsParked: not parked within a minute, before). Now a part that its worker loses within a second of the gang's start, as far as it was seen, is a failure on that worker: the job is parked after three healthy ones, as one that fails on them. A gang that an earlier lead started is not counted, as it is not known how long it has run.

--- a/deckd/daemon/tasks_test.go
+++ b/deckd/daemon/tasks_test.go
@@ -184,6 +184,22 @@
 	})
 }
 
+// A job crashes each worker that starts it. It is parked, and a job that runs beside it is
+// done.
+func TestJobThatCrashesItsWorkersIsParked(t *testing.T) {
+	withSite(t, plan{domains: 1, entries: 2, workers: 6}, func(s *site) {
+		s.setSpace("e11", "orders")
+		for _, w := range s.workers {
+			w.Crashes = func(job string) bool { return job == "deadly" }
+		}
+		s.mustSubmit("e11", "orders", "sound", 2, 20*time.Second)
+		s.mustSubmit("e11", "orders", "deadly", 4, 20*time.Second)
+		s.untilPhase("e11", "deadly", wire.Phase_PARKED, time.Minute)
+		qt.Check(s.t, s.job("e11", "deadly").Attempt <= 5, qt.IsTrue, qt.Commentf("%d attempts", s.job("e11", "deadly").Attempt))
+		s.untilPhase("e11", "sound", wire.Phase_DONE, 2*time.Minute)
+	})
+}
+
 func TestGangThatCannotStartWholeIsUndone(t *testing.T) {
 	withSite(t, plan{domains: 1, entries: 2, workers: 4}, func(s *site) {
 		s.setSpace("e11", "orders")
--- a/fleet/gang/advance.go
+++ b/fleet/gang/advance.go
@@ -100,6 +100,7 @@
 	}
 	if next == running {
 		r.enter(running, b.Now)
+		r.startedAt = b.Now
 		b.Emit(event.JobRunning, string(r.id), fmt.Sprintf("attempt %d, %d tasks on %d workers", r.attempt, r.spec.Tasks, len(r.parts)))
 		return
 	}
@@ -116,6 +117,8 @@
 	switch {
 	case len(t.broken) > 0:
 		r.beginStop(b, false, verdict{phase: wire.Phase_FAILED, why: t.why, faulty: t.broken})
+	case len(t.crashed) > 0:
+		r.beginStop(b, false, verdict{phase: wire.Phase_FAILED, why: fmt.Sprintf("lost as it started on %v", t.crashed), faulty: t.crashed})
 	case len(t.missing) > 0:
 		r.beginStop(b, true, verdict{phase: wire.Phase_QUEUED, why: fmt.Sprintf("part no longer running on %v", t.missing)})
 	case t.ended == len(r.parts):
--- a/fleet/gang/gang.go
+++ b/fleet/gang/gang.go
@@ -24,6 +24,7 @@
 	CheckpointTimeout  = 4 * time.Second // of an order to save a checkpoint and stop
 	RetryDelay         = time.Second     // before a failed stop is repeated or a gang that was rolled back is started again
 	MaxPlanInterval    = time.Second     // the planner also runs when nothing has changed
+	startupTime        = time.Second     // a part that its worker loses sooner after the start may have crashed the worker
 	OrphanStopInterval = 3 * time.Second // between two stop orders for the same orphan
 )
 
--- a/fleet/gang/run.go
+++ b/fleet/gang/run.go
@@ -45,7 +45,9 @@
 	unrecorded bool // started before its placement record was in the log
 	checkpoint bool // save a checkpoint before stopping
 	pending    map[fleet.HostID]bool
-	released   map[fleet.HostID]bool // workers that no longer hold a part
+	startedAt  time.Time                  // when all parts had started; zero for an attempt of an earlier lead
+	seenAt     map[fleet.HostID]time.Time // when the workers were last asked that reported their parts as running
+	released   map[fleet.HostID]bool      // workers that no longer hold a part
 	retryAt    map[fleet.HostID]time.Time
 	saved      map[fleet.HostID]time.Duration
 	failure    string // first order that failed, and why
@@ -57,6 +59,20 @@
 	r.pending = map[fleet.HostID]bool{}
 }
 
+// noteSeen notes that a worker that was asked at the given time reports its part as running.
+func (r *run) noteSeen(id fleet.HostID, at time.Time) {
+	if r.seenAt == nil {
+		r.seenAt = map[fleet.HostID]time.Time{}
+	}
+	r.seenAt[id] = at
+}
+
+// mayHaveCrashed reports whether a part that its worker has lost was last seen so soon after
+// its start that it may have crashed the worker.
+func (r *run) mayHaveCrashed(id fleet.HostID) bool {
+	return !r.startedAt.IsZero() && r.seenAt[id].Sub(r.startedAt) <= startupTime
+}
+
 func (r *run) placeID(t fleet.Term) fleet.EntryID {
 	return fleet.EntryID(fmt.Sprintf("place/%s/%d/%d", r.id, r.attempt, t))
 }
--- a/fleet/gang/tally.go
+++ b/fleet/gang/tally.go
@@ -11,6 +11,7 @@
 	ended   int
 	live    int
 	missing []fleet.HostID // workers that certainly do not run their part
+	crashed []fleet.HostID // those of them that lost it soon after it started
 	silent  int            // parts without a conclusive report since the phase began
 	broken  []fleet.HostID
 	why     string
@@ -21,7 +22,7 @@
 	for _, p := range r.parts {
 		w := b.Workers[p.Worker]
 		if w == nil || w.Lost {
-			t.missing = append(t.missing, p.Worker)
+			t.lose(r, p.Worker)
 			continue
 		}
 		rep := w.Report(r.id, r.attempt)
@@ -29,18 +30,33 @@
 			t.silent++
 			continue
 		}
+		if rep == nil {
+			t.lose(r, p.Worker)
+			continue
+		}
 		t.count(p.Worker, rep)
+		if rep.Run == wire.Run_RUNNING {
+			r.noteSeen(p.Worker, w.AskedAt)
+		}
 	}
 	return t
 }
 
+// lose counts a part that its worker does not know any more.
+func (t *tally) lose(r *run, id fleet.HostID) {
+	t.missing = append(t.missing, id)
+	if r.mayHaveCrashed(id) {
+		t.crashed = append(t.crashed, id)
+	}
+}
+
 // mayPredateStart reports whether a report may describe the time before the worker
 // started its part.
 func mayPredateStart(rep *wire.Report) bool { return rep == nil || rep.Run == wire.Run_HELD }
 
 func (t *tally) count(id fleet.HostID, rep *wire.Report) {
 	switch {
-	case rep == nil || rep.Run == wire.Run_STOPPED || rep.Run == wire.Run_HELD:
+	case rep.Run == wire.Run_STOPPED || rep.Run == wire.Run_HELD:
 		t.missing = append(t.missing, id)
 	case rep.Run == wire.Run_ENDED:
 		t.ended++
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -28,6 +28,7 @@
 	CheckpointTime     = 200 * time.Millisecond
 	SlowCheckpointTime = 10 * time.Second
 	FailDelay          = 300 * time.Millisecond
+	CrashDelay         = 10 * time.Millisecond
 	UsageLag           = 5 * time.Second
 )
 
@@ -66,6 +67,9 @@
 
 	// RunTime returns the actual run time of a job, given the declared one.
 	RunTime func(job string, declared time.Duration) time.Duration
+	// Crashes reports whether a job crashes the worker CrashDelay after its start; nil for
+	// none.
+	Crashes func(job string) bool
 
 	mu       sync.Mutex
 	term     int64
@@ -258,6 +262,9 @@
 	if w.Active(FailAll) {
 		duration, state, why = FailDelay, wire.Run_BROKEN, "the task exited with an error"
 	}
+	if w.Crashes != nil && w.Crashes(k.job) {
+		time.AfterFunc(CrashDelay, w.Restart)
+	}
 	g.timer = time.AfterFunc(duration, func() { w.finishGang(k, g, state, why) })
 	w.bumpVersion()
 }
