--- a/fleet/flow/blame.go
+++ b/fleet/flow/blame.go
@@ -28,17 +28,19 @@
 func (k *Task) Suspected() bool { return k.Blame >= suspectBlame }
 
 // Accuse records that a worker crashed under a run of a task. The job fails if the
-// task's blame reaches its limit.
-func (j *Job) Accuse(t fleet.Task, b Blame, now time.Time) {
+// task's blame reaches its limit; Accuse reports whether it does.
+func (j *Job) Accuse(t fleet.Task, b Blame, now time.Time) bool {
 	s := j.Step(t)
 	if s == nil || s.Tasks[t.Index].Done || j.HasEnded() {
-		return
+		return false
 	}
 	k := &s.Tasks[t.Index]
 	k.Blame += b
-	if k.Blame >= maxBlame {
-		j.Failed, j.Ended = true, now
+	if k.Blame < maxBlame {
+		return false
 	}
+	j.Failed, j.Ended = true, now
+	return true
 }
 
 // Acquit records that a task has run without crashing its worker.
--- a/fleet/sched/crash.go
+++ b/fleet/sched/crash.go
@@ -83,8 +83,7 @@
 	if r.Blame == flow.Likely {
 		j.failed[w.Endpoint.Host] = sc.now.Add(failedWorkerPause)
 	}
-	j.Accuse(r.Task, r.Blame, sc.now)
-	if j.Failed {
+	if j.Accuse(r.Task, r.Blame, sc.now) {
 		sc.logf(event.JobParked, string(j.ID), "queue=%s blame=%d: workers crashed under %s", j.Spec.Queue, s.Tasks[r.Task.Index].Blame, describeRun(r.Task, r.No, w.Endpoint.Host))
 	}
 }
