Crashes are blamed on starts by when the worker ended, and less if workers crash together or again

Now a poll that is broken off tells when the worker ended; what is lost with three other workers, or on a worker that crashed within 30 s without this job, is blamed less; crashes later than the start count apart, five of any kind; and suspected tasks stay away from workers that crashed lately (the earlier memory of crashes that nothing explained did not see workers on which a task is always starting). Each start that may have crashed a worker still adds at least 1, so the limit holds whatever else crashes workers (TestTaskThatCrashesItsWorkersIsGivenUpBesideOtherCrashes; it fails if a start that others explain is not blamed).

TestTaskIsNotGivenUpOnWorkersThatGoDownAndUp fails without the memory of workers (200, 600, 850 ms).

--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -65,7 +65,7 @@
 	case sched.Poll:
 		at := time.Now()
 		s, err := timed("look", func() (fleet.WorkerReport, error) { return d.site.deps.Exec.Poll(d.ctx, a.Endpoint, a.Order) })
-		d.site.loop.Post(sched.Polled{Host: a.Endpoint.Host, Term: a.Order.Term, Acked: a.Order.Acked, At: at, Report: s, Err: err})
+		d.site.loop.Post(sched.Polled{Host: a.Endpoint.Host, Term: a.Order.Term, Acked: a.Order.Acked, At: at, Wait: a.Order.Wait, Report: s, Err: err})
 	}
 }
 
--- a/fleet/assign/assign.go
+++ b/fleet/assign/assign.go
@@ -27,14 +27,15 @@
 
 // Isolation is how far a unit is kept apart from other jobs. Load pattern: a task that
 // crashes each worker that starts it takes with it what runs there, and makes suspects of
-// all tasks that start there at the same time.
+// all tasks that start there at the same time. Workers that crashed lately are left out, as
+// another crash there would prove nothing.
 type Isolation int
 
 // The degrees of isolation.
 const (
 	Shared Isolation = iota // other jobs may use its workers
 	Quiet                   // no other job starts a task on its workers while its tasks start
-	Alone                   // its workers have no runs of other jobs and have not crashed lately
+	Alone                   // its workers have no runs of other jobs
 )
 
 // Site is the state that placement reads, at one time.
@@ -142,10 +143,7 @@
 	return rank(s.pace(w))
 }
 
-func (w usableWorker) rankFor(u Unit, now time.Time) rank {
-	if u.Isolation != Shared && w.CrashedLately(now) {
-		return lastRank
-	}
+func (w usableWorker) rankFor(u Unit) rank {
 	if len(u.Avoid) > 0 {
 		if _, failed := u.Avoid[w.Endpoint.Host]; failed {
 			return lastRank
@@ -167,7 +165,7 @@
 			continue
 		}
 		if n := s.taskCount(u, w.Worker, room); n > 0 {
-			out = append(out, candidate{w.Worker, n, w.rankFor(u, s.Now)})
+			out = append(out, candidate{w.Worker, n, w.rankFor(u)})
 		}
 	}
 	return out
@@ -178,7 +176,7 @@
 	switch {
 	case w.IsIsolated(u.Job.ID), u.Isolation != Shared && w.HasOthers(u.Job.ID, u.Isolation == Quiet):
 		return false
-	case u.Isolation == Alone && w.CrashedLately(s.Now):
+	case u.Isolation != Shared && w.CrashedLately(s.Now):
 		return false
 	case u.LastAttempt && !w.proven, !w.HasLabel(u.Step.Spec.Label), !w.AvailableTo(u.Job.ID, s.Now):
 		return false
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -132,7 +132,7 @@
 	{RunStopped, "run-stopped", Info, "a worker was ordered to stop a task's run; the line says why", "nothing"},
 	{StartFailed, "start-failed", Warn, "a worker refused a start, or did not answer it", "check the worker named"},
 	{RunStarted, "run-started", Info, "a worker confirmed that a run started, in its answer to the order or when polled", "nothing"},
-	{RunLost, "run-lost", Warn, "a run was lost with its worker; the line says how long after its start the worker was last heard, how many other runs stood beside it and how many were just starting, and how much its task is to blame", "if the same task often has `blame=2`, it crashes its workers and is given up (308)"},
+	{RunLost, "run-lost", Warn, "a run was lost with its worker; the line says how long after its start the worker was last heard, how many other runs stood beside it and how many were just starting, and how much its task is to blame", "if the same task often has `blame=likely`, it crashes its workers and is given up (308)"},
 	{SpaceSet, "space-set", Info, "a workspace was created or changed", "nothing"},
 	{SpaceDropped, "space-dropped", Info, "a workspace was removed", "nothing"},
 	{DomainOut, "domain-out", Warn, "a failure domain was taken out of service", "nothing"},
--- a/fleet/flow/blame.go
+++ b/fleet/flow/blame.go
@@ -6,37 +6,61 @@
 	"dragonflydeck.example/fleet"
 )
 
-// Blame is how strongly a task is suspected of crashing the workers that run it. Each
-// crash adds to it.
+// Blame is how strongly a task is suspected of crashing the workers that run it.
 type Blame int
 
-// The blame that one crash of a worker adds to a task that the worker ran.
+// The blame for one crash of a worker under a run of a task.
 const (
-	Unrelated Blame = iota // another task explains the crash
-	Possible               // nothing explains the crash
+	Unrelated Blame = iota // something else explains the crash
+	Late                   // nothing explains it, but the run had outlived its start
+	Possible               // the run may have been starting, but the worker may have crashed by itself
 	Likely                 // the worker crashed as the task started
 )
 
-// Limits of blame. A task is given up after three crashes that it is likely to have
-// caused, or after five that nothing explains: the platform tolerates five.
+var blameNames = [...]string{"unrelated", "late", "possible", "likely"}
+
+// String returns the name of b.
+func (b Blame) String() string {
+	if b < 0 || int(b) >= len(blameNames) {
+		return "unknown"
+	}
+	return blameNames[b]
+}
+
+// weight returns what a crash adds to the blame of a task.
+func (b Blame) weight() int {
+	switch b {
+	case Possible:
+		return 1
+	case Likely:
+		return 2
+	}
+	return 0
+}
+
+// Limits of blame. A task is given up after three crashes as it started, or after five of
+// any kind, which is as many as the platform tolerates.
 const (
-	suspectBlame = Likely
-	maxBlame     = 2*Likely + Possible
+	suspectBlame   = 2
+	suspectCrashes = 3
+	maxBlame       = 5
+	maxCrashes     = 5
 )
 
 // Suspected reports whether a task may crash the next worker too.
-func (k *Task) Suspected() bool { return k.Blame >= suspectBlame }
+func (k *Task) Suspected() bool { return k.Blame >= suspectBlame || k.Crashes >= suspectCrashes }
 
-// Accuse records that a worker crashed under a run of a task. The job fails if the
-// task's blame reaches its limit; Accuse reports whether it does.
+// Accuse records that a worker crashed under a run of a task. The job fails if that is too
+// much for the task; Accuse reports whether it does.
 func (j *Job) Accuse(t fleet.Task, b Blame, now time.Time) bool {
 	s := j.Step(t)
-	if s == nil || s.Tasks[t.Index].Done || j.HasEnded() {
+	if s == nil || b == Unrelated || s.Tasks[t.Index].Done || j.HasEnded() {
 		return false
 	}
 	k := &s.Tasks[t.Index]
-	k.Blame += b
-	if k.Blame < maxBlame {
+	k.Blame += b.weight()
+	k.Crashes++
+	if k.Blame < maxBlame && k.Crashes < maxCrashes {
 		return false
 	}
 	j.Failed, j.Ended = true, now
@@ -46,6 +70,6 @@
 // Acquit records that a task has run without crashing its worker.
 func (j *Job) Acquit(t fleet.Task) {
 	if s := j.Step(t); s != nil {
-		s.Tasks[t.Index].Blame = Unrelated
+		s.Tasks[t.Index].Blame, s.Tasks[t.Index].Crashes = 0, 0
 	}
 }
--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -46,13 +46,14 @@
 
 // Task is the progress of one task.
 type Task struct {
-	Done   bool
-	Fails  int
-	Saved  string
-	Run    fleet.Run         // number of the newest run
-	Worker fleet.HostID      // worker that the run was sent to; empty once it is on no worker
-	Inc    fleet.Incarnation // of that worker's process when the run was sent; 0 if unknown
-	Blame  Blame             // for the crashes of workers that ran it
+	Done    bool
+	Fails   int
+	Saved   string
+	Run     fleet.Run         // number of the newest run
+	Worker  fleet.HostID      // worker that the run was sent to; empty once it is on no worker
+	Inc     fleet.Incarnation // of that worker's process when the run was sent; 0 if unknown
+	Blame   int               // for the crashes of workers as they started it
+	Crashes int               // of workers that it may have caused, then or later
 }
 
 // New returns a job of which nothing has started.
--- a/fleet/flow/flow_test.go
+++ b/fleet/flow/flow_test.go
@@ -133,10 +133,10 @@
 	qt.Assert(t, k.Stage(), qt.Equals, wire.Stage_WITHDRAWN)
 }
 
-// Three crashes that a task is likely to have caused fail its job, or five that nothing
-// explains. A task that was acquitted begins anew.
+// Three crashes of workers as they started a task fail its job, or five of any kind. A task
+// that was acquitted begins anew.
 func TestJobFailsWithTooMuchBlameOfOneTask(t *testing.T) {
-	for blame, crashes := range map[flow.Blame]int{flow.Likely: 3, flow.Possible: 5} {
+	for blame, crashes := range map[flow.Blame]int{flow.Likely: 3, flow.Possible: 5, flow.Late: 5} {
 		j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(2)}})
 		for range crashes - 1 {
 			j.Accuse(task(0, 0, 0), blame, now)
--- a/fleet/flow/track.go
+++ b/fleet/flow/track.go
@@ -28,7 +28,7 @@
 		p := &wire.Piece{
 			Round: int32(s.Round), Step: int32(s.Index), Index: int32(i),
 			Done: k.Done, Fails: int32(k.Fails), Saved: k.Saved, Run: int64(k.Run), Worker: string(k.Worker),
-			Inc: int64(k.Inc), Blame: int32(k.Blame),
+			Inc: int64(k.Inc), Blame: int32(k.Blame), Crashes: int32(k.Crashes),
 		}
 		if s.Spec.Gang && i == 0 {
 			p.Fails, p.Saved = int32(s.Fails), s.Saved
@@ -63,7 +63,7 @@
 
 func (s *Step) resume(p *wire.Piece) {
 	k := &s.Tasks[p.Index]
-	k.Run, k.Worker, k.Inc, k.Blame = fleet.Run(p.Run), fleet.HostID(p.Worker), fleet.Incarnation(p.Inc), Blame(p.Blame)
+	k.Run, k.Worker, k.Inc, k.Blame, k.Crashes = fleet.Run(p.Run), fleet.HostID(p.Worker), fleet.Incarnation(p.Inc), int(p.Blame), int(p.Crashes)
 	s.Run = max(s.Run, k.Run)
 	if s.Spec.Gang && p.Index == 0 {
 		s.Fails, s.Saved = int(p.Fails), p.Saved
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -80,11 +80,14 @@
 	Fails            int       // consecutive failures of jobs that failed on no other worker
 	QuarantinedUntil time.Time // end of its quarantine
 	quarantines      int
-	outcomes         outcomes  // of its recent tasks
-	crashedAt        time.Time // when it was last found to have crashed
-	unexplainedAt    time.Time // when it last crashed without a task that was starting there
-	isolated         int       // number of isolated runs
-	order            []*Run    // Runs in a fixed order, nil if they have changed since
+	outcomes         outcomes             // of its recent tasks
+	failing          bool                 // calls have failed since it last answered
+	failedAt         time.Time            // when its calls last began to fail
+	brokenAt         time.Time            // when a call to it was first broken off since it last answered
+	crashedAt        time.Time            // when it was last found to have crashed
+	crashedJobs      map[fleet.JobID]bool // that ran there then
+	isolated         int                  // number of isolated runs
+	order            []*Run               // Runs in a fixed order, nil if they have changed since
 	speed            speedEstimate
 	reservedFor      fleet.JobID // job that its free resources are reserved for
 	reservedUntil    time.Time   // end of that reservation
--- a/fleet/pool/reach.go
+++ b/fleet/pool/reach.go
@@ -29,14 +29,26 @@
 
 // NoteFailedCall notes that a call to the worker failed: its answer counts as overdue.
 func (w *Worker) NoteFailedCall(now time.Time) {
+	if !w.failing {
+		w.failing, w.failedAt = true, now
+	}
 	if w.answerDue.IsZero() || now.Before(w.answerDue) {
 		w.answerDue = now
 	}
 }
 
+// NoteBrokenCall notes that a call to the worker was broken off, not just left without an
+// answer: its process has ended, or the connection to it.
+func (w *Worker) NoteBrokenCall(now time.Time) {
+	if w.brokenAt.IsZero() {
+		w.brokenAt = now
+	}
+}
+
 // noteAnswer notes an answer of the worker. While a poll is in flight, its answer
 // stays expected.
 func (w *Worker) noteAnswer() {
+	w.failing, w.brokenAt = false, time.Time{}
 	w.answerDue = time.Time{}
 	if w.PollsInFlight > 0 {
 		w.answerDue = w.pollDue
--- a/fleet/sched/crash_test.go
+++ b/fleet/sched/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,6 +27,7 @@
 type crasher struct {
 	after   map[fleet.Task]time.Duration
 	down    time.Duration // how long a worker is down after a crash
+	silent  bool          // calls to a worker that is down get no answer, instead of being refused
 	crashes map[fleet.Task]int
 	late    map[fleet.Task]int // starts after toleratedCrashes
 	beside  map[fleet.Task]int // newest crash: runs of other jobs that were lost with the worker
@@ -73,11 +76,26 @@
 
 func (w *worker) isDown() bool { return !w.upAt.IsZero() }
 
+// refuse is the outcome of a call to a worker that is down.
+func (w *worker) refuse() (fleet.Ticks, time.Duration, error) {
+	if w.crasher.silent {
+		return w.timedOut("call")
+	}
+	return 0, callTime, errDown
+}
+
 // advanceCrash crashes the worker, and brings it back, when that is due.
 func (w *worker) advanceCrash(now time.Time) {
 	if !w.crashAt.IsZero() && !now.Before(w.crashAt) {
 		w.goDown(now, w.crasher.down)
 	}
+	w.hung = slices.DeleteFunc(w.hung, func(p longPoll) bool {
+		due := !now.Before(p.until)
+		if due {
+			p.fail()
+		}
+		return due
+	})
 	if w.isDown() && !now.Before(w.upAt) {
 		w.crash(now)
 		w.upAt, w.losesAnswers = time.Time{}, false
@@ -89,7 +107,13 @@
 	if w.crasher != nil {
 		w.crasher.noteCrash(w)
 	}
-	inc := w.inc
+	inc, polls := w.inc, w.longPolls
+	if w.crasher.silent {
+		w.longPolls = nil // these time out
+		for _, p := range polls {
+			w.hung = append(w.hung, longPoll{until: p.until.Add(callTimeout), fail: p.fail})
+		}
+	}
 	w.crash(now)
 	w.inc, w.crashAt, w.upAt = inc, time.Time{}, now.Add(span)
 }
@@ -127,26 +151,32 @@
 
 // A task crashes each worker that starts it.
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	const soon = 10 * time.Millisecond
+	alone := taskStep(1, 8, 8*time.Second)
 	deadly := map[string]struct {
-		step  *wire.Step
-		index int
-		after time.Duration // from the start to the crash
-		down  time.Duration // until the worker is back
-		mute  bool          // orders are not answered before the first crash of a worker
+		step   *wire.Step
+		index  int
+		after  time.Duration // from the start to the crash
+		down   time.Duration // until the worker is back
+		silent bool          // it falls silent meanwhile
+		mute   bool          // orders are not answered before the first crash of a worker
 	}{
-		"alone":                       {taskStep(1, 8, 8*time.Second), 0, 10 * time.Millisecond, 3 * time.Second, false},
-		"beside its siblings":         {taskStep(4, 1, 8*time.Second), 2, 10 * time.Millisecond, 3 * time.Second, false},
-		"in a gang":                   {gangStep(3, 8, 8*time.Second), 1, 10 * time.Millisecond, 3 * time.Second, false},
-		"before its start's answer":   {taskStep(1, 8, 8*time.Second), 0, time.Nanosecond, 3 * time.Second, true},
-		"back within a poll":          {taskStep(1, 8, 8*time.Second), 0, 10 * time.Millisecond, 100 * time.Millisecond, false},
-		"back after its lease":        {taskStep(1, 8, 8*time.Second), 0, 10 * time.Millisecond, 15 * time.Second, false},
-		"some time after its start":   {taskStep(1, 8, 8*time.Second), 0, 800 * time.Millisecond, 3 * time.Second, false},
-		"a long time after its start": {taskStep(1, 8, 8*time.Second), 0, 5 * time.Second, 3 * time.Second, false},
+		"alone":                       {step: alone, after: soon, down: 3 * time.Second},
+		"beside its siblings":         {step: taskStep(4, 1, 8*time.Second), index: 2, after: soon, down: 3 * time.Second},
+		"in a gang":                   {step: gangStep(3, 8, 8*time.Second), index: 1, after: soon, down: 3 * time.Second},
+		"before its start's answer":   {step: alone, after: time.Nanosecond, down: 3 * time.Second, mute: true},
+		"back within a poll":          {step: alone, after: soon, down: 100 * time.Millisecond},
+		"back after its lease":        {step: alone, after: soon, down: 15 * time.Second},
+		"silent":                      {step: alone, after: soon, down: 3 * time.Second, silent: true},
+		"silent for longer":           {step: alone, after: soon, down: 15 * time.Second, silent: true},
+		"some time after its start":   {step: alone, after: 800 * time.Millisecond, down: 3 * time.Second},
+		"a long time after its start": {step: alone, after: 5 * time.Second, down: 3 * time.Second},
 	}
 	for name, d := range deadly {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, 2, 6)
 			c := w.addCrasher(d.down)
+			c.silent = d.silent
 			c.after[task("deadly", d.index)] = d.after
 			for _, one := range w.workers {
 				one.losesAnswers = d.mute
@@ -161,6 +191,33 @@
 	}
 }
 
+// A task crashes each worker that starts it, while other workers crash for their own
+// reasons all the time.
+func TestTaskThatCrashesItsWorkersIsGivenUpBesideOtherCrashes(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 0))
+			w := newWorld(t, 2, 8)
+			c := w.addCrasher(time.Second)
+			c.silent = seed%2 == 1
+			c.after[task("deadly", 0)] = 10 * time.Millisecond
+			runTimes["deadly"] = 8 * time.Second
+			w.becomeLead()
+			w.run(500 * time.Millisecond)
+			f := newFlow("deadly", "long", taskStep(1, 1, 8*time.Second))
+			w.submitAccepted(f)
+			for end := w.now.Add(time.Minute); w.now.Before(end) && w.stage(f) != wire.Stage_BROKE; w.run(300 * time.Millisecond) {
+				for _, one := range w.sorted() {
+					if !one.isDown() && rng.IntN(6) == 0 {
+						one.goDown(w.now, c.down)
+					}
+				}
+			}
+			w.checkGivenUp(f, c)
+		})
+	}
+}
+
 // A task crashes each worker that starts it, and each time the lead is replaced before or
 // after the worker is back.
 func TestTaskThatCrashesItsWorkersIsGivenUpByLeadsInTurn(t *testing.T) {
@@ -245,12 +302,13 @@
 	w.awaitCompleted(sound, time.Minute)
 }
 
-// Workers crash for their own reasons: half of them at a time, four times in turn, under
-// short tasks, long ones and gangs.
+// Workers crash for their own reasons for a minute, under short tasks, long ones and gangs:
+// a third of them at a time, and single ones in between.
 func TestTaskIsNotGivenUpBecauseWorkersCrashForTheirOwnReasons(t *testing.T) {
-	for _, gap := range []time.Duration{500 * time.Millisecond, 4 * time.Second, 7 * time.Second} {
-		t.Run(gap.String(), func(t *testing.T) {
-			w := newWorld(t, 2, 8)
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 0))
+			w := newWorld(t, 3, 8)
 			w.addCrasher(3 * time.Second)
 			w.becomeLead()
 			w.run(500 * time.Millisecond)
@@ -259,15 +317,19 @@
 				id := fmt.Sprint("own", len(all))
 				runTimes[fleet.JobID(id)] = span
 				all = append(all, newFlow(id, "bulk", step))
-				w.submit(all[len(all)-1])
+				w.submitAccepted(all[len(all)-1])
 			}
-			for wave := range 4 {
-				add(taskStep(4, 8, 9*time.Second), 9*time.Second)
-				add(taskStep(12, 1, 2*time.Second), 2*time.Second)
-				add(gangStep(3, 4, 5*time.Second), 5*time.Second)
-				w.run(gap)
-				for i, one := range w.sorted() {
-					if i%2 == wave%2 && !one.isDown() {
+			steps := []func(){
+				func() { add(taskStep(4, 8, 6*time.Second), 6*time.Second) },
+				func() { add(taskStep(12, 1, 2*time.Second), 2*time.Second) },
+				func() { add(gangStep(3, 4, 4*time.Second), 4*time.Second) },
+			}
+			for end := w.now.Add(time.Minute); w.now.Before(end); {
+				steps[rng.IntN(len(steps))]()
+				w.run(time.Duration(rng.IntN(3000)) * time.Millisecond)
+				many := rng.IntN(4) == 0
+				for _, one := range w.sorted() {
+					if !one.isDown() && (many && rng.IntN(3) == 0 || rng.IntN(len(w.workers)) == 0) {
 						one.goDown(w.now, one.crasher.down)
 					}
 				}
@@ -282,7 +344,7 @@
 // A third of the workers go down and up by turns for a while. The others have no room but
 // beside long tasks, so that those that come back are the emptiest.
 func TestTaskIsNotGivenUpOnWorkersThatGoDownAndUp(t *testing.T) {
-	for _, gap := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+	for _, gap := range []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond, 600 * time.Millisecond, 700 * time.Millisecond, 850 * time.Millisecond, time.Second, 1200 * time.Millisecond, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
 		t.Run(gap.String(), func(t *testing.T) {
 			w := newWorld(t, 2, 6)
 			w.addCrasher(gap)
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -108,7 +108,8 @@
 		Endpoint fleet.Endpoint
 		Term     fleet.Term
 		Acked    fleet.EndNo
-		At       time.Time // when the request was sent
+		At       time.Time     // when the request was sent
+		Wait     time.Duration // how long the answer was allowed to wait for the end of a run
 		Report   fleet.WorkerReport
 		Err      error
 	}
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -15,14 +15,14 @@
 // Timing of placement. A unit runs off its rack if it runs away from its data or
 // spread over several racks, where it is slower.
 const (
-	provenWait            = 3 * time.Second        // how long a task on its last attempt waits for a worker with a proven record
-	planInterval          = 250 * time.Millisecond // between two plans while nothing has changed
-	aloneWait             = time.Second            // how long a suspected task waits for a worker of its own
-	quietWait             = 5 * time.Second        // how long it waits for a worker on which nothing else starts
-	minPlanInterval       = 40 * time.Millisecond  // between two plans, so that a burst of events costs one plan
-	idleOffRackAfter      = time.Second            // wait after which work may run off its rack on a site with much free capacity
-	guaranteeOffRackAfter = 2 * time.Second        // wait after which work within its guarantee may run off its rack
-	offRackAfterRunTimes  = 6                      // other work may run off its rack after a wait of this many times its run time
+	provenWait            = 3 * time.Second         // how long a task on its last attempt waits for a worker with a proven record
+	planInterval          = 250 * time.Millisecond  // between two plans while nothing has changed
+	aloneWait             = time.Second             // how long a suspected task waits for a worker of its own
+	quietWait             = 2500 * time.Millisecond // how long it waits for a worker on which nothing else starts
+	minPlanInterval       = 40 * time.Millisecond   // between two plans, so that a burst of events costs one plan
+	idleOffRackAfter      = time.Second             // wait after which work may run off its rack on a site with much free capacity
+	guaranteeOffRackAfter = 2 * time.Second         // wait after which work within its guarantee may run off its rack
+	offRackAfterRunTimes  = 6                       // other work may run off its rack after a wait of this many times its run time
 )
 
 // idleLoad is the load below which running off the rack takes no capacity from other
--- a/fleet/sched/worker_test.go
+++ b/fleet/sched/worker_test.go
@@ -45,9 +45,10 @@
 	delayedUntil     time.Time
 	longPolls        []longPoll
 
-	crasher *crasher  // knows the tasks that crash their workers; nil if there are none
-	crashAt time.Time // when it crashes; zero if it does not
-	upAt    time.Time // when it is back after a crash; zero while it is up
+	crasher *crasher   // knows the tasks that crash their workers; nil if there are none
+	crashAt time.Time  // when it crashes; zero if it does not
+	upAt    time.Time  // when it is back after a crash; zero while it is up
+	hung    []longPoll // polls that time out, as it fell silent
 
 	gangFinished func(fleet.JobID) bool // reports whether all members of a gang have finished their part; nil if they do not wait for each other
 	rush         *rush                  // knows the gangs and run times of a simulated day; nil otherwise
@@ -202,7 +203,7 @@
 		return w.timedOut("start")
 	}
 	if w.isDown() {
-		return 0, callTime, errDown
+		return w.refuse()
 	}
 	if w.startDelay > 0 && (w.maxDelayed == 0 || len(w.pending) < w.maxDelayed) {
 		w.delayedUntil = now.Add(w.startDelay)
@@ -265,7 +266,7 @@
 		return w.timedOut("stop")
 	}
 	if w.isDown() {
-		return 0, callTime, errDown
+		return w.refuse()
 	}
 	if o.Term < w.term {
 		return w.clock(now), callTime, &fleet.Error{Op: "stop", Kind: fleet.Fenced}
@@ -287,7 +288,8 @@
 		return fleet.WorkerReport{}, o.Wait + span, err
 	}
 	if w.isDown() {
-		return fleet.WorkerReport{}, callTime, errDown
+		_, span, err := w.refuse()
+		return fleet.WorkerReport{}, span, err
 	}
 	if o.Term < w.term {
 		return fleet.WorkerReport{}, callTime, &fleet.Error{Op: "look", Kind: fleet.Fenced}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -316,7 +316,7 @@
 
 func (w *world) poll(a sched.Poll) {
 	one := w.worker(a.Endpoint)
-	done := sched.Polled{Host: a.Endpoint.Host, Term: a.Order.Term, Acked: a.Order.Acked, At: w.now}
+	done := sched.Polled{Host: a.Endpoint.Host, Term: a.Order.Term, Acked: a.Order.Acked, At: w.now, Wait: a.Order.Wait}
 	report, span, err := one.poll(w.now, a.Order)
 	if err == nil && a.Order.Wait > 0 {
 		one.longPolls = append(one.longPolls, longPoll{
