--- a/fleet/pool/isolate.go
+++ b/fleet/pool/crash.go
@@ -31,7 +31,8 @@
 	return !w.crashedAt.IsZero() && now.Sub(w.crashedAt) < crashMemory
 }
 
-// IsStarting reports whether a run of this lead has not outlived its start yet.
+// IsStarting reports whether a run of this lead has not outlived its start, as far as its
+// worker was heard.
 func (w *Worker) IsStarting(r *Run) bool {
 	return r.Phase == Sent || !r.SentAt.IsZero() && w.LastHeard.Sub(r.SentAt) <= startupTime
 }
--- a/fleet/sched/crash.go
+++ b/fleet/sched/crash.go
@@ -79,7 +79,7 @@
 // accuse adds the blame for the loss of a run to its task, which is given up once workers
 // have crashed under it too often.
 func (sc *Scheduler) accuse(j *job, w *pool.Worker, r *pool.Run) {
-	if r.Inherited && r.Inc != 0 && w.Inc > r.Inc {
+	if r.Inherited && r.Inc != 0 && w.Inc > r.Inc { // it crashed under a former lead
 		r.Blame = max(r.Blame, flow.Possible)
 	}
 	s := j.Step(r.Task)
--- a/fleet/sched/crash_test.go
+++ b/fleet/sched/crash_test.go
@@ -344,7 +344,8 @@
 // A third of the workers go down and up by turns for a while. The others have no room but
 // beside long tasks, so that those that come back are the emptiest.
 func TestTaskIsNotGivenUpOnWorkersThatGoDownAndUp(t *testing.T) {
-	for _, gap := range []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond, 600 * time.Millisecond, 700 * time.Millisecond, 850 * time.Millisecond, time.Second, 1200 * time.Millisecond, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second, 4 * time.Second} {
+	for _, ms := range []time.Duration{200, 300, 400, 500, 600, 700, 850, 1000, 1200, 1500, 2000, 3000, 4000} {
+		gap := ms * time.Millisecond
 		t.Run(gap.String(), func(t *testing.T) {
 			w := newWorld(t, 2, 6)
 			w.addCrasher(gap)
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -15,14 +15,12 @@
 // Timing of placement. A unit runs off its rack if it runs away from its data or
 // spread over several racks, where it is slower.
 const (
-	provenWait            = 3 * time.Second         // how long a task on its last attempt waits for a worker with a proven record
-	planInterval          = 250 * time.Millisecond  // between two plans while nothing has changed
-	aloneWait             = time.Second             // how long a suspected task waits for a worker of its own
-	quietWait             = 2500 * time.Millisecond // how long it waits for a worker on which nothing else starts
-	minPlanInterval       = 40 * time.Millisecond   // between two plans, so that a burst of events costs one plan
-	idleOffRackAfter      = time.Second             // wait after which work may run off its rack on a site with much free capacity
-	guaranteeOffRackAfter = 2 * time.Second         // wait after which work within its guarantee may run off its rack
-	offRackAfterRunTimes  = 6                       // other work may run off its rack after a wait of this many times its run time
+	provenWait            = 3 * time.Second        // how long a task on its last attempt waits for a worker with a proven record
+	planInterval          = 250 * time.Millisecond // between two plans while nothing has changed
+	minPlanInterval       = 40 * time.Millisecond  // between two plans, so that a burst of events costs one plan
+	idleOffRackAfter      = time.Second            // wait after which work may run off its rack on a site with much free capacity
+	guaranteeOffRackAfter = 2 * time.Second        // wait after which work within its guarantee may run off its rack
+	offRackAfterRunTimes  = 6                      // other work may run off its rack after a wait of this many times its run time
 )
 
 // idleLoad is the load below which running off the rack takes no capacity from other
@@ -111,33 +109,6 @@
 	return out
 }
 
-// isolation returns how far a suspected unit is kept apart after a wait. On a full site it
-// must not wait forever.
-func isolation(waited time.Duration) assign.Isolation {
-	switch {
-	case waited < aloneWait:
-		return assign.Alone
-	case waited < quietWait:
-		return assign.Quiet
-	}
-	return assign.Shared
-}
-
-// suspectedTasks returns those of the waiting tasks that are suspected of crashing their
-// workers; for a gang with such a member, all of them.
-func suspectedTasks(s *flow.Step, waiting []int) []int {
-	var out []int
-	for _, i := range waiting {
-		if s.Tasks[i].Suspected() {
-			out = append(out, i)
-		}
-	}
-	if s.Spec.Gang && len(out) > 0 {
-		return waiting
-	}
-	return out
-}
-
 // lastAttempts returns those of the waiting tasks whose next failure would fail
 // their job.
 func (sc *Scheduler) lastAttempts(j *job, s *flow.Step, waiting []int) []int {
