Answers to orders from a worker's next process say nothing of the one that crashed

Cause: the worker's next process answered an order before its restart was known, and the answer was taken as the former process's: the task seemed to have outlived its start, and the crash was not blamed on it. Answers to orders name no process, but their clock starts anew; such an answer now counts for nothing until a poll has shown the process.

--- a/deckd/soak/soak_test.go
+++ b/deckd/soak/soak_test.go
@@ -55,6 +55,7 @@
 	{519, firstFaults},                   // a job that had failed elsewhere immediately used up its attempts on another such worker
 	{511, firstFaults},                   // a start answered by the worker's next process was dropped once that process became known
 	{28, thirdFaults},                    // never failed: tasks that crash their workers, and capacities that shrink
+	{16234692449347075357, thirdFaults},  // an answer of a worker's next process was taken for one of the former, which a task had crashed
 	{12926456547503137442, secondFaults}, // no fault in the daemon: a cancellation without an answer had taken effect
 }
 
--- a/fleet/pool/lease.go
+++ b/fleet/pool/lease.go
@@ -8,6 +8,7 @@
 
 const (
 	slowClock   = 0.98                   // lowest rate of a worker's clock, relative to this host's
+	maxClockLag = time.Second            // by which the clock of an answer may be behind that of one overtaken by it
 	expirySlack = 500 * time.Millisecond // time that a worker takes to end its runs after its lease has expired
 )
 
@@ -24,6 +25,11 @@
 	}
 }
 
+// isRestartedClock reports whether a clock is of a later process than the one that is known.
+func (w *Worker) isRestartedClock(clock fleet.Ticks) bool {
+	return !w.clockAt.IsZero() && clock < w.clock-fleet.Ticks(maxClockLag.Milliseconds())
+}
+
 // GrantLease grants a lease of the given length and returns its end on the worker's
 // clock, or 0 while that clock is not known. The end never moves back.
 func (w *Worker) GrantLease(length time.Duration, now time.Time) fleet.Ticks {
--- a/fleet/pool/pool_test.go
+++ b/fleet/pool/pool_test.go
@@ -143,3 +143,20 @@
 	p.SetMaxLease(lease, now)
 	qt.Assert(t, w.LeasesExpireAt().Sub(now) > 2*lease, qt.IsTrue, qt.Commentf("a lease that was granted does not become shorter"))
 }
+
+// A task crashes its worker, and the worker's next process answers an order before its
+// restart is known. That must not seem to show that the task has outlived its start.
+func TestAnswerOfTheNextProcessSaysNothingOfTheFormer(t *testing.T) {
+	p := pool.New(lease)
+	w, _ := p.Update(entry(1000), "r1", now)
+	r := &pool.Run{Phase: pool.Running, SentAt: now, Confirmed: true}
+	w.Add(r)
+	p.NoteOrderAnswer(w, 9000, now)
+	w.NoteFailedCall(now.Add(10 * time.Millisecond))
+	w.NoteBrokenCall(now.Add(10 * time.Millisecond))
+	p.NoteOrderAnswer(w, 50, now.Add(2*time.Second))
+	qt.Check(t, w.DiedStarting(r), qt.IsTrue)
+	qt.Check(t, w.Outlived(r), qt.IsFalse)
+	p.NoteOrderAnswer(w, 8990, now.Add(2*time.Second)) // overtaken on its way
+	qt.Check(t, w.Outlived(r), qt.IsTrue)
+}
--- a/fleet/pool/reach.go
+++ b/fleet/pool/reach.go
@@ -69,6 +69,16 @@
 	p.lastHeard[w.Domain] = now
 }
 
+// NoteOrderAnswer records a worker's answer to an order, which does not tell its process. An
+// answer of a later process says nothing about the runs of the former; the next poll shows
+// the new one.
+func (p *Pool) NoteOrderAnswer(w *Worker, clock fleet.Ticks, now time.Time) {
+	if clock > 0 && w.isRestartedClock(clock) {
+		return
+	}
+	p.NoteAnswer(w, clock, now)
+}
+
 // HasSilentDomain reports whether no worker of some failure domain has answered for
 // the given time.
 func (p *Pool) HasSilentDomain(silence time.Duration, now time.Time) bool {
--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -17,7 +17,7 @@
 	pollRetry           = 250 * time.Millisecond  // after a failed poll; longer for a worker that stays silent
 	maxPollRetry        = 1 * time.Second         // for a worker that has been silent for long
 	leaseCutoff         = 2500 * time.Millisecond // a worker silent for this long has missed a poll; its lease is no longer renewed, so that it expires if the worker is gone
-	brokenWithin        = 800 * time.Millisecond  // a poll that fails so soon after its wait was broken off; a silent worker fails it after a second
+	brokenWithin        = 500 * time.Millisecond  // a poll that fails so soon, or while it waits, was broken off; a silent worker fails it a second later
 	maxAcknowledgeDelay = 800 * time.Millisecond  // the next poll waits no longer than this for run ends to be stored and acknowledged
 )
 
@@ -151,7 +151,7 @@
 		sc.loseWorker(w)
 	default:
 		w.NoteFailedCall(sc.now)
-		if sc.now.Sub(e.At) < e.Wait+brokenWithin {
+		if sc.now.Sub(e.At) < max(e.Wait, brokenWithin) {
 			w.NoteBrokenCall(sc.now)
 		}
 		sc.logf(event.LookFailed, string(w.Endpoint.Host), "heard=%s ago runs=%d: %v", sc.now.Sub(w.LastHeard), len(w.Runs), e.Err)
--- a/fleet/sched/runs.go
+++ b/fleet/sched/runs.go
@@ -32,7 +32,7 @@
 	if r == nil {
 		return
 	}
-	sc.pool.NoteAnswer(w, e.Clock, sc.now)
+	sc.pool.NoteOrderAnswer(w, e.Clock, sc.now)
 	if e.Err == nil {
 		if r.Phase == pool.Sent || r.Phase == pool.Unconfirmed {
 			sc.logf(event.RunStarted, string(r.Task.Job), "%s by=answer placed=%s sent=%s", describeRun(r.Task, r.No, e.Host), age(sc.now, r.PlacedAt), age(sc.now, r.SentAt))
@@ -68,7 +68,7 @@
 func (sc *Scheduler) handleStopped(e Stopped) {
 	w, r := sc.findRun(e.Host, e.Key)
 	if w != nil {
-		sc.pool.NoteAnswer(w, e.Clock, sc.now)
+		sc.pool.NoteOrderAnswer(w, e.Clock, sc.now)
 	}
 	if r == nil {
 		return
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -381,6 +381,7 @@
 		return
 	}
 	e.token = o.FencingToken
+	born := e.born
 	e.extendLease(o.UntilMs)
 	for len(e.ends) > 0 && e.ends[0].seq <= o.LastSeen {
 		if first := e.ends[0]; first.outcome == outcomeDone && first.at.After(e.lastLapsed) {
@@ -392,14 +393,17 @@
 	for deadline := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond); time.Now().Before(deadline); {
 		e.Tick()
 		e.mu.Lock()
-		hasEnds := len(e.ends) > 0
+		hasEnds, ended := len(e.ends) > 0, !e.born.Equal(born)
 		e.mu.Unlock()
-		if hasEnds {
+		if hasEnds || ended {
 			break
 		}
 		time.Sleep(pollInterval)
 	}
-	if e.Down() {
+	e.mu.Lock()
+	ended := !e.born.Equal(born)
+	e.mu.Unlock()
+	if ended {
 		breakOff(ctx)
 		return
 	}
