--- a/fleet/sched/crash_test.go
+++ b/fleet/sched/crash_test.go
@@ -306,38 +306,48 @@
 // a third of them at a time, and single ones in between.
 func TestTaskIsNotGivenUpBecauseWorkersCrashForTheirOwnReasons(t *testing.T) {
 	for seed := range uint64(12) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			rng := rand.New(rand.NewPCG(seed, 0))
-			w := newWorld(t, 3, 8)
-			w.addCrasher(3 * time.Second)
-			w.becomeLead()
-			w.run(500 * time.Millisecond)
-			var all []*wire.Flow
-			add := func(step *wire.Step, span time.Duration) {
-				id := fmt.Sprint("own", len(all))
-				runTimes[fleet.JobID(id)] = span
-				all = append(all, newFlow(id, "bulk", step))
-				w.submitAccepted(all[len(all)-1])
-			}
-			steps := []func(){
-				func() { add(taskStep(4, 8, 6*time.Second), 6*time.Second) },
-				func() { add(taskStep(12, 1, 2*time.Second), 2*time.Second) },
-				func() { add(gangStep(3, 4, 4*time.Second), 4*time.Second) },
-			}
-			for end := w.now.Add(time.Minute); w.now.Before(end); {
-				steps[rng.IntN(len(steps))]()
-				w.run(time.Duration(rng.IntN(3000)) * time.Millisecond)
-				many := rng.IntN(4) == 0
-				for _, one := range w.sorted() {
-					if !one.isDown() && (many && rng.IntN(3) == 0 || rng.IntN(len(w.workers)) == 0) {
-						one.goDown(w.now, one.crasher.down)
-					}
-				}
-			}
-			for _, f := range all {
-				w.awaitCompleted(f, 2*time.Minute)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkOwnCrashes(t, seed) })
+	}
+}
+
+// As above: five workers crash under the same task within the minute.
+func TestTaskIsNotGivenUpAfterFiveCrashesThatItDidNotCause(t *testing.T) {
+	for _, seed := range []uint64{180, 199, 308} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { checkOwnCrashes(t, seed) })
+	}
+}
+
+// checkOwnCrashes lets workers crash at random for a minute, and checks that all jobs end.
+func checkOwnCrashes(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	w := newWorld(t, 3, 8)
+	w.addCrasher(3 * time.Second)
+	w.becomeLead()
+	w.run(500 * time.Millisecond)
+	var all []*wire.Flow
+	add := func(step *wire.Step, span time.Duration) {
+		id := fmt.Sprint("own", len(all))
+		runTimes[fleet.JobID(id)] = span
+		all = append(all, newFlow(id, "bulk", step))
+		w.submitAccepted(all[len(all)-1])
+	}
+	steps := []func(){
+		func() { add(taskStep(4, 8, 6*time.Second), 6*time.Second) },
+		func() { add(taskStep(12, 1, 2*time.Second), 2*time.Second) },
+		func() { add(gangStep(3, 4, 4*time.Second), 4*time.Second) },
+	}
+	for end := w.now.Add(time.Minute); w.now.Before(end); {
+		steps[rng.IntN(len(steps))]()
+		w.run(time.Duration(rng.IntN(3000)) * time.Millisecond)
+		many := rng.IntN(4) == 0
+		for _, one := range w.sorted() {
+			if !one.isDown() && (many && rng.IntN(3) == 0 || rng.IntN(len(w.workers)) == 0) {
+				one.goDown(w.now, one.crasher.down)
 			}
-		})
+		}
+	}
+	for _, f := range all {
+		w.awaitCompleted(f, 2*time.Minute)
 	}
 }
 
