Reading the change again: state and checks that were not needed

The incarnation of a run is kept only where it is read, for runs of a former lead; an order's answer without a clock needs no check of its own; the stand-in asks in one place whether its process was replaced. No behaviour and no assertion changes.

--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -41,7 +41,7 @@
 	MeasuredAt   time.Time         // when its progress was last measured
 	StopAnswered time.Time         // when a stop order was first answered; zero before
 	Inherited    bool              // a former lead started it
-	Inc          fleet.Incarnation // of the worker's process when it was placed; 0 if unknown
+	Inc          fleet.Incarnation // of the worker's process when a former lead placed it; 0 if unknown or placed by this one
 	Confirmed    bool              // the worker has said that it runs
 	Isolated     bool              // its task is suspected of crashing its workers
 	Blame        flow.Blame        // for the crash by which it was lost
--- a/fleet/pool/reach.go
+++ b/fleet/pool/reach.go
@@ -73,7 +73,7 @@
 // answer of a later process says nothing about the runs of the former; the next poll shows
 // the new one.
 func (p *Pool) NoteOrderAnswer(w *Worker, clock fleet.Ticks, now time.Time) {
-	if clock > 0 && w.isRestartedClock(clock) {
+	if w.isRestartedClock(clock) {
 		return
 	}
 	p.NoteAnswer(w, clock, now)
--- a/fleet/sched/crash.go
+++ b/fleet/sched/crash.go
@@ -1,8 +1,6 @@
 package sched
 
 import (
-	"time"
-
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/flow"
@@ -73,13 +71,13 @@
 	if r.SentAt.IsZero() {
 		return "unknown"
 	}
-	return max(w.LastHeard.Sub(r.SentAt), time.Duration(0)).String()
+	return max(w.LastHeard.Sub(r.SentAt), 0).String()
 }
 
 // accuse adds the blame for the loss of a run to its task, which is given up once workers
 // have crashed under it too often.
 func (sc *Scheduler) accuse(j *job, w *pool.Worker, r *pool.Run) {
-	if r.Inherited && r.Inc != 0 && w.Inc > r.Inc { // it crashed under a former lead
+	if r.Inc != 0 && w.Inc > r.Inc { // it crashed under a former lead
 		r.Blame = max(r.Blame, flow.Possible)
 	}
 	s := j.Step(r.Task)
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -234,7 +234,7 @@
 	}
 	for _, pl := range placements {
 		t := u.Step.Task(u.job.ID, pl.Index)
-		r := &pool.Run{Task: t, No: run, Each: u.Step.Each(), Phase: pool.Sent, Since: sc.now, ProgressAt: sc.now, PlacedAt: sc.now, Inc: pl.Worker.Inc, Isolated: u.Isolation != assign.Shared}
+		r := &pool.Run{Task: t, No: run, Each: u.Step.Each(), Phase: pool.Sent, Since: sc.now, ProgressAt: sc.now, PlacedAt: sc.now, Isolated: u.Isolation != assign.Shared}
 		pl.Worker.Add(r)
 		u.job.Start(t, run, pl.Worker.Endpoint.Host, pl.Worker.Inc)
 		sc.outbox.starts = append(sc.outbox.starts, pendingStart{pl.Worker.Endpoint.Host, r})
--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -206,7 +206,7 @@
 		sc.stopOrphan(w, seen)
 		return
 	}
-	r.Inherited, r.Dispatched, r.Confirmed, r.Inc, r.Blame = false, true, true, w.Inc, flow.Unrelated
+	r.Inherited, r.Dispatched, r.Confirmed, r.Inc, r.Blame = false, true, true, 0, flow.Unrelated
 	if r.Phase == pool.Sent || r.Phase == pool.Unconfirmed {
 		r.Phase, r.Since, r.ProgressAt = pool.Running, sc.now, sc.now
 		r.FromPercent, r.WorkedBefore = seen.Percent, sc.estimateElapsed(seen)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -270,10 +270,7 @@
 		return
 	}
 	time.AfterFunc(orderDelay, func() {
-		e.mu.Lock()
-		same := e.born.Equal(born)
-		e.mu.Unlock()
-		if same {
+		if e.lives(born) {
 			o.late = true
 			do(o)
 		}
@@ -281,6 +278,13 @@
 	time.Sleep(noReplyTime)
 }
 
+// lives reports whether the process that began at the given time has not been replaced.
+func (e *Engine) lives(born time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.born.Equal(born)
+}
+
 func (e *Engine) start(o order) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -390,20 +394,17 @@
 		e.ends = e.ends[1:]
 	}
 	e.mu.Unlock()
-	for deadline := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond); time.Now().Before(deadline); {
+	for deadline := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond); time.Now().Before(deadline) && e.lives(born); {
 		e.Tick()
 		e.mu.Lock()
-		hasEnds, ended := len(e.ends) > 0, !e.born.Equal(born)
+		hasEnds := len(e.ends) > 0
 		e.mu.Unlock()
-		if hasEnds || ended {
+		if hasEnds {
 			break
 		}
 		time.Sleep(pollInterval)
 	}
-	e.mu.Lock()
-	ended := !e.born.Equal(born)
-	e.mu.Unlock()
-	if ended {
+	if !e.lives(born) {
 		breakOff(ctx)
 		return
 	}
