Caps and shares of workspaces on a site

Cause: on a site neither the cap nor the weight of a workspace was read.

Change: fleet/quota holds limits, the ledger of what each workspace uses, and the division of a full site by weight. The pool keeps the ledger as runs are added and dropped; the scheduler starts no more than fits under the cap, also when a start is sent after the cap was lowered, and lets a gang have the parts of the cap that become free. Work of workspaces that have their share goes behind the other work of its priority, and a backlog refuses only jobs of its own workspace. A new lead counts the tasks of jobs that were cancelled or had failed as running until each worker has reported. Events 319 and 410; rpc Spaces for operators. Sites without caps and weights are scheduled as before.

--- a/deckd/site/intake.go
+++ b/deckd/site/intake.go
@@ -96,10 +96,14 @@
 }
 
 // applyQueue sets the fields of a job that come from the current configuration of
-// its queue.
+// its queue and workspace.
 func (s *Site) applyQueue(c fleet.Caller, f *wire.Flow) {
 	f.Queue, f.Space, f.Domain = c.Queue, string(c.Space), string(s.self.Domain)
-	if q := s.operator.config.Load().Queue(c.Queue); q != nil {
+	config := s.operator.config.Load()
+	if limit, ok := config.Limit(c.Space); ok && !limit.Zero() {
+		f.Cap, f.Weight = limit.Cap.Wire(), limit.Weight
+	}
+	if q := config.Queue(c.Queue); q != nil {
 		f.Service, f.Attempts, f.Priority = q.Service, int32(q.Attempts), int32(q.Priority)
 		f.Slowdown, f.Target = q.Slowdown, q.Target.Milliseconds()
 	}
--- a/deckd/site/peer.go
+++ b/deckd/site/peer.go
@@ -16,6 +16,8 @@
 
 var _ wire.Site = siteServer{}
 
+var errLoopBusy = twirp.NewError(twirp.Unavailable, "the control loop is busy")
+
 // deadlineIn returns the time that is ms milliseconds from now.
 func deadlineIn(ms int64) time.Time { return time.Now().Add(time.Duration(ms) * time.Millisecond) }
 
@@ -44,10 +46,18 @@
 	return s.site.backlogLocally(ask, deadlineIn(queryTimeout.Milliseconds())), nil
 }
 
+func (s siteServer) Spaces(_ context.Context, ask *wire.SpaceUseAsk) (*wire.SpaceUseReply, error) {
+	var r *wire.SpaceUseReply
+	if !s.site.runOnLoop(deadlineIn(queryTimeout.Milliseconds()), func(sc *sched.Scheduler) { r = sc.SpaceUse(fleet.SpaceID(ask.Name)) }) {
+		return nil, errLoopBusy
+	}
+	return r, nil
+}
+
 func (s siteServer) Sight(context.Context, *wire.SightAsk) (*wire.SightReply, error) {
 	var r *wire.SightReply
 	if !s.site.runOnLoop(deadlineIn(peerTimeout.Milliseconds()), func(sc *sched.Scheduler) { r = sc.Sight(time.Now()) }) {
-		return nil, twirp.NewError(twirp.Unavailable, "the control loop is busy")
+		return nil, errLoopBusy
 	}
 	return r, nil
 }
--- a/fleet/assign/room.go
+++ b/fleet/assign/room.go
@@ -47,6 +47,8 @@
 type Victim struct {
 	Run  *pool.Run
 	Cost float64 // work that is lost if it is stopped, in core seconds
+
+	Beyond bool // its workspace uses all that it is entitled to
 }
 
 // Victims returns the runs of a worker that may be stopped, in the order in which to
@@ -54,9 +56,17 @@
 type Victims func(*pool.Worker) []Victim
 
 // SortVictims orders runs by the work that is lost for each accelerator that their
-// stop frees.
+// stop frees, and at equal cost those of workspaces that use their share first.
 func SortVictims(v []Victim) {
-	slices.SortStableFunc(v, func(a, b Victim) int { return cmp.Compare(a.costPerAccel(), b.costPerAccel()) })
+	slices.SortStableFunc(v, func(a, b Victim) int {
+		if a.Beyond != b.Beyond && a.costPerAccel() == b.costPerAccel() {
+			if a.Beyond {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.costPerAccel(), b.costPerAccel())
+	})
 }
 
 func (v Victim) costPerAccel() float64 { return v.Cost / float64(max(v.Run.Each.Accels, 1)) }
@@ -167,6 +177,18 @@
 	return n
 }
 
+// Capacity returns the resources of the ready workers of a service, without failure
+// domains that are out of service.
+func (s *Site) Capacity(service string) fleet.Res {
+	var room fleet.Res
+	for _, w := range s.Pool.Sorted() {
+		if w.Service == service && w.Ready() && !s.OutOfService[w.Domain] {
+			room = room.Add(w.Capacity)
+		}
+	}
+	return room
+}
+
 // Load returns the used share of the ready workers of a service, of the resource of
 // which the largest share is used.
 func (s *Site) Load(service string) float64 {
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -42,6 +42,7 @@
 	StartFailed     Code = 316
 	RunStarted      Code = 317
 	RunLost         Code = 318
+	JobCapped       Code = 319
 	SpaceSet        Code = 401
 	SpaceDropped    Code = 402
 	DomainOut       Code = 403
@@ -51,6 +52,7 @@
 	GuaranteeShort  Code = 407
 	ConfigRead      Code = 408
 	ConfigBad       Code = 409
+	CapsChanged     Code = 410
 	LeadTaken       Code = 501
 	LeadReady       Code = 502
 	LeadLost        Code = 503
@@ -81,6 +83,7 @@
 	DomainHeard     Code = 609
 	WorkersRead     Code = 610
 	WorkersUnread   Code = 611
+	WorkerSpeed     Code = 612
 )
 
 // Entry is the catalogue's entry for one code.
@@ -133,6 +136,7 @@
 	{StartFailed, "start-failed", Warn, "a worker refused a start, or did not answer it", "check the worker named"},
 	{RunStarted, "run-started", Info, "a worker confirmed that a run started, in its answer to the order or when polled", "nothing"},
 	{RunLost, "run-lost", Warn, "a run was lost with its worker; the line says how long after its start the worker was last heard, how many other runs stood beside it and how many were just starting, and how much its task is to blame", "if the same task often has `blame=likely`, it crashes its workers and is given up (308)"},
+	{JobCapped, "job-capped", Info, "a job waits because its workspace has all running that its cap allows; the line holds what the job needs, what the workspace uses and the cap", "raise the cap if the workspace is meant to have more"},
 	{SpaceSet, "space-set", Info, "a workspace was created or changed", "nothing"},
 	{SpaceDropped, "space-dropped", Info, "a workspace was removed", "nothing"},
 	{DomainOut, "domain-out", Warn, "a failure domain was taken out of service", "nothing"},
@@ -142,6 +146,7 @@
 	{GuaranteeShort, "guarantee-short", Error, "the remaining workers of a failure domain do not have the capacity for a guarantee", "bring workers back or resize the workspace"},
 	{ConfigRead, "config-read", Info, "a newer version of the operator's configuration took effect", "nothing"},
 	{ConfigBad, "config-bad", Error, "the operator's configuration is invalid; the previous one stays in effect", "correct the configuration"},
+	{CapsChanged, "caps-changed", Info, "caps or weights of workspaces changed with a configuration; the line lists them", "nothing"},
 	{LeadTaken, "lead-taken", Info, "a daemon became lead of its failure domain", "nothing"},
 	{LeadReady, "lead-ready", Info, "for each worker, the lead knows what it runs or that its lease expired", "nothing"},
 	{LeadLost, "lead-lost", Info, "a daemon is no longer lead", "nothing"},
@@ -172,6 +177,7 @@
 	{DomainHeard, "domain-heard", Info, "workers of a failure domain answer again", "nothing"},
 	{WorkersRead, "workers-read", Info, "the lead read the list of workers for the first time, or for the first time in more than a second; the line says how old it is and how old the one before was", "check the store if `before` is often long in the middle of a term"},
 	{WorkersUnread, "workers-unread", Warn, "the list of workers is too old to place by, as a worker may have announced that it leaves; nothing starts until the list is read again (610)", "check the store"},
+	{WorkerSpeed, "worker-speed", Debug, "the lead learned that a worker belongs to another class of speed; the line holds the estimate", "check the worker if it is slower than its hardware"},
 }
 
 // Lookup returns the entry for a code.
--- a/fleet/pool/lease.go
+++ b/fleet/pool/lease.go
@@ -68,8 +68,16 @@
 	w.AssumeLease(until)
 }
 
+// LongestLease returns the longest time for which a worker may go on after any lease was
+// granted.
+func (p *Pool) LongestLease() time.Duration { return longestLease(p.maxLease) }
+
+func longestLease(limit time.Duration) time.Duration {
+	return time.Duration(float64(limit)/slowClock) + expirySlack
+}
+
 // AssumeLease assumes that an unknown lease was granted no later than now. It is no
 // longer than the platform's limit, on a clock that may run slow.
 func (w *Worker) AssumeLease(now time.Time) {
-	w.unknownLeaseEnd = now.Add(time.Duration(float64(w.maxLease)/slowClock) + expirySlack)
+	w.unknownLeaseEnd = now.Add(longestLease(w.maxLease))
 }
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -10,6 +10,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/flow"
+	"dragonflydeck.example/fleet/quota"
 )
 
 // Phase is the state of a run on a worker, as far as the lead knows it.
@@ -31,6 +32,9 @@
 	Phase Phase
 	Since time.Time // when it entered the phase
 
+	Space  fleet.SpaceID // its workspace
+	Counts fleet.Res     // what it counts against the cap of its workspace
+
 	PlacedAt time.Time // when this lead decided to start it; zero if another one did
 	SentAt   time.Time // when its start order was first sent
 
@@ -92,6 +96,7 @@
 	reservedFor      fleet.JobID // job that its free resources are reserved for
 	reservedUntil    time.Time   // end of that reservation
 	used             fleet.Res
+	ledger           *quota.Ledger // of the pool
 	clock            fleet.Ticks   // reported in its newest answer
 	clockAt          time.Time     // when that answer arrived
 	leaseEnd         fleet.Ticks   // on the worker's clock: end of the longest lease that was sent
@@ -155,11 +160,23 @@
 	}
 	w.Runs[k], w.order = r, nil
 	w.used = w.used.Add(r.Each)
+	w.ledger.Take(r.Space, w.Service, r.Counts)
 	if r.Isolated {
 		w.isolated++
 	}
 }
 
+// changeService moves what the worker's runs use to the account of another service.
+func (w *Worker) changeService(service string) {
+	if w.Service == service {
+		return
+	}
+	for _, r := range w.Runs {
+		w.ledger.Release(r.Space, w.Service, r.Counts)
+		w.ledger.Take(r.Space, service, r.Counts)
+	}
+}
+
 // Drop removes a run from the worker and frees its resources.
 func (w *Worker) Drop(k Key) {
 	r, ok := w.Runs[k]
@@ -169,6 +186,7 @@
 	delete(w.Runs, k)
 	w.order = nil
 	w.used = w.used.Sub(r.Each)
+	w.ledger.Release(r.Space, w.Service, r.Counts)
 	if r.Isolated {
 		w.isolated--
 	}
@@ -226,6 +244,7 @@
 type Pool struct {
 	Workers    map[fleet.HostID]*Worker
 	Generation int // rises when the set of workers, their domains or their total resources change
+	Ledger     *quota.Ledger
 
 	maxLease  time.Duration // longest lease that the platform allows
 	sorted    []*Worker
@@ -237,7 +256,7 @@
 // New returns a pool without workers. MaxLease is the longest lease that the platform
 // allows.
 func New(maxLease time.Duration) *Pool {
-	return &Pool{Workers: map[fleet.HostID]*Worker{}, maxLease: maxLease, lastHeard: map[fleet.DomainID]time.Time{}}
+	return &Pool{Workers: map[fleet.HostID]*Worker{}, Ledger: quota.NewLedger(), maxLease: maxLease, lastHeard: map[fleet.DomainID]time.Time{}}
 }
 
 // SetMaxLease sets the longest lease that the platform allows. A raised limit also
@@ -286,7 +305,7 @@
 func (p *Pool) Update(e fleet.WorkerEntry, rack string, now time.Time) (w *Worker, restarted bool) {
 	w, ok := p.Workers[e.Endpoint.Host]
 	if !ok {
-		w = &Worker{Runs: map[Key]*Run{}, maxLease: p.maxLease}
+		w = &Worker{Runs: map[Key]*Run{}, maxLease: p.maxLease, ledger: p.Ledger}
 		w.AssumeLease(now)
 		p.Workers[e.Endpoint.Host] = w
 		p.sorted = nil
@@ -304,6 +323,7 @@
 	if !w.Listed || w.Service != e.Service || w.Domain != e.Domain || w.Capacity != e.Capacity || !slices.Equal(w.Labels, e.Labels) {
 		p.Generation++
 	}
+	w.changeService(e.Service)
 	w.WorkerEntry, w.Rack, w.Listed = e, rack, true
 	return w, restarted
 }
--- a/fleet/queue/queue.go
+++ b/fleet/queue/queue.go
@@ -3,10 +3,12 @@
 package queue
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/quota"
 )
 
 // Priority orders queues; 0 is the highest and may preempt others.
@@ -30,6 +32,7 @@
 	Name   fleet.SpaceID
 	Keys   []string
 	Accels fleet.Accels // guaranteed to its jobs of priority 0
+	Limit  quota.Limit
 }
 
 // Config is one version of the operator's configuration. It is immutable.
@@ -41,12 +44,16 @@
 
 	keys   map[string]fleet.SpaceID
 	byName map[string]*Queue
+	spaces map[fleet.SpaceID]*Space
 }
 
 // New returns a copy of the configuration, with the indexes that its methods need.
 func New(c Config) *Config {
 	c.keys = map[string]fleet.SpaceID{}
-	for _, s := range c.Spaces {
+	c.spaces = make(map[fleet.SpaceID]*Space, len(c.Spaces))
+	for i := range c.Spaces {
+		s := &c.Spaces[i]
+		c.spaces[s.Name] = s
 		for _, k := range s.Keys {
 			c.keys[k] = s.Name
 		}
@@ -96,14 +103,30 @@
 
 // Guaranteed returns how many accelerators are guaranteed to a workspace.
 func (c *Config) Guaranteed(name fleet.SpaceID) fleet.Accels {
-	for _, s := range c.Spaces {
-		if s.Name == name {
-			return s.Accels
-		}
+	if s, ok := c.spaces[name]; ok {
+		return s.Accels
 	}
 	return 0
 }
 
+// Limit returns the limit of a workspace, and whether it is configured. A nil
+// configuration has none.
+func (c *Config) Limit(name fleet.SpaceID) (quota.Limit, bool) {
+	if c == nil {
+		return quota.Limit{}, false
+	}
+	s, ok := c.spaces[name]
+	if !ok {
+		return quota.Limit{}, false
+	}
+	return s.Limit, true
+}
+
+// Limited reports whether any workspace has a cap or a weight.
+func (c *Config) Limited() bool {
+	return c != nil && slices.ContainsFunc(c.Spaces, func(s Space) bool { return !s.Limit.Zero() })
+}
+
 // Orders are the operator's current instructions.
 type Orders struct {
 	Config       *Config                 // nil until one was read
--- a/fleet/sched/admit.go
+++ b/fleet/sched/admit.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/assign"
 	"dragonflydeck.example/fleet/flow"
 )
@@ -20,7 +19,10 @@
 // reason for the refusal and when the caller should retry. Under sustained overload,
 // a job that would finish too late is refused at once.
 func (sc *Scheduler) admit(j *job) (time.Duration, string) {
-	site := sc.site()
+	if why := sc.refusedByCap(j); why != "" {
+		return maxRetryAfter, why
+	}
+	site := sc.newPlan()
 	total := site.Total(j.Spec.Service)
 	if total == 0 {
 		return 0, ""
@@ -33,7 +35,7 @@
 	if j.Repeats() {
 		return 0, ""
 	}
-	ahead := time.Duration(sc.workAhead(j) / float64(total) * float64(time.Second))
+	ahead := sc.expectedWait(site, j, total)
 	slack := maxLateness*sc.objective(j) - j.CriticalPath()
 	if ahead <= slack {
 		return 0, ""
@@ -48,20 +50,3 @@
 	}
 	return u
 }
-
-// workAhead returns the accelerator-seconds of work that is scheduled before a job.
-func (sc *Scheduler) workAhead(j *job) float64 {
-	sum := 0.0
-	for _, o := range sc.jobs {
-		if o.HasEnded() || o.Spec.Priority > j.Spec.Priority || o.Spec.Service != j.Spec.Service {
-			continue
-		}
-		o.EachOpen(sc.now, func(s *flow.Step) {
-			sum += float64(s.Unfinished()) * s.Estimate().Seconds() * float64(weight(s.Each()))
-		})
-	}
-	return sum
-}
-
-// weight counts a task without accelerators as one accelerator.
-func weight(r fleet.Res) fleet.Accels { return max(r.Accels, 1) }
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -30,6 +30,7 @@
 	failed         map[fleet.HostID]time.Time // workers where one of its tasks failed; not used for it until the time given
 	evicted        map[fleet.Task]int         // how often each task was preempted
 	rackFits       map[*flow.Step]rackFit
+	capped         *flow.Step // that waits for the cap of its workspace, as logged last
 }
 
 // rackFit caches whether a step fits where it runs at full speed, for one generation
@@ -71,6 +72,7 @@
 	}
 	e.Flow.At = sc.now.UnixMilli()
 	j := newJob(flow.New(e.Flow))
+	sc.noteLimit(j)
 	if retry, why := sc.admit(j); why != "" {
 		sc.refuse(e, retry, why)
 		return
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -90,6 +90,7 @@
 			j := newJob(flow.New(f))
 			j.stored = true
 			sc.jobs[j.ID] = j
+			sc.noteLimit(j)
 		case len(r.Key) > len(trackKey) && r.Key[:len(trackKey)] == trackKey:
 			t := &wire.Track{}
 			if err := proto.Unmarshal(r.Value, t); err != nil {
@@ -112,6 +113,7 @@
 // adopt adds the runs in a job's record to their workers.
 func (sc *Scheduler) adopt(j *job) {
 	if j.HasEnded() {
+		sc.holdUnknown(j)
 		return
 	}
 	for _, r := range j.Rounds {
@@ -122,7 +124,9 @@
 					continue
 				}
 				w := sc.workerByID(k.Worker)
-				w.Add(&pool.Run{Task: s.Task(j.ID, i), No: k.Run, Each: s.Each(), Phase: pool.Unconfirmed, Since: sc.now, ProgressAt: sc.now, Inherited: true, Inc: k.Inc})
+				r := sc.newRun(j, s, s.Task(j.ID, i), k.Run, pool.Unconfirmed)
+				r.Inherited, r.Inc = true, k.Inc
+				w.Add(r)
 			}
 		}
 	}
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -320,8 +320,8 @@
 	b.stored = append(b.stored, s.starts...)
 }
 
-// dispatchStarts sends the starts whose placements are stored. Those whose workers take
-// no more starts are withdrawn first, so that no member of their gangs starts either.
+// dispatchStarts sends the starts whose placements are stored. Those whose workers or
+// workspaces take no more starts are withdrawn first, so that no member of their gangs starts either.
 func (sc *Scheduler) dispatchStarts() {
 	b := &sc.outbox
 	if len(b.stored) == 0 || !sc.listIsCurrent() {
@@ -334,6 +334,7 @@
 			sc.stopRun(w, st.run, "its worker takes no more starts")
 		}
 	}
+	sc.withdrawCapped(starts)
 	for _, st := range starts {
 		if w := sc.workerOf(st); w != nil {
 			sc.dispatchStart(w, st)
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -10,6 +10,7 @@
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/flow"
 	"dragonflydeck.example/fleet/pool"
+	"dragonflydeck.example/fleet/quota"
 )
 
 // Timing of placement. A unit runs off its rack if it runs away from its data or
@@ -34,6 +35,7 @@
 	priority int32
 	due      time.Time // when its job should have ended by its objective
 	waited   time.Duration
+	beyond   bool // its workspace has its share
 }
 
 // plan places all waiting work that can start now. Load pattern: on a large, full
@@ -46,12 +48,15 @@
 		return
 	}
 	sc.changed, sc.plannedAt = false, sc.now
-	p := &planState{Site: sc.site(), full: assign.FullCache{}, loads: map[string]float64{}, victims: newVictimsCache()}
-	for _, u := range sc.units() {
+	p := sc.newPlan()
+	units := sc.units()
+	sc.orderByShare(p, units)
+	for _, u := range units {
 		sc.placedAt = sc.now
 		u.AnyRack = sc.mayRunOffRack(p, u)
 		sc.place(p, u)
 	}
+	sc.waiting = p.waiting
 }
 
 // planState caches what one pass of plan has found out about the site.
@@ -60,6 +65,16 @@
 	full    assign.FullCache
 	loads   map[string]float64 // by service
 	victims victimsCache
+	shares  map[string]*quota.Shares     // by service
+	capped  map[fleet.SpaceID]cappedUnit // waits for the cap of its workspace
+	waiting map[fleet.SpaceID]waitCounts
+}
+
+func (sc *Scheduler) newPlan() *planState {
+	return &planState{
+		Site: sc.site(), full: assign.FullCache{}, loads: map[string]float64{}, victims: newVictimsCache(),
+		shares: map[string]*quota.Shares{}, capped: map[fleet.SpaceID]cappedUnit{}, waiting: map[fleet.SpaceID]waitCounts{},
+	}
 }
 
 // load returns the load of a service's workers as of the first call in this pass.
@@ -222,11 +237,20 @@
 
 // place starts a unit if there is capacity for it, else tries preemption for it.
 func (sc *Scheduler) place(p *planState, u unit) {
+	asked := u
+	u = sc.fitToCap(p, u)
+	p.noteWaiting(u, len(asked.Indexes)-len(u.Indexes), waitsForCap)
+	if len(u.Indexes) == 0 {
+		sc.waitForCap(p, asked)
+		return
+	}
 	placements := sc.findPlacements(p, u)
+	p.noteWaiting(u, len(u.Indexes)-len(placements), u.waitReason())
 	if len(placements) == 0 {
 		sc.preempt(p, u)
 		return
 	}
+	u.job.capped = nil
 	run := sc.nextRun(u.Step)
 	u.Step.OffRack = u.AnyRack
 	for _, w := range sc.pool.Sorted() {
@@ -234,7 +258,8 @@
 	}
 	for _, pl := range placements {
 		t := u.Step.Task(u.job.ID, pl.Index)
-		r := &pool.Run{Task: t, No: run, Each: u.Step.Each(), Phase: pool.Sent, Since: sc.now, ProgressAt: sc.now, PlacedAt: sc.now, Isolated: u.Isolation != assign.Shared}
+		r := sc.newRun(u.job, u.Step, t, run, pool.Sent)
+		r.PlacedAt, r.Isolated = sc.now, u.Isolation != assign.Shared
 		pl.Worker.Add(r)
 		u.job.Start(t, run, pl.Worker.Endpoint.Host, pl.Worker.Inc)
 		sc.outbox.starts = append(sc.outbox.starts, pendingStart{pl.Worker.Endpoint.Host, r})
@@ -243,6 +268,22 @@
 	sc.logf(event.JobPlaced, string(u.job.ID), "round=%d step=%d run=%d tasks=%d of %d waited=%s far=%t list=%s on=%s", u.Step.Round, u.Step.Index, run, len(placements), len(u.Indexes), u.waited, u.AnyRack, age(sc.now, sc.list.readAt), hostList(placements))
 }
 
+// waitReason returns why a unit within the cap of its workspace waits.
+func (u unit) waitReason() waitReason {
+	if u.beyond {
+		return waitsForShare
+	}
+	return waitsForRoom
+}
+
+// newRun returns a run of a task that enters a phase now.
+func (sc *Scheduler) newRun(j *job, s *flow.Step, t fleet.Task, no fleet.Run, phase pool.Phase) *pool.Run {
+	return &pool.Run{
+		Task: t, No: no, Each: s.Each(), Space: fleet.SpaceID(j.Spec.Space), Counts: declared(s),
+		Phase: phase, Since: sc.now, ProgressAt: sc.now,
+	}
+}
+
 // findPlacements returns the workers on which a unit can start now.
 func (sc *Scheduler) findPlacements(p *planState, u unit) []assign.Placement {
 	reserved := sc.now.Sub(u.job.preemptedAt) < reservationTime // capacity may be reserved for this job alone
--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -233,8 +233,8 @@
 // stopOrphan stops a run that is not in the job records.
 func (sc *Scheduler) stopOrphan(w *pool.Worker, seen fleet.RunReport) {
 	r := &pool.Run{Task: seen.Task, No: seen.Run, Phase: pool.Running, Since: sc.now, ProgressAt: sc.now, Dispatched: true}
-	if _, s := sc.stepOf(seen.Task); s != nil {
-		r.Each = s.Each()
+	if j, s := sc.stepOf(seen.Task); s != nil {
+		r.Each, r.Space, r.Counts = s.Each(), fleet.SpaceID(j.Spec.Space), declared(s)
 	}
 	w.Add(r)
 	w.AssumeLease(sc.now)
--- a/fleet/sched/preempt.go
+++ b/fleet/sched/preempt.go
@@ -27,13 +27,19 @@
 // not exceed the work of the urgent job, unless its workspace is entitled to the
 // capacity.
 func (sc *Scheduler) preempt(p *planState, u unit) {
-	if u.priority != 0 || !u.job.stored || u.waited < preemptAfter || sc.now.Sub(u.job.preemptedAt) < preemptRetry || sc.now.Sub(u.job.preemptTriedAt) < preemptSearchRetry {
+	if !sc.mayPreempt(u, preemptAfter) {
 		return
 	}
 	u.job.preemptTriedAt = sc.now
 	entitled := sc.withinGuarantee(u.job)
 	claimsGuarantee := entitled && u.waited >= guaranteePreemptAfter
-	clearing, ok := p.PlanPreemption(u.Unit, func(w *pool.Worker) []assign.Victim { return sc.victims(p, w, claimsGuarantee) })
+	clearing, ok := p.PlanPreemption(u.Unit, func(w *pool.Worker) []assign.Victim {
+		all := sc.victims(p, w, claimsGuarantee)
+		if u.beyond && !entitled {
+			all = runsOf(fleet.SpaceID(u.job.Spec.Space), all)
+		}
+		return all
+	})
 	if !ok || len(clearing.Runs) == 0 || clearing.Cost > coreSeconds(u) && !claimsGuarantee {
 		return
 	}
@@ -47,6 +53,24 @@
 	}
 }
 
+// mayPreempt reports whether preemption may be tried for a unit now that must have waited for a
+// while.
+func (sc *Scheduler) mayPreempt(u unit, after time.Duration) bool {
+	return u.priority == 0 && u.job.stored && u.waited >= after &&
+		sc.now.Sub(u.job.preemptedAt) >= preemptRetry && sc.now.Sub(u.job.preemptTriedAt) >= preemptSearchRetry
+}
+
+// runsOf returns the victims that belong to a workspace.
+func runsOf(space fleet.SpaceID, all []assign.Victim) []assign.Victim {
+	var out []assign.Victim
+	for _, v := range all {
+		if v.Run.Space == space {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
 // coreSeconds returns the work of a unit in core-seconds.
 func coreSeconds(u unit) float64 {
 	return float64(len(u.Indexes)) * cores(u.Step.Each()) * u.Step.Estimate().Seconds()
@@ -98,7 +122,7 @@
 	if !ok {
 		for _, r := range w.Sorted() {
 			if cost := sc.preemptionCost(r, claimsGuarantee); cost >= 0 {
-				all = append(all, assign.Victim{Run: r, Cost: cost})
+				all = append(all, assign.Victim{Run: r, Cost: cost, Beyond: sc.isBeyond(p, w, r.Space)})
 			}
 		}
 		assign.SortVictims(all)
@@ -109,6 +133,12 @@
 	return all
 }
 
+// isBeyond reports whether a workspace has its share of a worker's service.
+func (sc *Scheduler) isBeyond(p *planState, w *pool.Worker, space fleet.SpaceID) bool {
+	shares := sc.shares(p, w.Service)
+	return shares != nil && shares.Beyond(space, sc.pool.Ledger.UsedOf(space, w.Service))
+}
+
 // preemptionCost returns the work in core-seconds that is lost by stopping a run
 // for urgent work, or a negative number if it must not be stopped. Work that claims
 // its workspace's guarantee may stop any less urgent run that is running, except
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -76,7 +76,9 @@
 	jobs              map[fleet.JobID]*job
 	pool              *pool.Pool
 	outbox            outbox
-	estimateErrors    map[string]*estimateError // by queue
+	recordedLimits    map[fleet.SpaceID]recordedLimit // in the records of jobs
+	waiting           map[fleet.SpaceID]waitCounts    // as of the last plan
+	estimateErrors    map[string]*estimateError       // by queue
 	stepMeans         map[*flow.Step]*stepMean
 	beatSentAt        time.Time
 	plannedAt         time.Time
@@ -107,6 +109,7 @@
 	sc.jobs = map[fleet.JobID]*job{}
 	sc.pool = pool.New(sc.limits.Lease)
 	sc.outbox = outbox{batchNo: sc.outbox.batchNo} // a late answer to an earlier batch must match no later one
+	sc.recordedLimits, sc.waiting = map[fleet.SpaceID]recordedLimit{}, nil
 	sc.estimateErrors = map[string]*estimateError{}
 	sc.stepMeans = map[*flow.Step]*stepMean{}
 	sc.confirmLead()
@@ -207,6 +210,7 @@
 	}
 	sc.configEnd, sc.domainsOut, sc.changed = e.End, e.OutOfService, true
 	if e.Config != nil && (sc.config == nil || e.Config.Version > sc.config.Version) {
+		sc.logChangedLimits(sc.config, e.Config)
 		sc.config = e.Config
 		sc.logf(event.ConfigRead, "config", "version=%d queues=%d workspaces=%d end=%d", e.Config.Version, len(e.Config.Queues), len(e.Config.Spaces), e.End)
 	}
--- a/fleet/sched/supervise.go
+++ b/fleet/sched/supervise.go
@@ -24,6 +24,7 @@
 // without an answer, and runs that hang or are no longer needed.
 func (sc *Scheduler) supervise() {
 	sc.reportOldList()
+	sc.releaseHolds()
 	for _, w := range sc.pool.Sorted() {
 		if w.Leased() && sc.now.After(w.LeasesExpireAt()) {
 			sc.judgeLoss(w, sc.mayHaveCrashed(w), "its lease has expired")
@@ -68,7 +69,7 @@
 	if r.Phase != pool.Sent || !r.Dispatched || r.Sends >= maxStartSends || sc.now.Sub(r.Since) < time.Duration(r.Sends)*startRetry {
 		return false
 	}
-	return sc.listIsCurrent() && sc.takesStarts(w)
+	return sc.listIsCurrent() && sc.takesStarts(w) && !sc.overCap(r)
 }
 
 // isUnwanted reports whether a run is no longer needed.
