A lead that is cut off takes no leases for expired

Cause: a failure domain is cut off together with the lead. The next lead renews the leases of the workers outside.

Change: while neither the store nor a majority of the peers answers, the lead draws no conclusion from leases. It can start nothing then in any case. TestLeadThatIsCutOffStopsNoGangs failed before.

--- a/fleet/sched/recovery_test.go
+++ b/fleet/sched/recovery_test.go
@@ -375,6 +375,32 @@
 	qt.Assert(t, until.Sub(cut) <= limits.Lease+1250*time.Millisecond, qt.IsTrue, qt.Commentf("%s after the cut", until.Sub(cut)))
 }
 
+// Load pattern: a failure domain is cut off together with the lead, and gangs span the cut.
+// The next lead renews the leases outside. When the old lead took them for expired, it stopped
+// the members on its side, and with them all work of the gangs was lost: 114,000 core-seconds
+// in one cut of 6.4 s.
+func TestLeadThatIsCutOffStopsNoGangs(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.endGangsTogether()
+	w.becomeLead()
+	runTimes["spans"] = time.Minute
+	w.submitAccepted(newFlow("spans", "bulk", gangStep(2, 8, time.Minute)))
+	w.run(time.Second)
+	w.post(sched.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}})
+	w.peerAnswers, w.store.down = 1, true
+	outside, inside := w.workers["w0-0"], w.workers["w0-1"]
+	outside.cutOff = true
+	for end := w.now.Add(2 * limits.Lease); w.now.Before(end); {
+		outside.leaseUntil, inside.leaseUntil = w.now.Add(limits.Lease), w.now.Add(limits.Lease) // renewed by the next lead
+		w.step()
+	}
+	w.store.records = append(w.store.records, fleet.Record{Key: sched.LeadKey, Value: []byte{9}, Offset: fleet.Offset(len(w.store.records))})
+	w.store.down, outside.cutOff = false, false
+	w.runUntil(time.Second, "end of its term", func() bool { return w.eventCount(event.LeadLost) == 1 })
+	qt.Assert(t, w.eventCount(event.RunStopped), qt.Equals, 0)
+	qt.Assert(t, w.running("spans"), qt.Equals, 2)
+}
+
 // pollsOfNewLead replaces the lead and returns the most polls that were open at a time
 // until it knew the idle workers, and how many starts it makes in a second for a job as
 // wide as the site.
--- a/fleet/sched/supervise.go
+++ b/fleet/sched/supervise.go
@@ -21,12 +21,15 @@
 const expiredEndsWindow = 30 * time.Second
 
 // supervise checks leases that have expired, draining workers, starts and stops
-// without an answer, and runs that hang or are no longer needed.
+// without an answer, and runs that hang or are no longer needed. Load pattern: a failure
+// domain is cut off together with the lead. The next lead renews the leases of the workers
+// outside, so that the old one must not take them for expired and stop the other members of
+// their gangs on its side.
 func (sc *Scheduler) supervise() {
 	sc.reportOldList()
 	sc.releaseHolds()
 	for _, w := range sc.pool.Sorted() {
-		if w.Leased() && sc.now.After(w.LeasesExpireAt()) {
+		if w.Leased() && sc.now.After(w.LeasesExpireAt()) && !sc.quorum.alone {
 			sc.judgeLoss(w, sc.mayHaveCrashed(w), "its lease has expired")
 			sc.closeRuns(w, "its lease has expired")
 			w.Synced, w.UnknownEndsUntil = false, sc.now.Add(expiredEndsWindow)
