Place by slack and persistent speed where workers differ

Cause: on a service with workers of speeds 0.6, 1 and 1.6, placement takes the fullest worker whatever its speed, so urgent tasks with an objective of 1.5 times their run time start on workers on which they are late (99 of 205 urgent jobs in time, docs/design/contention.md).

Change: assign.Unit has Slack and Urgent, assign.Site has Profiles. Where Profiles.Differ, workers of one pace are ranked by the class of their chance to end the unit in time. Among those almost certain to be, urgent work takes the fastest class and other work the slowest. A member of a gang needs the root of the chance that is asked of the gang. Tight gangs take the rack with the best class for all members together. Chances are computed at most once per worker, slack step and plan. Without profiles, or where workers do not differ, choices are unchanged; nothing sets Profiles yet.

--- a/fleet/assign/assign.go
+++ b/fleet/assign/assign.go
@@ -23,6 +23,8 @@
 	Isolation   Isolation                  // from other jobs
 	LastAttempt bool                       // its next failure fails its job, so that only proven workers may run it
 	Avoid       map[fleet.HostID]time.Time // workers that failed it: not eligible until the given time, and the last choice after it
+	Slack       float64                    // logarithm of the slowdown of a worker with which the unit would just end when its job is due
+	Urgent      bool                       // it takes the fastest workers; other work leaves them free if it is in time on slower ones
 }
 
 // Isolation is how far a unit is kept apart from other jobs. Load pattern: a task that
@@ -44,6 +46,7 @@
 	Pool         *pool.Pool
 	OutOfService map[fleet.DomainID]bool // failure domains that are out of service
 	Unreachable  map[fleet.DomainID]bool // failure domains that count as unreachable
+	Profiles     Profiles                // persistent speeds of the workers; nil if they are not known
 
 	usable map[string][]usableWorker // by service; computed at the first use
 	roomy  map[size][]usableWorker   // usable workers with room for a task; computed at the first use
@@ -61,6 +64,7 @@
 	*pool.Worker
 	rank   rank
 	proven bool
+	grade  *speedGrade // nil if the workers of its service do not differ
 }
 
 // workers returns the usable workers of a service. They are computed once, as many
@@ -72,7 +76,7 @@
 	}
 	for _, w := range s.Pool.Sorted() {
 		if w.Service == service && w.Usable(s.Now) && !s.OutOfService[w.Domain] && !s.Unreachable[w.Domain] {
-			list = append(list, usableWorker{w, s.rankOf(w), w.Proven(s.Now)})
+			list = append(list, usableWorker{w, s.rankOf(w), w.Proven(s.Now), s.grade(service, w.Endpoint.Host)})
 		}
 	}
 	if s.usable == nil {
@@ -127,10 +131,12 @@
 	worker *pool.Worker
 	count  int
 	rank   rank
+	grade  *speedGrade
 }
 
 // rank orders the candidates: by the pace of the worker, with the workers that have
-// failed the unit last. The lowest rank is chosen first.
+// failed the unit last, and among equals by slack where workers differ. The lowest rank
+// is chosen first.
 type rank int
 
 const lastRank = rank(pool.VerySlow) + 1
@@ -165,10 +171,10 @@
 			continue
 		}
 		if n := s.taskCount(u, w.Worker, room); n > 0 {
-			out = append(out, candidate{w.Worker, n, w.rankFor(u)})
+			out = append(out, candidate{w.Worker, n, w.rankFor(u), w.grade})
 		}
 	}
-	return out
+	return rankBySlack(u, out)
 }
 
 // eligible reports whether a usable worker may run tasks of the unit.
@@ -212,11 +218,11 @@
 }
 
 // bestRack returns the candidates of the best rack with room for the gang: the one
-// with the fastest workers for it, and among equals the fullest.
+// with the fastest workers for it, and among equals the fullest. Where workers differ, it
+// is the one that suits the gang's slack.
 func (s *Site) bestRack(u Unit, cands []candidate) []candidate {
 	var best []candidate
-	var bestRank rank
-	var bestLeft int64
+	var bestScore rackScore
 	for _, group := range byRack(cands, candidate.rack) {
 		if totalCount(group) < len(u.Indexes) {
 			continue
@@ -224,9 +230,8 @@
 		if rack := u.Step.Spec.Rack; rack != "" && group[0].worker.Rack != rack {
 			continue
 		}
-		last, left := worstRank(u, group), freeAccels(group)
-		if best == nil || last < bestRank || last == bestRank && left < bestLeft {
-			best, bestRank, bestLeft = group, last, left
+		if score := s.scoreRack(u, group); best == nil || score.less(bestScore) {
+			best, bestScore = group, score
 		}
 	}
 	return best
@@ -290,11 +295,11 @@
 	return n
 }
 
-// placeTasks gives tasks to the fastest workers, and among equals to the fullest that
-// still have room, so that empty workers stay free for large tasks. Tasks that may crash
-// their workers go to the emptiest.
-func (s *Site) placeTasks(u Unit, cands []candidate) []Placement {
-	cands = slices.Clone(cands)
+// inOrder returns the needed candidates in the order in which they get tasks: the lowest
+// rank first, and among equals the fullest that still have room, so that empty workers
+// stay free for large tasks. Tasks that may crash their workers go to the emptiest.
+func inOrder(u Unit, cands []candidate) []candidate {
+	cands = needed(u, cands)
 	slices.SortStableFunc(cands, func(a, b candidate) int {
 		if c := cmp.Compare(a.rank, b.rank); c != 0 {
 			return c
@@ -304,8 +309,13 @@
 		}
 		return compareFree(a.worker.Free(), b.worker.Free())
 	})
+	return cands
+}
+
+// placeTasks gives tasks to the candidates in their order.
+func (s *Site) placeTasks(u Unit, cands []candidate) []Placement {
 	var out []Placement
-	for _, c := range cands {
+	for _, c := range inOrder(u, cands) {
 		for range c.count {
 			if len(out) == len(u.Indexes) {
 				return out
