Preemption stops runs first on workers where the unit can be in time

Cause: PlanPreemption compares only the work lost, so it stops cheap runs on workers that are so slow that the urgent unit ends late there anyway.

Change: where workers differ, options on workers on which the unit would probably be late (chance below 0.3, for a gang below the root of it for each member) are taken last, and of two racks one in time is preferred before the cost. Preemption.Late reports that the chosen workers together are late, for the caller to give up such a preemption. Where workers do not differ, plans are unchanged (digest test).

Measured: tests of fleet/assign pass; the new one fails without the order of options and without the order of racks.

--- a/fleet/assign/room.go
+++ b/fleet/assign/room.go
@@ -66,19 +66,22 @@
 	Runs    []*pool.Run    // runs to stop
 	Workers []*pool.Worker // workers that have room for the unit then
 	Cost    float64        // work lost by the stops, in core seconds
+	Late    bool           // the unit would probably be late on these workers (chance in time below 0.3)
 }
 
 // PlanPreemption returns the preemption that makes room for the unit at the least cost. It
-// reports false if none does.
+// reports false if none does. Workers on which the unit would probably be late are taken
+// only if there is not enough room on others.
 func (s *Site) PlanPreemption(u Unit, victims Victims) (Preemption, bool) {
 	var all []option
 	for _, w := range s.workers(u.Service) {
 		if s.eligible(u, w) {
-			all = append(all, s.options(u, w.Worker, victims(w.Worker))...)
+			all = append(all, s.options(u, w, victims(w.Worker))...)
 		}
 	}
+	markLate(u, all)
 	if !u.Step.Spec.Gang || u.AnyRack || (!u.Step.Spec.Tight && u.Step.Spec.Rack == "") {
-		return cheapest(all, tasksAtOnce(u))
+		return cheapest(u, all)
 	}
 	var best Preemption
 	found := false
@@ -86,27 +89,36 @@
 		if rack := u.Step.Spec.Rack; rack != "" && group[0].rack() != rack {
 			continue
 		}
-		if p, ok := cheapest(group, tasksAtOnce(u)); ok && (!found || p.Cost < best.Cost) {
+		if p, ok := cheapest(u, group); ok && (!found || p.less(best)) {
 			best, found = p, true
 		}
 	}
 	return best, found
 }
 
+func (p Preemption) less(o Preemption) bool {
+	if p.Late != o.Late {
+		return o.Late
+	}
+	return p.Cost < o.Cost
+}
+
 // option is room for one more task on a worker, and the runs to stop for it.
 type option struct {
 	worker *pool.Worker
 	runs   []*pool.Run
 	cost   float64
+	grade  *speedGrade // of the worker
+	late   bool        // the unit would probably be late on the worker
 }
 
 func (o option) rack() string { return o.worker.Rack }
 
 // options returns the room that a worker can offer, task by task, the cheapest first.
-func (s *Site) options(u Unit, w *pool.Worker, victims []Victim) []option {
+func (s *Site) options(u Unit, w usableWorker, victims []Victim) []option {
 	var out []option
-	for range s.taskCount(u, w, w.Free()) {
-		out = append(out, option{worker: w})
+	for range s.taskCount(u, w.Worker, w.Free()) {
+		out = append(out, option{worker: w.Worker, grade: w.grade})
 	}
 	room := w.Free()
 	var runs []*pool.Run
@@ -115,7 +127,7 @@
 		room = room.Add(v.Run.Each)
 		runs = append(runs, v.Run)
 		cost += v.Cost
-		if more := min(s.taskCount(u, w, room), len(u.Indexes)) - len(out); more > 0 {
+		if more := min(s.taskCount(u, w.Worker, room), len(u.Indexes)) - len(out); more > 0 {
 			out = append(out, shareCost(w, runs, cost, more, out)...)
 			runs, cost = nil, 0
 		}
@@ -125,26 +137,32 @@
 
 // shareCost divides the cost of stopping some runs among the tasks that get room by
 // it. No option costs less than those before it, as it depends on them.
-func shareCost(w *pool.Worker, runs []*pool.Run, cost float64, n int, before []option) []option {
+func shareCost(w usableWorker, runs []*pool.Run, cost float64, n int, before []option) []option {
 	each := cost / float64(n)
 	if len(before) > 0 {
 		each = max(each, before[len(before)-1].cost)
 	}
-	out := []option{{w, runs, each}}
+	out := []option{{worker: w.Worker, runs: runs, cost: each, grade: w.grade}}
 	for range n - 1 {
-		out = append(out, option{worker: w, cost: each})
+		out = append(out, option{worker: w.Worker, cost: each, grade: w.grade})
 	}
 	return out
 }
 
-// cheapest combines the n options that cost least. It reports false if there are
-// fewer.
-func cheapest(all []option, n int) (Preemption, bool) {
+// cheapest combines the options that cost least for all tasks that must start at once,
+// with those on which the unit would be late last. It reports false if there are too few.
+func cheapest(u Unit, all []option) (Preemption, bool) {
+	n := tasksAtOnce(u)
 	if len(all) < n {
 		return Preemption{}, false
 	}
-	sort.SliceStable(all, func(a, b int) bool { return all[a].cost < all[b].cost })
-	var p Preemption
+	sort.SliceStable(all, func(a, b int) bool {
+		if all[a].late != all[b].late {
+			return all[b].late
+		}
+		return all[a].cost < all[b].cost
+	})
+	p := Preemption{Late: isLate(u, all[:n])}
 	for _, o := range all[:n] {
 		p.Runs = append(p.Runs, o.runs...)
 		p.Cost += o.cost
