deck flow spaces: what workspaces use and wait for

Operators had no way to see the use of a workspace against its cap, or why its tasks wait.

A daemon without a method that is called is now named as older than the command, instead of an outcome that is unknown; this holds for all flow commands.

--- a/deck/cmd_flow.go
+++ b/deck/cmd_flow.go
@@ -29,7 +29,7 @@
 		Long: "Submit, show and cancel jobs of steps on a site with a single lead.\n" +
 			"--addr lists the addresses on which the daemons of the site serve each other.",
 	}
-	cmd.AddCommand(cmdFlowSubmit(a), cmdFlowStatus(a), cmdFlowDrop(a), cmdFlowBacklog(a), cmdFlowLead(a))
+	cmd.AddCommand(cmdFlowSubmit(a), cmdFlowStatus(a), cmdFlowDrop(a), cmdFlowBacklog(a), cmdFlowLead(a), cmdFlowSpaces(a))
 	return cmd
 }
 
@@ -198,6 +198,14 @@
 		return r, nil
 	case client.NotSent(err):
 		return zero, refuse.NotRun(op, twirp.Unavailable, 0, "the lead %s cannot be reached: %v", lead.Host, err)
+	case isBadRoute(err):
+		return zero, refuse.NotRun(op, twirp.BadRoute, 0, "the daemon of the lead %s is older than this command and does not know the call", lead.Host)
 	}
 	return zero, exitError{fmt.Errorf("%s: outcome unknown: %w", op, err), exitUnknown}
 }
+
+// isBadRoute reports whether the server does not have the method that was called.
+func isBadRoute(err error) bool {
+	var t twirp.Error
+	return errors.As(err, &t) && t.Code() == twirp.BadRoute
+}
