Tests for guards of caps and shares whose removal failed no test

Of 29 guards of caps and shares that were taken out one at a time, the tests of caps_test.go did not notice 13: among them the order by share, the precedence of overdue gangs, the bound of a backlog by the cap, and the newest of several recorded caps.

Twelve tests cover 12 of them; each fails without its guard and passes with it. That preemptOwn counts runs which are being stopped as freed still has no test.

--- a/fleet/sched/caps_test.go
+++ b/fleet/sched/caps_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -304,3 +305,195 @@
 	qt.Assert(t, a.Share, qt.Equals, 1.0, qt.Commentf("no other workspace has work"))
 	qt.Assert(t, w.scheduler.SpaceUse("nobody").Spaces, qt.HasLen, 0)
 }
+
+// mentioned reports whether a log event of a kind is about a job.
+func (w *world) mentioned(c event.Code, job string) bool {
+	return slices.ContainsFunc(w.logged, func(e event.Event) bool { return e.Code == c && e.About == job })
+}
+
+// By due time alone, the earlier backlog of one workspace would go before work of another that
+// uses nothing yet. The work of the other one is due later here, so only the share brings it forward.
+func TestShareGoesBeforeDueTime(t *testing.T) {
+	w := newCappedWorld(t, quota.Limit{Weight: 1}, quota.Limit{Weight: 1})
+	for i := range 40 {
+		w.submit(flowOf("a", fmt.Sprint("early", i), "bulk", taskStep(2, 8, time.Duration(1500+100*(i%10))*time.Millisecond)))
+	}
+	w.run(500 * time.Millisecond)
+	late := flowOf("b", "late", "bulk", taskStep(4, 8, 8*time.Second))
+	w.submitAccepted(late)
+	w.runUntil(2500*time.Millisecond, "the share", func() bool { return w.startCount("late") == 4 })
+}
+
+// At the same priority, tasks that arrive all the time take each part of the cap as it becomes
+// free, and a gang would never find enough of it.
+func TestGangThatIsOverdueGetsTheCapBeforeTasksOfItsPriority(t *testing.T) {
+	w := newCappedWorld(t, accelCap(16), quota.Limit{})
+	submitted := 0
+	stream := func() {
+		w.submit(flowOf("a", fmt.Sprint("stream", submitted), "bulk", taskStep(2, 1, time.Duration(1000+70*(submitted%7))*time.Millisecond)))
+		submitted++
+		w.run(100 * time.Millisecond)
+	}
+	for range 20 {
+		stream()
+	}
+	w.submitAccepted(flowOf("a", "overdue", "bulk", gangStep(12, 1, time.Second)))
+	for range 50 {
+		stream()
+	}
+	qt.Assert(t, w.startCount("overdue"), qt.Equals, 12)
+}
+
+// Work that has waited for longer keeps its placement if only a part has to be withdrawn.
+func TestNewestPlacementsAreWithdrawnFirst(t *testing.T) {
+	w := newCappedWorld(t, accelCap(32), quota.Limit{})
+	w.appendDelay = 300 * time.Millisecond
+	w.submit(flowOf("a", "older", "long", gangStep(4, 4, time.Second)))
+	w.submit(flowOf("a", "younger", "long", gangStep(4, 4, 1200*time.Millisecond)))
+	w.run(150 * time.Millisecond)
+	w.setLimits(accelCap(16), quota.Limit{})
+	w.appendDelay = 0
+	w.runUntil(time.Second, "withdrawal", func() bool { return w.mentioned(event.RunStopped, "younger") })
+	w.runUntil(time.Second, "start of the older gang", func() bool { return w.startCount("older") == 4 })
+	qt.Assert(t, w.mentioned(event.RunStopped, "older"), qt.IsFalse)
+}
+
+// What a job had running when it was cancelled long ago has ended, or its leases have expired. A
+// new lead must not hold its resources because of one worker that is out of reach.
+func TestJobCancelledLongAgoIsNotHeld(t *testing.T) {
+	w := newCappedWorld(t, accelCap(16), quota.Limit{})
+	old := flowOf("a", "past", "bulk", taskStep(2, 8, time.Minute))
+	w.submitAccepted(old)
+	w.post(sched.CancelRequested{Ask: &wire.FlowAsk{Id: old.Id, Queue: old.Queue, Space: old.Space}, Deadline: w.now.Add(time.Second)})
+	w.run(20 * time.Second)
+	w.workers["w1-3"].cutOff = true
+	w.restartDaemon()
+	w.becomeLead()
+	w.submitAccepted(flowOf("a", "present", "bulk", taskStep(2, 8, time.Second)))
+	w.runUntil(time.Second, "start of the next job", func() bool { return w.startCount("present") == 2 })
+}
+
+// Before a new lead has read the list of workers, it knows no worker whose report it waits for.
+func TestHoldsLastUntilTheListOfWorkersIsRead(t *testing.T) {
+	w := newCappedWorld(t, accelCap(16), quota.Limit{})
+	old := flowOf("a", "unread0", "bulk", taskStep(2, 8, time.Minute))
+	w.submitAccepted(old)
+	w.run(200 * time.Millisecond)
+	for _, one := range w.workers {
+		one.cutOff = len(one.runs) > 0
+	}
+	w.post(sched.CancelRequested{Ask: &wire.FlowAsk{Id: old.Id, Queue: old.Queue, Space: old.Space}, Deadline: w.now.Add(time.Second)})
+	w.run(100 * time.Millisecond)
+	w.restartDaemon()
+	w.events = slices.DeleteFunc(w.events, func(e sched.Event) bool { _, ok := e.(sched.WorkersListed); return ok })
+	w.listHangs = true
+	w.becomeLead()
+	w.run(400 * time.Millisecond)
+	qt.Assert(t, w.scheduler.SpaceUse("a").Spaces[0].Held.Accels, qt.Equals, int64(16))
+	w.listHangs = false
+	w.submit(flowOf("a", "unread1", "bulk", taskStep(2, 8, time.Second)))
+	w.runWithin(4*time.Second, "unread", 16)
+}
+
+// The records of a workspace's jobs come in no order. The cap that its newest job was accepted
+// with is the one that the operator set last.
+func TestNewestRecordedCapHolds(t *testing.T) {
+	w := newCappedWorld(t, accelCap(8), quota.Limit{})
+	for i, accels := range []fleet.Accels{8, 8, 8, 8, 12} {
+		f := flowOf("a", fmt.Sprint("record", i), "bulk", taskStep(1, 2, time.Minute))
+		f.Cap = fleet.Res{Accels: accels}.Wire()
+		w.submitAccepted(f)
+	}
+	c := *w.config
+	c.Version, c.Spaces = c.Version+1, []queue.Space{{Name: "b", Limit: accelCap(8)}}
+	w.config = queue.New(c)
+	for range 4 { // the order of the records is random
+		w.restartDaemon()
+		w.becomeLead()
+		qt.Assert(t, w.scheduler.SpaceUse("a").Spaces[0].Cap.Accels, qt.Equals, int64(12))
+	}
+}
+
+// A small cap makes a backlog long also on an empty site. Jobs that cannot be of use any more are
+// refused at once.
+func TestBacklogUnderASmallCapIsRefused(t *testing.T) {
+	w := newCappedWorld(t, accelCap(8), quota.Limit{})
+	w.submitAccepted(flowOf("a", "pile0", "long", taskStep(8, 8, 2*time.Second)))
+	w.submitAccepted(flowOf("a", "pile1", "long", taskStep(8, 8, 2*time.Second)))
+	id := w.submit(flowOf("a", "pile2", "long", taskStep(8, 8, 2*time.Second)))
+	w.run(100 * time.Millisecond)
+	qt.Assert(t, w.submitReplies[id].Verdict, qt.Equals, wire.Verdict_REFUSED)
+	w.submitAccepted(flowOf("b", "pile3", "long", taskStep(8, 8, 2*time.Second)))
+}
+
+// A run that fills the cap and is about to end is no reason for a refusal.
+func TestBacklogLeavesOutWhatHasRun(t *testing.T) {
+	w := newCappedWorld(t, accelCap(8), quota.Limit{})
+	w.submitAccepted(flowOf("a", "nearend", "bulk", taskStep(1, 8, 20*time.Second)))
+	w.run(18 * time.Second)
+	w.submitAccepted(flowOf("a", "after", "bulk", taskStep(1, 8, time.Second)))
+}
+
+// Urgent work beyond the share of its workspace must not stop the work of a workspace that is
+// within its own, even where that would cost least.
+func TestUrgentWorkBeyondItsShareStopsOnlyItsOwn(t *testing.T) {
+	w := newCappedWorld(t, quota.Limit{Weight: 1}, quota.Limit{Weight: 1})
+	w.submitAccepted(flowOf("b", "borrower", "bulk", taskStep(5, 8, time.Minute)))
+	w.run(2 * time.Second)
+	w.submitAccepted(flowOf("a", "young", "bulk", taskStep(3, 8, time.Minute)))
+	w.run(500 * time.Millisecond)
+	w.submitAccepted(flowOf("b", "rush", "urgent", taskStep(1, 8, 5*time.Second)))
+	w.runUntil(2*time.Second, "start of the urgent job", func() bool { return w.startCount("rush") == 1 })
+	qt.Assert(t, w.mentioned(event.RunStopped, "young"), qt.IsFalse)
+	qt.Assert(t, w.mentioned(event.RunStopped, "borrower"), qt.IsTrue)
+}
+
+// Event 319 tells that a wait begins. Logged with each plan, it would hide everything else.
+func TestWaitForTheCapIsLoggedOnce(t *testing.T) {
+	w := newCappedWorld(t, accelCap(8), quota.Limit{})
+	w.submitAccepted(flowOf("a", "filling", "bulk", taskStep(1, 8, 10*time.Second)))
+	w.run(100 * time.Millisecond)
+	w.submitAccepted(flowOf("a", "waiting", "bulk", taskStep(1, 8, time.Second)))
+	w.run(5 * time.Second)
+	qt.Assert(t, w.eventCount(event.JobCapped), qt.Equals, 1)
+}
+
+// At equal cost, capacity comes from the workspace that has more than its share.
+func TestBorrowedCapacityIsReclaimedFirst(t *testing.T) {
+	w := newCappedWorld(t, quota.Limit{Weight: 3}, quota.Limit{Weight: 1})
+	for i := range 8 {
+		w.submit(flowOf("a", fmt.Sprintf("mix%da", i), "bulk", taskStep(4, 1, time.Minute)))
+		w.submit(flowOf("b", fmt.Sprintf("mix%db", i), "bulk", taskStep(4, 1, time.Minute)))
+	}
+	w.run(time.Second)
+	qt.Assert(t, w.accelsInUse("mix"), qt.Equals, int64(64))
+	w.submitAccepted(flowOf("a", "reclaim", "urgent", taskStep(1, 4, 5*time.Second)))
+	w.runUntil(2*time.Second, "start of the urgent job", func() bool { return w.startCount("reclaim") == 1 })
+	stopped := 0
+	for i := range 8 {
+		qt.Assert(t, w.mentioned(event.RunStopped, fmt.Sprintf("mix%da", i)), qt.IsFalse)
+		if w.mentioned(event.RunStopped, fmt.Sprintf("mix%db", i)) {
+			stopped++
+		}
+	}
+	qt.Assert(t, stopped > 0, qt.IsTrue)
+}
+
+// A start that got no answer is not sent again after the cap was lowered below what is in use.
+func TestStartIsNotSentAgainAboveTheCap(t *testing.T) {
+	w := newCappedWorld(t, accelCap(32), quota.Limit{})
+	for _, one := range w.workers {
+		one.startDelay, one.maxDelayed = 3*time.Second, 1
+	}
+	w.submitAccepted(flowOf("a", "resend", "bulk", taskStep(4, 8, 10*time.Second)))
+	w.runUntil(time.Second, "starts", func() bool {
+		n := 0
+		for _, one := range w.workers {
+			n += len(one.pending)
+		}
+		return n == 4
+	})
+	w.setLimits(accelCap(8), quota.Limit{})
+	w.run(time.Second)
+	qt.Assert(t, w.startCount("resend"), qt.Equals, 0)
+}
