Stand-in: the auditor checks the caps of workspaces

Nothing outside the scheduler could see that a workspace had more running than its cap. The auditor, which sees all starts and ends, now sums the running tasks of a workspace over all engines and records a violation when a start takes the sum above the cap. A lowered cap counts after a grace time, a raised one at once. The workspace is part of the job's spec, so that no start can come before the auditor knows it. With the check, the grace time, the counting of stopping runs or the cap of memory left out, one by one, at least one of the unit tests fails each time.

--- a/standin/engine/auditor.go
+++ b/standin/engine/auditor.go
@@ -17,6 +17,13 @@
 	Gang   int           // number of members; 0 for a task without a gang
 	Span   time.Duration // run time; nanoseconds in JSON
 	Deadly bool          `json:",omitempty"` // the first task of a step crashes each engine that starts it
+	Space  string        `json:",omitempty"` // workspace of the job, for the check of its cap
+}
+
+// add returns the need with the resources of another one added.
+func (n Need) add(o Need) Need {
+	n.Cores, n.Mem, n.Accels = n.Cores+o.Cores, n.Mem+o.Mem, n.Accels+o.Accels
+	return n
 }
 
 // Spec encodes the need as a job's spec.
@@ -39,18 +46,20 @@
 
 // Auditor records what all engines do and checks it against the rules of execution:
 // a task runs on one engine at a time and not again after an acknowledged success,
-// no engine runs more than its capacity, and none starts work after it said that it
-// leaves, nor a task again and again that crashes the engines.
+// no engine runs more than its capacity and no workspace more than its cap, and no engine
+// starts work after it said that it leaves, nor a task again and again that crashes the
+// engines.
 type Auditor struct {
 	mu         sync.Mutex
-	running    map[string]map[string]int64 // run numbers by task and engine
-	done       map[string]bool             // tasks whose success the lead has acknowledged
-	succeeded  map[string]runKey           // newest successful run by task, acknowledged or not
-	restarts   map[runKey]string           // by successful run, a later start of its task; a violation once the run is acknowledged
+	running    map[string]map[string]*run // by task and engine
+	done       map[string]bool            // tasks whose success the lead has acknowledged
+	succeeded  map[string]runKey          // newest successful run by task, acknowledged or not
+	restarts   map[runKey]string          // by successful run, a later start of its task; a violation once the run is acknowledged
 	gangs      map[string]*gang
-	starts     map[string]int // by job
-	crashes    map[string]int // by task: engines that it has crashed
-	lateStarts map[string]int // by task: its starts after toleratedCrashes
+	starts     map[string]int     // by job
+	crashes    map[string]int     // by task: engines that it has crashed
+	lateStarts map[string]int     // by task: its starts after toleratedCrashes
+	caps       map[string][]limit // by workspace
 	violations []string
 }
 
@@ -70,10 +79,10 @@
 // NewAuditor returns an auditor without records.
 func NewAuditor() *Auditor {
 	return &Auditor{
-		running: map[string]map[string]int64{}, done: map[string]bool{},
+		running: map[string]map[string]*run{}, done: map[string]bool{},
 		succeeded: map[string]runKey{}, restarts: map[runKey]string{},
 		gangs: map[string]*gang{}, starts: map[string]int{},
-		crashes: map[string]int{}, lateStarts: map[string]int{},
+		crashes: map[string]int{}, lateStarts: map[string]int{}, caps: map[string][]limit{},
 	}
 }
 
@@ -118,14 +127,15 @@
 	} else if p, ok := a.succeeded[r.task]; ok {
 		a.restarts[p] = restart
 	}
-	for other, number := range a.running[r.task] {
-		a.violation("task %s run %d starts on %s while run %d is on %s", r.task, r.number, e.opts.ID, number, other)
+	for other, o := range a.running[r.task] {
+		a.violation("task %s run %d starts on %s while run %d is on %s", r.task, r.number, e.opts.ID, o.number, other)
 	}
 	if a.running[r.task] == nil {
-		a.running[r.task] = map[string]int64{}
+		a.running[r.task] = map[string]*run{}
 	}
-	a.running[r.task][e.opts.ID] = r.number
+	a.running[r.task][e.opts.ID] = r
 	a.checkCrashes(r)
+	a.checkCap(e.opts.ID, r)
 	if r.need.Gang > 0 {
 		g := a.gang(r)
 		g.present[r.task] = true
@@ -244,8 +254,8 @@
 
 // removeRun removes a run of a task from the running ones.
 func (a *Auditor) removeRun(task string, number int64) {
-	for engineID, n := range a.running[task] {
-		if n == number {
+	for engineID, r := range a.running[task] {
+		if r.number == number {
 			delete(a.running[task], engineID)
 		}
 	}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -13,12 +13,18 @@
 
 // start starts a run on an engine.
 func start(t *testing.T, e *engine.Engine, task string, need engine.Need) {
+	t.Helper()
+	send(t, e, "/run-start", task, need)
+}
+
+// send sends a start or a stop to an engine.
+func send(t *testing.T, e *engine.Engine, path, task string, need engine.Need) {
 	t.Helper()
 	body, err := json.Marshal(map[string]any{"task": task, "run": 1, "spec": need.Spec(), "untilMs": 60000, "fencingToken": 1})
 	qt.Assert(t, err, qt.IsNil)
 	var ctx fasthttp.RequestCtx
 	ctx.Request.Header.SetMethod(fasthttp.MethodPost)
-	ctx.Request.SetRequestURI("/run-start")
+	ctx.Request.SetRequestURI(path)
 	ctx.Request.SetBody(body)
 	e.Handle(&ctx)
 	qt.Assert(t, ctx.Response.StatusCode(), qt.Equals, fasthttp.StatusOK)
@@ -134,3 +140,92 @@
 	qt.Assert(t, auditor.Crashes("job"), qt.Equals, 6)
 	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
 }
+
+// capped is two engines and a workspace x that may have four accelerators on both
+// together.
+func capped(stopTime time.Duration) (*engine.Auditor, [2]*engine.Engine) {
+	auditor := engine.NewAuditor()
+	auditor.SetCap("x", engine.Room{Accels: 4}, 0)
+	var engines [2]*engine.Engine
+	for i := range engines {
+		engines[i] = engine.New(engine.Options{ID: fmt.Sprint("w", i), Room: room, MaxLease: time.Minute, StopTime: stopTime, Auditor: auditor})
+	}
+	return auditor, engines
+}
+
+// need2 is half of the cap of workspace x.
+var need2 = engine.Need{Cores: 1000, Mem: 1024, Accels: 2, Span: time.Minute, Space: "x"}
+
+// A start at the cap of the workspace is allowed, and one above it, on whichever engine, is
+// a violation. Other workspaces don't count.
+func TestStartAboveTheCapIsAViolation(t *testing.T) {
+	auditor, engines := capped(0)
+	other := need2
+	other.Space = "y"
+	start(t, engines[0], "other.0.0.0", other)
+	start(t, engines[0], "job.0.0.0", need2)
+	start(t, engines[1], "job.0.0.1", need2)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
+	start(t, engines[1], "job.0.0.2", engine.Need{Accels: 1, Space: "x"})
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
+	qt.Assert(t, auditor.Violations()[0], qt.Contains, "over its cap")
+}
+
+// Each of the three resources is capped.
+func TestStartAboveTheCapInAnyResourceIsAViolation(t *testing.T) {
+	for _, limit := range []engine.Room{{Cores: 1999}, {Mem: 2047}, {Accels: 3}} {
+		auditor, engines := capped(0)
+		auditor.SetCap("x", limit, 0)
+		start(t, engines[0], "job.0.0.0", need2)
+		qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
+		start(t, engines[1], "job.0.0.1", need2)
+		qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
+	}
+}
+
+// A run that is being stopped counts until it has ended.
+func TestRunThatIsBeingStoppedCountsForTheCap(t *testing.T) {
+	auditor, engines := capped(20 * time.Millisecond)
+	start(t, engines[0], "job.0.0.0", need2)
+	start(t, engines[1], "job.0.0.1", need2)
+	send(t, engines[0], "/run-stop", "job.0.0.0", need2)
+	start(t, engines[1], "job.0.0.2", need2)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
+	send(t, engines[1], "/run-stop", "job.0.0.2", need2)
+	time.Sleep(30 * time.Millisecond)
+	engines[0].Tick()
+	engines[1].Tick()
+	start(t, engines[0], "job.0.0.3", need2)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
+}
+
+// A lowered cap counts after the stated time, and what runs may go on.
+func TestStartAboveALoweredCapIsAViolation(t *testing.T) {
+	auditor, engines := capped(0)
+	start(t, engines[0], "job.0.0.0", need2)
+	auditor.SetCap("x", engine.Room{Accels: 2}, 20*time.Millisecond)
+	one := engine.Need{Accels: 1, Span: time.Minute, Space: "x"}
+	start(t, engines[0], "job.0.0.1", one)
+	time.Sleep(30 * time.Millisecond)
+	engines[0].Tick()
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
+	start(t, engines[1], "job.0.0.2", one)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
+}
+
+// A raised cap counts at once, also while a lowered one is not in force yet; so does its
+// removal.
+func TestRaisedCapCountsAtOnce(t *testing.T) {
+	auditor, engines := capped(0)
+	auditor.SetCap("x", engine.Room{Accels: 2}, time.Minute)
+	auditor.SetCap("x", engine.Room{Accels: 6}, time.Minute)
+	for i := range 3 {
+		start(t, engines[0], fmt.Sprint("job.0.0.", i), need2)
+	}
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 0)
+	start(t, engines[1], "job.0.0.3", need2)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
+	auditor.SetCap("x", engine.Room{}, 0)
+	start(t, engines[1], "job.0.0.4", need2)
+	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
+}
--- a/standin/engine/room.go
+++ b/standin/engine/room.go
@@ -35,7 +35,7 @@
 func (e *Engine) checkRoom(r *run, late bool) {
 	var used Need
 	for _, o := range e.runs {
-		used.Cores, used.Mem, used.Accels = used.Cores+o.need.Cores, used.Mem+o.need.Mem, used.Accels+o.need.Accels
+		used = used.add(o.need)
 	}
 	known := !e.roomStoredAt.IsZero() && r.begun.Sub(e.roomStoredAt) > e.opts.ShrinkTime
 	switch {
