Stand-in: workers of different speeds

All simulated workers ran tasks at the same speed, so no test with real processes covered a site whose workers differ. The run time of a task is now divided by the speed of its engine, 1 unless set. A gang ended with the first member that was done; it now ends with its slowest one.

--- a/standin/engine/auditor.go
+++ b/standin/engine/auditor.go
@@ -74,6 +74,7 @@
 type gang struct {
 	present map[string]bool // members that have started
 	outcome string          // how the first member ended; empty while none has
+	span    time.Duration   // run time on the slowest engine of its members
 }
 
 // NewAuditor returns an auditor without records.
@@ -138,7 +139,7 @@
 	a.checkCap(e.opts.ID, r)
 	if r.need.Gang > 0 {
 		g := a.gang(r)
-		g.present[r.task] = true
+		g.present[r.task], g.span = true, max(g.span, r.span)
 	}
 }
 
@@ -217,6 +218,16 @@
 	return r.need.Gang == 0 || len(a.gang(r).present) >= r.need.Gang
 }
 
+// span returns the run time of a run. A gang advances at the speed of its slowest member.
+func (a *Auditor) span(r *run) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.need.Gang == 0 {
+		return r.span
+	}
+	return a.gang(r).span
+}
+
 // outcomeDone is the outcome of a run that completed its work.
 const outcomeDone = "done"
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -3,6 +3,7 @@
 package engine
 
 import (
+	"cmp"
 	"encoding/json"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	Zone        string
 	Rack        string
 	Room        Room
+	Speed       float64       // divides the run time of tasks; 0 is 1
 	MaxLease    time.Duration // maximum time from now to the end of the lease
 	StopTime    time.Duration // how long a stop takes
 	GangTimeout time.Duration // how long a member waits for the rest of its gang
@@ -30,6 +32,7 @@
 	task         string
 	number       int64
 	need         Need
+	span         time.Duration // run time on this engine
 	begun        time.Time
 	working      bool // it has no gang, or its gang is complete
 	workingSince time.Time
@@ -74,6 +77,7 @@
 
 // New returns an engine that runs nothing.
 func New(o Options) *Engine {
+	o.Speed = cmp.Or(o.Speed, 1)
 	e := &Engine{opts: o, room: o.Room}
 	e.reset()
 	return e
@@ -199,7 +203,7 @@
 		}
 	case e.failsRuns:
 		e.closeRun(r, "failed")
-	case !e.hangsRuns && now.Sub(r.workingSince) >= r.need.Span:
+	case !e.hangsRuns && now.Sub(r.workingSince) >= e.opts.Auditor.span(r):
 		e.closeRun(r, outcomeDone)
 	}
 }
@@ -306,6 +310,7 @@
 		return "late" // the process is gone since the order arrived
 	}
 	r := &run{task: o.Task, number: o.Run, need: ReadNeed(o.Spec), begun: time.Now()}
+	r.span = time.Duration(float64(r.need.Span) / e.opts.Speed)
 	r.working, r.workingSince = r.need.Gang == 0, r.begun
 	e.runs[o.Task] = r
 	e.opts.Auditor.runStarted(e, r)
@@ -418,7 +423,7 @@
 	for _, r := range e.runs {
 		percent := 0
 		if r.working && !e.hangsRuns {
-			percent = int(100 * time.Since(r.workingSince) / max(r.need.Span, 1))
+			percent = int(100 * time.Since(r.workingSince) / max(e.opts.Auditor.span(r), 1))
 		}
 		running = append(running, []any{r.task, r.number, "", min(percent, 100), 0})
 	}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -229,3 +229,33 @@
 	start(t, engines[1], "job.0.0.4", need2)
 	qt.Assert(t, auditor.Violations(), qt.HasLen, 1)
 }
+
+// The run time of a task is divided by the speed of its engine. A gang ends with its slowest
+// member and not before.
+func TestRunTimeFollowsTheSpeedOfTheEngine(t *testing.T) {
+	auditor := engine.NewAuditor()
+	engines := map[float64]*engine.Engine{}
+	for _, speed := range []float64{0, 0.5, 2} {
+		engines[speed] = engine.New(engine.Options{
+			ID: fmt.Sprint("w", speed), Room: room, Speed: speed, MaxLease: time.Minute, GangTimeout: 3 * time.Second, Auditor: auditor,
+		})
+	}
+	const span = 200 * time.Millisecond
+	for speed, e := range engines {
+		start(t, e, fmt.Sprintf("job%v.0.0.0", speed*10), engine.Need{Span: span})
+		start(t, e, fmt.Sprintf("gang.0.0.%v", speed*10), engine.Need{Span: span, Gang: len(engines)})
+	}
+	for _, at := range []struct {
+		sleep                      time.Duration
+		fast, normal, slow, inGang int
+	}{{0, 1, 1, 1, 3}, {span * 3 / 4, 0, 1, 1, 3}, {span * 3 / 4, 0, 0, 1, 3}, {span, 0, 0, 0, 0}} {
+		time.Sleep(at.sleep)
+		for _, e := range engines {
+			e.Tick()
+		}
+		qt.Check(t, auditor.Running("job20"), qt.Equals, at.fast)
+		qt.Check(t, auditor.Running("job0"), qt.Equals, at.normal)
+		qt.Check(t, auditor.Running("job5"), qt.Equals, at.slow)
+		qt.Check(t, auditor.Running("gang"), qt.Equals, at.inGang)
+	}
+}
