Soak: workers of different speeds

All workers of the soak test's site ran tasks equally fast, so the faults never met a site whose workers differ. Their speeds are now 1, 0.7 and 1.4 in turn, further apart than the factor of 1.4 that placement ignores.

--- a/deckd/soak/rig_test.go
+++ b/deckd/soak/rig_test.go
@@ -44,6 +44,9 @@
 // fullRoom is the capacity of a worker that has not shrunk.
 var fullRoom = engine.Room{Cores: 64000, Mem: 131072, Accels: 8}
 
+// speeds are those of the workers, in turn; they differ by more than placement ignores.
+var speeds = []float64{1, 0.7, 1.4}
+
 // The programs, built for this run.
 var deckdPath, deckPath string
 
@@ -230,7 +233,7 @@
 func (r *rig) addWorker(i int) {
 	at := addrs(r.t, 2)
 	e := engine.New(engine.Options{
-		ID: fmt.Sprint("w", i), Zone: fmt.Sprint("d", i%2), Rack: fmt.Sprint("r", i/4), Room: fullRoom,
+		ID: fmt.Sprint("w", i), Zone: fmt.Sprint("d", i%2), Rack: fmt.Sprint("r", i/4), Room: fullRoom, Speed: speeds[i%len(speeds)],
 		MaxLease: leaseDuration, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, DrainTime: drainTime, ShrinkTime: shrinkTime, Auditor: r.auditor,
 	})
 	r.serve(at[0], e.Handle)
