Soak: capped workspaces, and caps that change

No test with real processes had a workspace with a cap. The site's configuration now has a second workspace with a small cap, which gets a third of the jobs that fit under each of its caps, and the first one has weight 4 and a cap of 56 of 64 accelerators. The new fault "caps change" raises, lowers or removes the small cap. A lowered one counts after 9 s: 3 s to read it, and 6 s until a start that was sent before is past its lease.

--- a/deckd/soak/calls_test.go
+++ b/deckd/soak/calls_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -16,6 +17,7 @@
 // job is a job that a caller submits, and what the caller knows about it.
 type job struct {
 	id, queue   string
+	space       string
 	body        []byte
 	accepted    bool
 	unknown     bool // an attempt left open whether the job was accepted
@@ -31,15 +33,23 @@
 	return map[string]any{"count": count, "cpu": need.Cores, "memMb": need.Mem, "gpu": need.Accels, "estimateMs": need.Span.Milliseconds()}
 }
 
-// jobOf returns a job of steps whose tasks need the same.
+// keyOf returns the API key of a workspace.
+func keyOf(space string) string { return "key-" + space }
+
+// jobOf returns a job of steps whose tasks need the same, in the workspace of the need, by
+// default the large one.
 func jobOf(id, queue string, need engine.Need, steps ...map[string]any) *job {
+	need.Space = cmp.Or(need.Space, largeSpace)
 	data, err := json.Marshal(map[string]any{"spec": need.Spec(), "steps": steps})
 	if err != nil {
 		panic(err) // cannot fail for maps of numbers and strings
 	}
-	return &job{id: id, queue: queue, body: data}
+	return &job{id: id, queue: queue, space: need.Space, body: data}
 }
 
+// smallEvery: one job in this many is for the small workspace, if its caps allow the job.
+const smallEvery = 3
+
 // newJob returns a random job.
 func newJob(rng *rand.Rand) *job {
 	need := engine.Need{Cores: 1000, Mem: 1024, Accels: 1 << rng.IntN(4), Span: time.Duration(200+rng.IntN(2500)) * time.Millisecond}
@@ -51,7 +61,11 @@
 		step["sameRack"] = rng.IntN(2) == 0
 	}
 	queue := []string{"urgent", "long", "bulk"}[rng.IntN(3)]
-	return jobOf(fmt.Sprintf("%016x", rng.Uint64()), queue, need, step)
+	id := rng.Uint64()
+	if id%smallEvery == 0 && need.Accels*int64(max(need.Gang, 1)) <= smallestAccels {
+		need.Space = smallSpace
+	}
+	return jobOf(fmt.Sprintf("%016x", id), queue, need, step)
 }
 
 // call sends one request to a daemon. It returns status 0 if there is no answer.
@@ -63,7 +77,7 @@
 	req.SetRequestURI("http://" + frontend + pathPrefix + j.queue + "/" + j.id)
 	req.UseHostHeader = true
 	req.Header.SetHost(hostName)
-	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Authorization", "Bearer "+keyOf(j.space))
 	req.Header.Set("Deadline-Ms", "3000")
 	req.SetBody(body)
 	if err := fasthttp.DoTimeout(req, resp, callTimeout); err != nil {
--- a/deckd/soak/rig_test.go
+++ b/deckd/soak/rig_test.go
@@ -27,9 +27,10 @@
 	daemonCount = 4
 	engineCount = 8
 	service     = "desk"
-	apiKey      = "key-a"
 	hostName    = "desk.example"
 	pathPrefix  = "/jobs/"
+	largeSpace  = "a" // workspace whose cap does not change
+	smallSpace  = "b" // workspace with a small cap that changes
 
 	topicOperator = "keyed.op"
 	topicWorkers  = "keyed.servers"
@@ -39,6 +40,7 @@
 	stopTimeout   = 400 * time.Millisecond        // upper bound of a stop by a worker
 	drainTime     = 2 * time.Second               // a worker that leaves gets no start later than this after its notice
 	shrinkTime    = 3*time.Second + entryInterval // a capacity that has shrunk counts from then on
+	capTime       = 3*time.Second + leaseDuration // a cap that was lowered counts from then on: it is read, and the starts sent before can no longer arrive
 )
 
 // fullRoom is the capacity of a worker that has not shrunk.
@@ -47,6 +49,16 @@
 // speeds are those of the workers, in turn; they differ by more than placement ignores.
 var speeds = []float64{1, 0.7, 1.4}
 
+// largeCap is seven eighths of the site.
+var largeCap = engine.Room{Cores: 7 * fullRoom.Cores, Mem: 7 * fullRoom.Mem, Accels: 7 * fullRoom.Accels}
+
+// smallestAccels is the number of accelerators that every cap of the small workspace allows.
+const smallestAccels = 16
+
+// smallCaps are the caps of the small workspace to choose from. Each leaves room for any
+// job of the load that needs at most smallestAccels at once.
+var smallCaps = []engine.Room{{Accels: smallestAccels}, {Accels: 32}, {Cores: 6000, Accels: 24}, {Mem: 8192}, {}}
+
 // The programs, built for this run.
 var deckdPath, deckPath string
 
@@ -178,12 +190,14 @@
 	version     atomic.Int64
 	faultsEnded time.Time // when the last fault ended
 	deadly      []*job    // jobs with a task that crashes its workers
+	smallCap    engine.Room
 }
 
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, store: store.New(), auditor: engine.NewAuditor(), stop: make(chan struct{})}
 	at := r.serve(addrs(t, 1)[0], r.store.Handle)
-	r.configure()
+	r.auditor.SetCap(largeSpace, largeCap, 0)
+	r.changeCap(smallCaps[0], 0)
 	for i := range engineCount {
 		r.addWorker(i)
 	}
@@ -214,6 +228,12 @@
 
 // configure stores a new version of the operator's configuration.
 func (r *rig) configure() {
+	tenant := func(name string, weight, guaranteed int, limit engine.Room) map[string]any {
+		return map[string]any{
+			"name": name, "apiKeys": []string{keyOf(name)}, "guaranteed": map[string]any{"gpu": guaranteed}, "weight": weight,
+			"cap": map[string]any{"cpu": limit.Cores, "memMb": limit.Mem, "gpu": limit.Accels},
+		}
+	}
 	route := func(name string, priority int, slack float64) map[string]any {
 		return map[string]any{
 			"name": name, "host": hostName, "pathPrefix": pathPrefix + name + "/", "kind": "non_idempotent", "timeoutMs": 3000,
@@ -225,11 +245,18 @@
 		"routes":   []any{route("urgent", 0, 1.5), route("long", 1, 3), route("bulk", 2, 3)},
 		"services": []any{map[string]any{"name": service, "maxConns": 64}},
 		"limits":   map[string]any{"maxBodyBytes": 262144},
-		"tenants":  []any{map[string]any{"name": "a", "apiKeys": []string{apiKey}, "guaranteed": map[string]any{"gpu": 8}}},
+		"tenants":  []any{tenant(largeSpace, 4, 8, largeCap), tenant(smallSpace, 1, 0, r.smallCap)},
 	})
 	qt.Check(r.t, err, qt.IsNil)
 }
 
+// changeCap changes the cap of the small workspace. One that it lowers counts after graceTime.
+func (r *rig) changeCap(to engine.Room, graceTime time.Duration) {
+	r.smallCap = to
+	r.auditor.SetCap(smallSpace, to, graceTime)
+	r.configure()
+}
+
 func (r *rig) addWorker(i int) {
 	at := addrs(r.t, 2)
 	e := engine.New(engine.Options{
--- a/deckd/soak/soak_test.go
+++ b/deckd/soak/soak_test.go
@@ -43,6 +43,7 @@
 	firstFaults  = 15
 	secondFaults = 17
 	thirdFaults  = 20
+	fourthFaults = 21
 )
 
 // regressions lists seeds that once failed, each with the cause.
@@ -57,6 +58,8 @@
 	{28, thirdFaults},                    // never failed: tasks that crash their workers, and capacities that shrink
 	{16234692449347075357, thirdFaults},  // an answer of a worker's next process was taken for one of the former, which a task had crashed
 	{12926456547503137442, secondFaults}, // no fault in the daemon: a cancellation without an answer had taken effect
+	{258, fourthFaults},                  // nothing enforced caps: one is removed, then set again; later a daemon is killed
+	{417, fourthFaults},                  // nothing enforced caps: one is raised and lowered, then all daemons are killed
 }
 
 // fault is a kind of fault. The function inject starts it and returns the function
@@ -194,6 +197,10 @@
 		}
 		return func() {}
 	}},
+	{"caps change", func(r *rig, rng *rand.Rand) func() {
+		r.changeCap(pick(rng, smallCaps), capTime)
+		return func() {}
+	}},
 }
 
 // disturbRelay puts a relay into a random failure mode.
