--- a/deckd/soak/deadly_test.go
+++ b/deckd/soak/deadly_test.go
@@ -64,12 +64,7 @@
 	need := engine.Need{Cores: 1000, Mem: 256, Accels: 1, Span: 500 * time.Millisecond}
 	sound := jobOf("00000000000000d4", "bulk", need, newStep(40, need))
 	deadly := newDeadlyJob("00000000000000d5", "long", 3, false)
-	for _, j := range []*job{sound, deadly} {
-		waitFor(t, 10*time.Second, "accepted job", func() bool {
-			status, _ := call(fasthttp.MethodPost, r.daemons[0].frontend, j, j.body)
-			return status == fasthttp.StatusOK
-		})
-	}
+	r.accept(sound, deadly)
 	waitFor(t, 10*time.Second, "first crash", func() bool { return r.auditor.Crashes(deadly.id) > 0 })
 	if lead := r.otherLead(nil); lead != nil {
 		lead.kill()
--- a/deckd/soak/site_test.go
+++ b/deckd/soak/site_test.go
@@ -11,7 +11,6 @@
 
 	"dragonflydeck.example/standin/engine"
 	qt "github.com/frankban/quicktest"
-	"github.com/valyala/fasthttp"
 )
 
 // waitFor polls a condition and fails the test if it isn't met in time.
@@ -48,10 +47,7 @@
 	r := newRig(t)
 	l := &load{rig: r}
 	j := newTwoStepJob("00000000000000a1", 1500*time.Millisecond)
-	waitFor(t, 10*time.Second, "accepted job", func() bool {
-		status, _ := call(fasthttp.MethodPost, r.daemons[0].frontend, j, j.body)
-		return status == fasthttp.StatusOK
-	})
+	r.accept(j)
 	waitFor(t, 5*time.Second, "start of the first step", func() bool { return r.auditor.Starts(j.id) == 3 })
 	out, err := r.deck("flow", "lead")
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
