Caps: nine faults found by reading and by taking guards out

Each was shown by a test or a trial before: - a gang that a lowered cap can never hold kept back all other work of its workspace (TestGangAboveTheLoweredCapBlocksNothing) - runs being stopped counted as freed, also out of reach, so that urgent work within its guarantee started after 7 s (TestGuaranteeDoesNotWaitForRunsOutOfReach) - a job accepted without a limit, or a refused one, replaced the recorded cap of a removed workspace (TestJobWithoutALimitDoesNotRemoveTheRecordedCap) - runs that free nothing of what is short were stopped (TestOnlyRunsThatFreeTheCapAreStopped) - urgent tasks that are no gang waited until all of them fit (TestUrgentTasksClaimTheCapInParts) - work without accelerators was no backlog (TestBacklogWithoutAcceleratorsIsRefused) - event 319 was repeated (TestEachStepIsLoggedOnceAsItWaitsForTheCap) - less urgent work took the rest of the cap beside a step that fits in part - at equal cost the runs of workspaces beyond their share went first only within one worker A lead that has not read a configuration starts nothing where jobs' records hold limits, as the caps may have been lowered.

--- a/deckd/site/intake.go
+++ b/deckd/site/intake.go
@@ -100,7 +100,7 @@
 func (s *Site) applyQueue(c fleet.Caller, f *wire.Flow) {
 	f.Queue, f.Space, f.Domain = c.Queue, string(c.Space), string(s.self.Domain)
 	config := s.operator.config.Load()
-	if limit, ok := config.Limit(c.Space); ok && !limit.Zero() {
+	if limit, ok := config.Limit(c.Space); ok && config.Limited() {
 		f.Cap, f.Weight = limit.Cap.Wire(), limit.Weight
 	}
 	if q := config.Queue(c.Queue); q != nil {
--- a/fleet/assign/room.go
+++ b/fleet/assign/room.go
@@ -118,6 +118,7 @@
 	worker *pool.Worker
 	runs   []*pool.Run
 	cost   float64
+	beyond bool        // all of its runs are of workspaces that use their share
 	grade  *speedGrade // of the worker
 	late   bool        // the unit would probably be late on the worker
 }
@@ -132,14 +133,16 @@
 	}
 	room := w.Free()
 	var runs []*pool.Run
-	cost := 0.0
+	cost, beyond := 0.0, true
 	for _, v := range victims {
 		room = room.Add(v.Run.Each)
 		runs = append(runs, v.Run)
 		cost += v.Cost
+		beyond = beyond && v.Beyond
 		if more := min(s.taskCount(u, w.Worker, room), len(u.Indexes)) - len(out); more > 0 {
 			out = append(out, shareCost(w, runs, cost, more, out)...)
-			runs, cost = nil, 0
+			out[len(out)-more].beyond = beyond
+			runs, cost, beyond = nil, 0, true
 		}
 	}
 	return out
@@ -170,7 +173,10 @@
 		if all[a].late != all[b].late {
 			return all[b].late
 		}
-		return all[a].cost < all[b].cost
+		if all[a].cost != all[b].cost {
+			return all[a].cost < all[b].cost
+		}
+		return all[a].beyond && !all[b].beyond
 	})
 	p := Preemption{Late: isLate(u, all[:n])}
 	for _, o := range all[:n] {
--- a/fleet/sched/caps.go
+++ b/fleet/sched/caps.go
@@ -23,8 +23,12 @@
 }
 
 // noteLimit keeps the limit in a job's record. The newest one counts for a workspace that
-// is not in the configuration.
+// is not in the configuration. A job without one was accepted when its workspace was not
+// configured either.
 func (sc *Scheduler) noteLimit(j *job) {
+	if j.Spec.Cap == nil {
+		return
+	}
 	space := fleet.SpaceID(j.Spec.Space)
 	if known, ok := sc.recordedLimits[space]; ok && known.at > j.Spec.At {
 		return
@@ -103,31 +107,41 @@
 		u.Indexes = nil
 		return u
 	}
-	n := min(limit.Room(sc.pool.Ledger.Used(space), declared(u.Step)), len(u.Indexes))
-	if u.Step.Spec.Gang && n < len(u.Indexes) {
-		n = 0
-	}
-	u.Indexes = u.Indexes[:n]
+	u.Indexes = u.Indexes[:atOnce(u, limit.Room(sc.pool.Ledger.Used(space), declared(u.Step)))]
 	return u
 }
 
+// atOnce returns how many tasks of a unit may start at once where there is room for some.
+func atOnce(u unit, room int) int {
+	if u.Step.Spec.Gang && room < len(u.Indexes) {
+		return 0
+	}
+	return min(room, len(u.Indexes))
+}
+
 // waitForCap lets a unit wait for the cap of its workspace, and stops less urgent work of the
-// workspace for it.
+// workspace for it. One that does not fit while nothing else runs, as the cap was lowered, keeps
+// nothing from the others.
 func (sc *Scheduler) waitForCap(p *planState, u unit) {
 	space := fleet.SpaceID(u.job.Spec.Space)
+	sc.noteCapped(u)
+	n := atOnce(u, sc.limitOf(space).Room(fleet.Res{}, declared(u.Step)))
+	if n == 0 {
+		return
+	}
 	if _, ok := p.capped[space]; !ok {
 		p.capped[space] = cappedUnit{u.priority, u.waited > u.Step.Estimate()}
 	}
-	sc.noteCapped(u)
+	u.Indexes = u.Indexes[:n]
 	sc.preemptOwn(p, u)
 }
 
-// noteCapped logs once per wait that a unit waits for the cap of its workspace.
+// noteCapped logs once per wait that a step waits for the cap of its workspace.
 func (sc *Scheduler) noteCapped(u unit) {
-	if u.job.capped == u.Step {
+	if u.job.capped[u.Step] {
 		return
 	}
-	u.job.capped = u.Step
+	u.job.capped[u.Step] = true
 	space := fleet.SpaceID(u.job.Spec.Space)
 	sc.logf(event.JobCapped, string(u.job.ID), "space=%s round=%d step=%d need=%s used=%s held=%s cap=%s",
 		space, u.Step.Round, u.Step.Index, declared(u.Step).Times(len(u.Indexes)), sc.pool.Ledger.Used(space), sc.pool.Ledger.Held(space), sc.limitOf(space).Cap)
@@ -158,16 +172,10 @@
 }
 
 // ownVictims returns the runs of a workspace whose stop frees the given resources at the least
-// cost. It reports false if all of them do not free enough. Runs that are being stopped count
-// as freed.
+// cost. It reports false if all of them do not free enough.
 func (sc *Scheduler) ownVictims(p *planState, space fleet.SpaceID, excess fleet.Res, claimsGuarantee bool) ([]*pool.Run, float64, bool) {
 	var all []assign.Victim
 	for _, w := range sc.pool.Sorted() {
-		for _, r := range w.Sorted() {
-			if r.Space == space && r.Phase == pool.Stopping {
-				excess = excess.Sub(r.Counts)
-			}
-		}
 		for _, v := range sc.victims(p, w, claimsGuarantee) {
 			if v.Run.Space == space {
 				all = append(all, v)
@@ -182,7 +190,7 @@
 		if excess.Fits(fleet.Res{}) {
 			break
 		}
-		if stopped[v.Run.Task] {
+		if stopped[v.Run.Task] || !frees(v.Run.Counts, excess) {
 			continue
 		}
 		runs = append(runs, v.Run)
@@ -198,6 +206,11 @@
 	return runs, cost, excess.Fits(fleet.Res{})
 }
 
+// frees reports whether a run takes any of the resources that are exceeded.
+func frees(r, excess fleet.Res) bool {
+	return r.Cores > 0 && excess.Cores > 0 || r.Mem > 0 && excess.Mem > 0 || r.Accels > 0 && excess.Accels > 0
+}
+
 // withdrawCapped withdraws starts that are not sent yet of workspaces that are above their
 // cap, the newest first. This happens if a cap is lowered while placements are being stored.
 func (sc *Scheduler) withdrawCapped(starts []pendingStart) {
--- a/fleet/sched/caps_test.go
+++ b/fleet/sched/caps_test.go
@@ -497,3 +497,99 @@
 	w.run(time.Second)
 	qt.Assert(t, w.startCount("resend"), qt.Equals, 0)
 }
+
+// A gang that the lowered cap can never hold must not keep back the other work of its
+// workspace.
+func TestGangAboveTheLoweredCapBlocksNothing(t *testing.T) {
+	w := newCappedWorld(t, accelCap(32), quota.Limit{})
+	w.submitAccepted(flowOf("b", "full", "urgent", taskStep(8, 8, 2*time.Second)))
+	w.submitAccepted(flowOf("a", "toowide", "long", gangStep(4, 8, time.Second)))
+	w.setLimits(accelCap(16), quota.Limit{})
+	small := flowOf("a", "small", "bulk", taskStep(4, 4, time.Second))
+	w.submitAccepted(small)
+	w.awaitCompleted(small, 6*time.Second)
+	qt.Assert(t, w.startCount("toowide"), qt.Equals, 0)
+}
+
+// Runs that are being stopped on a worker out of reach free nothing before its lease has
+// expired. Urgent work within its guarantee must not wait for them.
+func TestGuaranteeDoesNotWaitForRunsOutOfReach(t *testing.T) {
+	w := newCappedWorld(t, accelCap(24), quota.Limit{})
+	w.submitAccepted(flowOf("a", "own", "bulk", taskStep(3, 8, time.Minute)))
+	w.run(20 * time.Second)
+	for _, one := range w.sorted() {
+		if len(one.runs) > 0 {
+			one.cutOff = true
+			break
+		}
+	}
+	w.submitAccepted(flowOf("a", "first", "urgent", gangStep(1, 8, time.Minute)))
+	w.submitAccepted(flowOf("a", "second", "urgent", gangStep(1, 8, time.Minute)))
+	w.runUntil(2700*time.Millisecond, "start of both", func() bool { return w.startCount("first") == 1 && w.startCount("second") == 1 })
+}
+
+// A job that was accepted without a limit, as its workspace was not configured, must not
+// remove the cap that the records of earlier jobs hold.
+func TestJobWithoutALimitDoesNotRemoveTheRecordedCap(t *testing.T) {
+	w := newCappedWorld(t, accelCap(8), quota.Limit{})
+	f := flowOf("a", "kept", "bulk", taskStep(4, 8, time.Second))
+	f.Cap = (fleet.Res{Accels: 8}).Wire()
+	w.submitAccepted(f)
+	c := *w.config
+	c.Version, c.Spaces = c.Version+1, []queue.Space{{Name: "b", Limit: accelCap(8)}}
+	w.config = queue.New(c)
+	w.postConfig()
+	w.submitAccepted(flowOf("a", "kept2", "bulk", taskStep(4, 8, time.Second)))
+	w.runWithin(9*time.Second, "kept", 8)
+}
+
+// Runs that take nothing of the resource that is short must not be stopped for it.
+func TestOnlyRunsThatFreeTheCapAreStopped(t *testing.T) {
+	w := newCappedWorld(t, accelCap(16), quota.Limit{})
+	w.submitAccepted(flowOf("a", "cores", "bulk", taskStep(20, 0, time.Minute)))
+	w.submitAccepted(flowOf("a", "accels", "bulk", taskStep(16, 1, time.Minute)))
+	w.run(20 * time.Second)
+	w.submitAccepted(flowOf("a", "urgent", "urgent", gangStep(1, 8, time.Second)))
+	w.runUntil(2700*time.Millisecond, "start", func() bool { return w.startCount("urgent") == 1 })
+	qt.Assert(t, w.startCount("cores"), qt.Equals, 20)
+	qt.Assert(t, w.running("cores"), qt.Equals, 20)
+}
+
+// Urgent tasks that are no gang start as many at once as the cap holds.
+func TestUrgentTasksClaimTheCapInParts(t *testing.T) {
+	w := newCappedWorld(t, accelCap(16), quota.Limit{})
+	own := flowOf("a", "own", "bulk", taskStep(16, 1, time.Minute))
+	own.Steps[0].Saves = true
+	w.submitAccepted(own)
+	w.run(20 * time.Second)
+	f := flowOf("a", "parts", "urgent", taskStep(20, 1, time.Second))
+	w.submitAccepted(f)
+	w.runUntil(2700*time.Millisecond, "starts", func() bool { return w.startCount("parts") >= 16 })
+	w.awaitCompleted(f, 4*time.Second)
+}
+
+// A backlog of tasks without accelerators is a backlog.
+func TestBacklogWithoutAcceleratorsIsRefused(t *testing.T) {
+	w := newCappedWorld(t, quota.Limit{Weight: 1}, quota.Limit{Weight: 1})
+	refused := 0
+	for i := range 60 {
+		step := taskStep(100, 0, 2*time.Second)
+		step.Each = (fleet.Res{Cores: 4000, Mem: 1024}).Wire()
+		id := w.submit(flowOf("a", fmt.Sprint("plain", i), "long", step))
+		w.run(20 * time.Millisecond)
+		if r := w.submitReplies[id]; r != nil && r.Verdict == wire.Verdict_REFUSED {
+			refused++
+		}
+	}
+	qt.Assert(t, refused > 0, qt.IsTrue)
+}
+
+// A job with several steps that wait is logged once for each.
+func TestEachStepIsLoggedOnceAsItWaitsForTheCap(t *testing.T) {
+	w := newCappedWorld(t, accelCap(8), quota.Limit{})
+	f := flowOf("a", "steps", "bulk", taskStep(20, 8, 300*time.Millisecond))
+	f.Steps = append(f.Steps, taskStep(20, 8, 300*time.Millisecond))
+	w.submitAccepted(f)
+	w.run(3 * time.Second)
+	qt.Assert(t, w.eventCount(event.JobCapped), qt.Equals, 2)
+}
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -30,7 +30,7 @@
 	failed         map[fleet.HostID]time.Time // workers where one of its tasks failed; not used for it until the time given
 	evicted        map[fleet.Task]int         // how often each task was preempted
 	rackFits       map[*flow.Step]rackFit
-	capped         *flow.Step // that waits for the cap of its workspace, as logged last
+	capped         map[*flow.Step]bool // that wait for the cap of the workspace, as logged
 }
 
 // rackFit caches whether a step fits where it runs at full speed, for one generation
@@ -47,7 +47,7 @@
 }
 
 func newJob(f *flow.Job) *job {
-	return &job{Job: f, failed: map[fleet.HostID]time.Time{}, evicted: map[fleet.Task]int{}, rackFits: map[*flow.Step]rackFit{}}
+	return &job{Job: f, failed: map[fleet.HostID]time.Time{}, evicted: map[fleet.Task]int{}, rackFits: map[*flow.Step]rackFit{}, capped: map[*flow.Step]bool{}}
 }
 
 // submit queues a job to be stored, or refuses it at once.
@@ -72,13 +72,13 @@
 	}
 	e.Flow.At = sc.now.UnixMilli()
 	j := newJob(flow.New(e.Flow))
-	sc.noteLimit(j)
 	if retry, why := sc.admit(j); why != "" {
 		sc.refuse(e, retry, why)
 		return
 	}
 	j.waiters = []submitter{{e.Waiter, e.Deadline}}
 	sc.jobs[id] = j
+	sc.noteLimit(j)
 	sc.outbox.accepted = append(sc.outbox.accepted, j)
 	sc.changed = true
 }
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -41,10 +41,11 @@
 // plan places all waiting work that can start now. Load pattern: on a large, full
 // site, hundreds of run ends arrive each second, one by one, and each changes what
 // can be placed. A plan for each would leave no time for anything else. Without a current
-// list of workers nothing is placed, as any of them may be leaving.
+// list of workers nothing is placed, as any of them may be leaving, and without a configuration
+// nothing of limited workspaces, as their caps may have been lowered.
 func (sc *Scheduler) plan() {
 	since := sc.now.Sub(sc.plannedAt)
-	if since < minPlanInterval || !sc.changed && since < planInterval || sc.outbox.stuck(sc.now) || !sc.listIsCurrent() {
+	if since < minPlanInterval || !sc.changed && since < planInterval || sc.outbox.stuck(sc.now) || !sc.listIsCurrent() || sc.config == nil && sc.limited() {
 		return
 	}
 	sc.changed, sc.plannedAt = false, sc.now
@@ -240,8 +241,12 @@
 	asked := u
 	u = sc.fitToCap(p, u)
 	p.noteWaiting(u, len(asked.Indexes)-len(u.Indexes), waitsForCap)
-	if len(u.Indexes) == 0 {
+	if len(u.Indexes) < len(asked.Indexes) {
 		sc.waitForCap(p, asked)
+	} else {
+		delete(u.job.capped, u.Step)
+	}
+	if len(u.Indexes) == 0 {
 		return
 	}
 	placements := sc.findPlacements(p, u)
@@ -250,7 +255,6 @@
 		sc.preempt(p, u)
 		return
 	}
-	u.job.capped = nil
 	run := sc.nextRun(u.Step)
 	u.Step.OffRack = u.AnyRack
 	for _, w := range sc.pool.Sorted() {
--- a/fleet/sched/shares.go
+++ b/fleet/sched/shares.go
@@ -97,18 +97,20 @@
 	limit := sc.limitOf(space)
 	shares.Join(space, limit)
 	own := sc.ownWorkAhead(j)
-	wait = min(wait, own.accels/(shares.Fraction(space)*float64(total)))
+	wait = min(wait, own.slots/(shares.Fraction(space)*float64(total)))
 	return seconds(max(wait, own.timeUnder(limit.Cap)))
 }
 
-// work is resources multiplied by the seconds for which they are needed.
-type work struct{ cores, mem, accels float64 }
+// work is resources multiplied by the seconds for which they are needed. Slots are accelerators
+// where each task counts as at least one.
+type work struct{ cores, mem, accels, slots float64 }
 
 // add adds tasks of a size that run for a time.
 func (w *work) add(each fleet.Res, tasks, span float64) {
 	w.cores += float64(each.Cores) * tasks * span
 	w.mem += float64(each.Mem) * tasks * span
 	w.accels += float64(each.Accels) * tasks * span
+	w.slots += float64(weight(each)) * tasks * span
 }
 
 // timeUnder returns how many seconds the work takes at least under a cap.
