The lead learns the speeds of workers and places work by its slack

Cause: on a site whose workers run at 0.6, 1.0 and 1.6 half of the urgent jobs were late on a nearly empty site, as any worker would do for any task, and what was learned of a worker was passing and lost with the lead.

Change: progress and ends of runs go into fleet/speed; placement gets each unit's slack and the profiles. Passing slowness is measured relative to the profile. Profiles of services whose workers differ are stored with batches that are sent anyway (key speed/ID), read by the next lead, and deleted with the worker. Event 612; rpc Workers. A site with similar workers is scheduled as before.

--- a/deckd/site/peer.go
+++ b/deckd/site/peer.go
@@ -54,6 +54,14 @@
 	return r, nil
 }
 
+func (s siteServer) Workers(_ context.Context, ask *wire.WorkerSpeedAsk) (*wire.WorkerSpeedReply, error) {
+	var r *wire.WorkerSpeedReply
+	if !s.site.runOnLoop(deadlineIn(queryTimeout.Milliseconds()), func(sc *sched.Scheduler) { r = sc.WorkerSpeeds(fleet.DomainID(ask.Domain)) }) {
+		return nil, errLoopBusy
+	}
+	return r, nil
+}
+
 func (s siteServer) Sight(context.Context, *wire.SightAsk) (*wire.SightReply, error) {
 	var r *wire.SightReply
 	if !s.site.runOnLoop(deadlineIn(peerTimeout.Milliseconds()), func(sc *sched.Scheduler) { r = sc.Sight(time.Now()) }) {
--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -182,6 +182,23 @@
 // Estimate returns the caller's estimate of a task's run time.
 func (s *Step) Estimate() time.Duration { return time.Duration(s.Spec.Span) * time.Millisecond }
 
+// PathAfter returns the length of the longest path through the steps of a round that depend
+// on a step, by the estimated run times.
+func (j *Job) PathAfter(step int) time.Duration {
+	ends := make([]time.Duration, len(j.Spec.Steps))
+	var longest time.Duration
+	for i, s := range j.Spec.Steps[step+1:] {
+		k := step + 1 + i
+		for _, a := range s.After {
+			if int(a) == step || ends[a] > 0 {
+				ends[k] = max(ends[k], ends[a]+time.Duration(s.Span)*time.Millisecond)
+			}
+		}
+		longest = max(longest, ends[k])
+	}
+	return longest
+}
+
 // CriticalPath returns the length of the critical path through the steps of a round, by
 // the estimated run times.
 func (j *Job) CriticalPath() time.Duration {
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -336,20 +336,25 @@
 	}
 }
 
-func (p *Pool) forgetIfIdle(w *Worker, now time.Time) {
+func (p *Pool) forgetIfIdle(w *Worker, now time.Time) bool {
 	if w.Listed || len(w.Runs) > 0 || w.PollsInFlight > 0 || now.Before(w.UnknownEndsUntil) {
-		return
+		return false
 	}
 	delete(p.Workers, w.Endpoint.Host)
 	p.sorted = nil
+	return true
 }
 
 // Sweep removes the workers that have no entry, no runs, no poll in flight and no
-// ends that the lead may not have learned yet.
-func (p *Pool) Sweep(now time.Time) {
-	for _, w := range p.Workers {
-		p.forgetIfIdle(w, now)
+// ends that the lead may not have learned yet. It returns them.
+func (p *Pool) Sweep(now time.Time) []fleet.HostID {
+	var gone []fleet.HostID
+	for host, w := range p.Workers {
+		if p.forgetIfIdle(w, now) {
+			gone = append(gone, host)
+		}
 	}
+	return gone
 }
 
 // resetProcess clears what is known of the worker's former process.
--- a/fleet/sched/ends.go
+++ b/fleet/sched/ends.go
@@ -19,6 +19,9 @@
 		return
 	}
 	sc.logf(event.RunEnded, string(j.ID), "%s end=%s no=%d", describeRun(e.Task, e.Run, w.Endpoint.Host), e.How, e.No)
+	if r != nil && e.How == fleet.EndDone && r.Phase == pool.Running {
+		sc.learnSpeed(w, j, j.Step(e.Task), r, fullPercent)
+	}
 	newest := j.ClearRun(e.Task, e.Run, sc.now)
 	if newest || e.How == fleet.EndDone {
 		sc.outbox.markDirty(j)
@@ -26,9 +29,7 @@
 	switch e.How {
 	case fleet.EndDone:
 		w.NoteSuccess(sc.now)
-		if j.Done(e.Task, sc.now) && j.HasEnded() {
-			sc.logf(event.JobDone, string(j.ID), "queue=%s after=%s", j.Spec.Queue, sc.now.Sub(time.UnixMilli(j.Spec.At)))
-		}
+		sc.finishTask(j, e.Task)
 		return
 	case fleet.EndFailed:
 		if newest {
@@ -41,6 +42,19 @@
 	}
 }
 
+// finishTask records that a task succeeded.
+func (sc *Scheduler) finishTask(j *job, t fleet.Task) {
+	if !j.Done(t, sc.now) {
+		return
+	}
+	if s := j.Step(t); s.Unfinished() == 0 {
+		sc.speeds.finish(j.Spec.Queue, s)
+	}
+	if j.HasEnded() {
+		sc.logf(event.JobDone, string(j.ID), "queue=%s after=%s", j.Spec.Queue, sc.now.Sub(time.UnixMilli(j.Spec.At)))
+	}
+}
+
 // failedWorkerPause is how long a job is not placed again on a worker where it
 // failed, so that it does not use up its attempts there within an instant.
 const failedWorkerPause = 2 * time.Second
--- a/fleet/sched/estimates.go
+++ b/fleet/sched/estimates.go
@@ -21,6 +21,13 @@
 // estimates: mean and variance of the logarithm of real over estimated run time.
 type estimateError struct{ mean, variance float64 }
 
+// add adds a measurement and its own variance.
+func (e *estimateError) add(logRatio, variance, weight float64) {
+	deviation := logRatio - e.mean
+	e.mean += weight * deviation
+	e.variance += weight * (deviation*deviation + variance - e.variance)
+}
+
 // stepMean accumulates the measurements of the tasks of one step.
 type stepMean struct {
 	sum   float64
@@ -44,8 +51,9 @@
 		return
 	}
 	r.MeasuredAt = sc.now
+	sc.learnSpeed(w, j, s, r, r.Percent)
 	total := elapsed.Seconds() * 100 / float64(max(r.Percent-r.FromPercent, 1))
-	sc.addMeasurement(w, j, s, math.Log(total/s.Estimate().Seconds()))
+	sc.addMeasurement(w, j, s, math.Log(total/s.Estimate().Seconds())-sc.expectedSlowness(w, s, r))
 }
 
 func (sc *Scheduler) addMeasurement(w *pool.Worker, j *job, s *flow.Step, logRatio float64) {
@@ -55,8 +63,7 @@
 		sc.estimateErrors[j.Spec.Queue] = e
 	}
 	deviation := logRatio - e.mean
-	e.mean += errorWeight * deviation
-	e.variance += errorWeight * (deviation*deviation - e.variance)
+	e.add(logRatio, 0, errorWeight)
 	if s.Spec.Gang {
 		w.Observe(deviation, e.variance*float64(len(s.Tasks)), sc.now)
 		return
@@ -83,6 +90,7 @@
 	for _, r := range j.Rounds {
 		for _, s := range r.Steps {
 			delete(sc.stepMeans, s)
+			sc.speeds.forget(s)
 		}
 	}
 }
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"strings"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -81,6 +82,8 @@
 	tracks := map[fleet.JobID]*wire.Track{}
 	for _, r := range records {
 		switch {
+		case strings.HasPrefix(r.Key, speedKey):
+			sc.restoreSpeed(r)
 		case len(r.Key) > len(flowKey) && r.Key[:len(flowKey)] == flowKey:
 			f := &wire.Flow{}
 			if err := proto.Unmarshal(r.Value, f); err != nil {
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -63,6 +63,7 @@
 	accepted  []*job
 	cancels   []pendingCancel
 	starts    []pendingStart
+	speeds    []*wire.Speed
 	ends      map[fleet.HostID]fleet.EndNo // newest run end of each worker that may be acknowledged once the batch is stored
 }
 
@@ -184,6 +185,7 @@
 	for _, id := range b.deletes {
 		s.records = append(s.records, fleet.Record{Key: flowKey + string(id)}, fleet.Record{Key: trackKey + string(id)})
 	}
+	sc.addSpeedRecords(s)
 	starts := b.starts
 	s.cancels = b.cancels
 	b.cancels, b.starts, b.dirty, b.deletes = nil, nil, later, nil
@@ -317,6 +319,7 @@
 			w.EndsStored = max(w.EndsStored, no)
 		}
 	}
+	sc.speeds.book.Stored(s.speeds)
 	b.stored = append(b.stored, s.starts...)
 }
 
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -89,7 +89,10 @@
 }
 
 func (sc *Scheduler) site() *assign.Site {
-	return &assign.Site{Now: sc.now, Pool: sc.pool, OutOfService: sc.domainsOut, Unreachable: sc.unreachable}
+	return &assign.Site{
+		Now: sc.now, Pool: sc.pool, OutOfService: sc.domainsOut, Unreachable: sc.unreachable,
+		Profiles: siteProfiles{sc.speeds.book, sc.pool},
+	}
 }
 
 // units returns the waiting work in scheduling order.
@@ -183,6 +186,7 @@
 		u.waited = sc.now.Sub(s.Freed)
 	}
 	u.due = due.Add(sc.objective(j))
+	u.Slack, u.Urgent = sc.slack(u), u.priority == 0
 	return u
 }
 
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -80,6 +80,8 @@
 	waiting           map[fleet.SpaceID]waitCounts    // as of the last plan
 	estimateErrors    map[string]*estimateError       // by queue
 	stepMeans         map[*flow.Step]*stepMean
+	speeds            speeds
+	goneSpeeds        []fleet.HostID // workers that are forgotten and whose speed may be stored
 	beatSentAt        time.Time
 	plannedAt         time.Time
 	placedAt          time.Time // when something was last placed or waited for capacity
@@ -112,6 +114,7 @@
 	sc.recordedLimits, sc.waiting = map[fleet.SpaceID]recordedLimit{}, nil
 	sc.estimateErrors = map[string]*estimateError{}
 	sc.stepMeans = map[*flow.Step]*stepMean{}
+	sc.speeds, sc.goneSpeeds = newSpeeds(), nil
 	sc.confirmLead()
 	sc.unreachable, sc.domainPolledAt = nil, map[fleet.DomainID]time.Time{}
 }
--- a/fleet/sched/supervise.go
+++ b/fleet/sched/supervise.go
@@ -28,6 +28,7 @@
 func (sc *Scheduler) supervise() {
 	sc.reportOldList()
 	sc.releaseHolds()
+	sc.logSpeeds()
 	for _, w := range sc.pool.Sorted() {
 		if w.Leased() && sc.now.After(w.LeasesExpireAt()) && !sc.quorum.alone {
 			sc.judgeLoss(w, sc.mayHaveCrashed(w), "its lease has expired")
@@ -42,7 +43,9 @@
 			sc.superviseRun(w, r)
 		}
 	}
-	sc.pool.Sweep(sc.now)
+	for _, host := range sc.pool.Sweep(sc.now) {
+		sc.forgetSpeed(host)
+	}
 }
 
 func (sc *Scheduler) superviseRun(w *pool.Worker, r *pool.Run) {
