Work with slack measures workers whose speed is not known

Cause: on a site whose workers differ, work with slack took the slowest known workers first, so that the others stayed unmeasured.

Change: among the workers on which it is almost certainly in time, work with slack takes those of unknown speed first.

--- a/fleet/assign/slack.go
+++ b/fleet/assign/slack.go
@@ -13,6 +13,8 @@
 type Profile interface {
 	// Mean returns the mean of the logarithm of the slowdown.
 	Mean() float64
+	// Spread returns its standard deviation.
+	Spread() float64
 	// ChanceWithin returns the probability that the logarithm of the slowdown is at most log.
 	ChanceWithin(log float64) float64
 }
@@ -77,9 +79,13 @@
 const (
 	speedClassWidth = 0.25 // of the logarithm of the slowdown
 	maxSpeedClass   = 4    // slowest class; the fastest is its negative
-	speedClasses    = 2*maxSpeedClass + 1
+	speedClasses    = 2*maxSpeedClass + 2
+	unmeasured      = maxSpeedClass + 1 // class of a worker whose speed is not known
 )
 
+// knownSpread is the spread of a profile below which the speed class of a worker is known.
+const knownSpread = 0.25
+
 // ranksPerPace is the number of ranks by slack among workers of one pace.
 const ranksPerPace = rank(chanceClasses) * speedClasses
 
@@ -87,6 +93,7 @@
 type speedGrade struct {
 	profile  Profile
 	class    int // of its mean slowdown, the slowest highest
+	known    bool
 	computed uint64
 	chances  [slackSteps]float64 // by slack step, where the bit in computed is set
 }
@@ -98,7 +105,7 @@
 	}
 	p := s.Profiles.Profile(host)
 	class := math.Round(p.Mean() / speedClassWidth)
-	return &speedGrade{profile: p, class: int(max(-maxSpeedClass, min(class, maxSpeedClass)))}
+	return &speedGrade{profile: p, class: int(max(-maxSpeedClass, min(class, maxSpeedClass))), known: p.Spread() <= knownSpread}
 }
 
 // chance returns the probability that the worker ends a unit of the given slack in time.
@@ -135,14 +142,18 @@
 func (d *demand) class(g *speedGrade) chanceClass { return d.least.class(g.chance(d.step)) }
 
 // rank returns the rank of a worker among those of the same pace. Work with slack takes
-// the slowest workers that are almost certain to be in time, so that faster ones stay
-// free. In all other cases the fastest come first.
+// workers whose speed is not known yet, so that it is measured before urgent work needs
+// them, and then the slowest that are almost certain to be in time, so that faster ones
+// stay free. In all other cases the fastest come first.
 func (d *demand) rank(g *speedGrade) rank {
 	class, speed := d.class(g), g.class
 	if class == sure && !d.urgent {
 		speed = -speed
+		if !g.known {
+			speed = -unmeasured
+		}
 	}
-	return rank(class)*speedClasses + rank(speed+maxSpeedClass)
+	return rank(class)*speedClasses + rank(speed+unmeasured)
 }
 
 // rankBySlack refines the ranks of the candidates by the unit's chance to be in time, if
--- a/fleet/assign/slack_test.go
+++ b/fleet/assign/slack_test.go
@@ -44,6 +44,14 @@
 	return mean
 }
 
+func (p profile) Spread() float64 {
+	mean, square := p.Mean(), 0.0
+	for i, log := range p.logs {
+		square += (log - mean) * (log - mean) * p.chances[i]
+	}
+	return math.Sqrt(square)
+}
+
 func (p profile) ChanceWithin(log float64) float64 {
 	*p.calls++
 	chance := 0.0
