A task that has lived much longer elsewhere is not given up for short lives on a site whose workers crash

Cause: a job is given up after five crashes that one of its tasks may have caused. In the logs of the runs the lives of such a task differ widely (0.01 s, 0.5 s and 4.9 s), while a task that crashes each of its workers at one point of its work outlives that point nowhere.

Change: a crash is not held against a task if an earlier run of it certainly lived for more than a second and at least twice as long as this one at most, the run did not resume from a checkpoint, and three workers have crashed lately without the job. This counts for at most two crashes of a task, so that the number of starts stays limited whatever its lives are. The lives are kept by the present lead only; a new one counts every crash.

The limit for a task that crashes each worker at the same time after its start is as before.

--- a/fleet/pool/crash.go
+++ b/fleet/pool/crash.go
@@ -53,6 +53,27 @@
 	return !w.IsStarting(r) || !w.brokenAt.IsZero() && w.brokenAt.Sub(r.SentAt) > startupTime
 }
 
+// LifeOf returns how long a confirmed run of a lost worker lived, at least and at most.
+// Known is false if there is no upper limit: the worker fell silent, or a former lead sent
+// the start.
+func (w *Worker) LifeOf(r *Run) (least, most time.Duration, known bool) {
+	if r.SentAt.IsZero() || !r.Confirmed {
+		return 0, 0, false
+	}
+	return max(w.LastHeard.Sub(r.SentAt), 0), w.brokenAt.Sub(r.SentAt), !w.brokenAt.IsZero()
+}
+
+// CrashedWithout returns how many workers have crashed lately without a run of a job.
+func (p *Pool) CrashedWithout(job fleet.JobID, now time.Time) int {
+	n := 0
+	for _, w := range p.Workers {
+		if w.CrashedWithout(job, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // LostWithOthers reports whether the calls of several other workers began to fail when
 // those of a lost worker did.
 func (p *Pool) LostWithOthers(w *Worker) bool {
--- a/fleet/sched/crash.go
+++ b/fleet/sched/crash.go
@@ -1,12 +1,22 @@
 package sched
 
 import (
+	"time"
+
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/flow"
 	"dragonflydeck.example/fleet/pool"
 )
 
+// When a crash is not held against a task that has lived longer on another worker.
+const (
+	lifeSpread      = 2           // a task that crashes its workers at one point of its work reaches it this much later on a slow one
+	startSpread     = time.Second // a shorter life does not tell a task from one that crashes its workers as it starts
+	minOtherCrashes = 3           // workers that crashed lately without the job
+	maxExcused      = 2           // crashes of one task that are not held against it, so that its starts stay limited
+)
+
 // judgeLoss decides how much each run of a lost worker is to blame for the loss. A worker
 // that was told to leave, or that may only be out of reach, has not crashed.
 func (sc *Scheduler) judgeLoss(w *pool.Worker, crashed bool, why string) {
@@ -17,13 +27,17 @@
 		}
 	}
 	for _, r := range w.Sorted() {
-		_, s := sc.stepOf(r.Task)
+		j, s := sc.stepOf(r.Task)
 		if s == nil || !r.Dispatched && !r.Inherited {
 			continue
 		}
 		again := w.CrashedWithout(r.Task.Job, sc.now)
 		if crashed {
-			r.Blame = max(r.Blame, l.blame(r, again, s.Spec.Lasting))
+			blame := l.blame(r, again, s.Spec.Lasting)
+			if j.outlived(w, r) && blame != flow.Unrelated && sc.excuse(j, r.Task) {
+				blame = flow.Unrelated
+			}
+			r.Blame = max(r.Blame, blame)
 		}
 		sc.logf(event.RunLost, string(r.Task.Job), "%s lived=%s confirmed=%t beside=%d starting=%d common=%t again=%t crashed=%t blame=%s: %s",
 			describeRun(r.Task, r.No, w.Endpoint.Host), lived(w, r), r.Confirmed, len(w.Runs)-1, l.starting, l.common, again, crashed, r.Blame, why)
@@ -33,6 +47,34 @@
 	}
 }
 
+// record is what the present lead has seen of the lost runs of a task.
+type record struct {
+	longest time.Duration // that one of them certainly lived
+	excused int           // crashes that were not held against the task
+}
+
+// outlived reports whether a lost run ended long before the time for which an earlier run of
+// its task certainly lived, and notes the life of this one. A task that crashes each of its
+// workers at one point of its work outlives that point nowhere.
+func (j *job) outlived(w *pool.Worker, r *pool.Run) bool {
+	was := j.records[r.Task]
+	least, most, known := w.LifeOf(r)
+	j.records[r.Task] = record{max(was.longest, least), was.excused}
+	return known && r.Saved == "" && was.longest > startSpread && most < was.longest/lifeSpread
+}
+
+// excuse reports whether the crash of a worker is not held against a task that has outlived
+// it: workers crash without its job too, and few crashes were excused so far.
+func (sc *Scheduler) excuse(j *job, t fleet.Task) bool {
+	k := j.records[t]
+	if k.excused >= maxExcused || sc.pool.CrashedWithout(j.ID, sc.now) < minOtherCrashes {
+		return false
+	}
+	k.excused++
+	j.records[t] = k
+	return true
+}
+
 // loss is what is known about the loss of a worker.
 type loss struct {
 	worker   *pool.Worker
--- a/fleet/sched/crash_test.go
+++ b/fleet/sched/crash_test.go
@@ -218,6 +218,45 @@
 	}
 }
 
+// excusedCrashes is how many crashes are not held against a task that lived longer before.
+const excusedCrashes = 2
+
+// A task runs for seconds before its worker crashes, and then crashes each worker that
+// starts it, while others crash for their own reasons. Its long life must not let it
+// crash workers without limit.
+func TestTaskThatCrashesItsWorkersIsGivenUpAfterALongLife(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 0))
+			w := newWorld(t, 2, 8)
+			c := w.addCrasher(time.Second)
+			c.silent = seed%2 == 1
+			deadly := task("deadly", 0)
+			runTimes["deadly"] = 8 * time.Second
+			w.becomeLead()
+			w.run(500 * time.Millisecond)
+			f := newFlow("deadly", "long", taskStep(1, 1, 8*time.Second))
+			w.submitAccepted(f)
+			w.run(4 * time.Second)
+			for _, one := range w.sorted() {
+				if len(one.runs) > 0 {
+					one.goDown(w.now, c.down)
+				}
+			}
+			c.after[deadly] = 10 * time.Millisecond
+			for end := w.now.Add(time.Minute); w.now.Before(end) && w.stage(f) != wire.Stage_BROKE; w.run(300 * time.Millisecond) {
+				for _, one := range w.sorted() {
+					if !one.isDown() && rng.IntN(6) == 0 {
+						one.goDown(w.now, c.down)
+					}
+				}
+			}
+			qt.Check(t, w.stage(f), qt.Equals, wire.Stage_BROKE)
+			qt.Check(t, c.late[deadly] <= toleratedStarts+excusedCrashes, qt.IsTrue, qt.Commentf("%d starts after %d crashes", c.late[deadly], toleratedCrashes))
+		})
+	}
+}
+
 // A task crashes each worker that starts it, and each time the lead is replaced before or
 // after the worker is back.
 func TestTaskThatCrashesItsWorkersIsGivenUpByLeadsInTurn(t *testing.T) {
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -29,6 +29,7 @@
 	preemptTriedAt time.Time                  // when runs to preempt for it were last searched for
 	failed         map[fleet.HostID]time.Time // workers where one of its tasks failed; not used for it until the time given
 	evicted        map[fleet.Task]int         // how often each task was preempted
+	records        map[fleet.Task]record      // of its lost runs
 	rackFits       map[*flow.Step]rackFit
 }
 
@@ -46,7 +47,7 @@
 }
 
 func newJob(f *flow.Job) *job {
-	return &job{Job: f, failed: map[fleet.HostID]time.Time{}, evicted: map[fleet.Task]int{}, rackFits: map[*flow.Step]rackFit{}}
+	return &job{Job: f, failed: map[fleet.HostID]time.Time{}, evicted: map[fleet.Task]int{}, records: map[fleet.Task]record{}, rackFits: map[*flow.Step]rackFit{}}
 }
 
 // submit queues a job to be stored, or refuses it at once.
