Placement rates a worker and counts a task's size only where it is needed

Cause: each plan computed the rank and record of each of 540 workers (two exponentials each), looked at all of them again for each size of task, and read the size from the message for each worker and victim. On a full site few workers have room for anything.

--- a/fleet/assign/assign.go
+++ b/fleet/assign/assign.go
@@ -45,8 +45,9 @@
 	OutOfService map[fleet.DomainID]bool // failure domains that are out of service
 	Unreachable  map[fleet.DomainID]bool // failure domains that count as unreachable
 
-	usable map[string][]usableWorker // by service; computed at the first use
-	roomy  map[size][]usableWorker   // usable workers with room for a task; computed at the first use
+	usable map[string][]*usableWorker // by service; computed at the first use
+	spare  map[string][]*usableWorker // those of them with free accelerators; computed at the first use
+	roomy  map[size][]*usableWorker   // usable workers with room for a task; computed at the first use
 }
 
 // size is what decides whether a worker has room for a task.
@@ -56,32 +57,48 @@
 }
 
 // usableWorker is a worker on which tasks may start now, with what every search for
-// room asks about it.
+// room asks about it. On a full site few searches get that far, so it is computed at the
+// first use.
 type usableWorker struct {
 	*pool.Worker
+	rated  bool
 	rank   rank
 	proven bool
 }
 
+// rate computes the worker's rank and record.
+func (s *Site) rate(w *usableWorker) {
+	if !w.rated {
+		w.rated, w.rank, w.proven = true, s.rankOf(w.Worker), w.Proven(s.Now)
+	}
+}
+
 // workers returns the usable workers of a service. They are computed once, as many
 // units are placed at one time.
-func (s *Site) workers(service string) []usableWorker {
+func (s *Site) workers(service string) []*usableWorker {
 	list, ok := s.usable[service]
 	if ok {
 		return list
 	}
-	for _, w := range s.Pool.Sorted() {
-		if w.Service == service && w.Usable(s.Now) && !s.OutOfService[w.Domain] && !s.Unreachable[w.Domain] {
-			list = append(list, usableWorker{w, s.rankOf(w), w.Proven(s.Now)})
+	now, all := s.Now, s.Pool.Sorted()
+	values := make([]usableWorker, 0, len(all))
+	list = make([]*usableWorker, 0, len(all))
+	for _, w := range all {
+		if w.Service == service && w.Usable(now) && !contains(s.OutOfService, w.Domain) && !contains(s.Unreachable, w.Domain) {
+			values = append(values, usableWorker{Worker: w})
+			list = append(list, &values[len(values)-1])
 		}
 	}
 	if s.usable == nil {
-		s.usable = map[string][]usableWorker{}
+		s.usable = map[string][]*usableWorker{}
 	}
 	s.usable[service] = list
 	return list
 }
 
+// contains reports whether a domain is in a set, which mostly is empty.
+func contains(set map[fleet.DomainID]bool, d fleet.DomainID) bool { return len(set) > 0 && set[d] }
+
 // Placement assigns a task to a worker.
 type Placement struct {
 	Index  int
@@ -104,24 +121,49 @@
 // withRoom returns the usable workers that had room for a task when it was first asked
 // for. Placing tasks only takes room, so on a full site later searches look at few
 // workers.
-func (s *Site) withRoom(service string, each fleet.Res) []usableWorker {
+func (s *Site) withRoom(service string, each fleet.Res) []*usableWorker {
 	k := size{service, each}
 	list, ok := s.roomy[k]
 	if ok {
 		return list
 	}
-	for _, w := range s.workers(service) {
+	all := s.workers(service)
+	if each.Accels > 0 {
+		all = s.withSpare(service)
+	}
+	for _, w := range all {
 		if each.Fits(w.Free()) {
 			list = append(list, w)
 		}
 	}
 	if s.roomy == nil {
-		s.roomy = map[size][]usableWorker{}
+		s.roomy = map[size][]*usableWorker{}
 	}
 	s.roomy[k] = list
 	return list
 }
 
+// withSpare returns the usable workers with free accelerators.
+func (s *Site) withSpare(service string) []*usableWorker {
+	list, ok := s.spare[service]
+	if ok {
+		return list
+	}
+	for _, w := range s.workers(service) {
+		if w.Free().Accels > 0 {
+			list = append(list, w)
+		}
+	}
+	if s.spare == nil {
+		s.spare = map[string][]*usableWorker{}
+	}
+	s.spare[service] = list
+	return list
+}
+
+// NoteFreed notes that runs were dropped from workers since the first search.
+func (s *Site) NoteFreed() { s.spare = nil }
+
 // candidate is a worker with room for some tasks of a unit.
 type candidate struct {
 	worker *pool.Worker
@@ -143,7 +185,7 @@
 	return rank(s.pace(w))
 }
 
-func (w usableWorker) rankFor(u Unit) rank {
+func (w *usableWorker) rankFor(u Unit) rank {
 	if len(u.Avoid) > 0 {
 		if _, failed := u.Avoid[w.Endpoint.Host]; failed {
 			return lastRank
@@ -164,7 +206,8 @@
 		if !each.Fits(room) || !s.eligible(u, w) {
 			continue
 		}
-		if n := s.taskCount(u, w.Worker, room); n > 0 {
+		if n := s.taskCount(u, w.Worker, each, room); n > 0 {
+			s.rate(w)
 			out = append(out, candidate{w.Worker, n, w.rankFor(u)})
 		}
 	}
@@ -172,7 +215,10 @@
 }
 
 // eligible reports whether a usable worker may run tasks of the unit.
-func (s *Site) eligible(u Unit, w usableWorker) bool {
+func (s *Site) eligible(u Unit, w *usableWorker) bool {
+	if u.LastAttempt {
+		s.rate(w)
+	}
 	switch {
 	case w.IsIsolated(u.Job.ID), u.Isolation != Shared && w.HasOthers(u.Job.ID, u.Isolation == Quiet):
 		return false
@@ -184,12 +230,13 @@
 	return len(u.Avoid) == 0 || !s.Now.Before(u.Avoid[w.Endpoint.Host])
 }
 
-// taskCount returns how many tasks of the unit fit into the given room of a worker.
-func (s *Site) taskCount(u Unit, w *pool.Worker, room fleet.Res) int {
-	if !u.Step.Each().Fits(room) {
+// taskCount returns how many tasks of the unit, each of the given size, fit into the given
+// room of a worker.
+func (s *Site) taskCount(u Unit, w *pool.Worker, each, room fleet.Res) int {
+	if !each.Fits(room) {
 		return 0 // the capacity may have shrunk below what runs take
 	}
-	n := min(room.Count(u.Step.Each()), len(u.Indexes))
+	n := min(room.Count(each), len(u.Indexes))
 	if limit := int(u.Step.Spec.Spread); limit > 0 {
 		n = min(n, limit-w.Count(u.Step.Task(u.Job.ID, 0)))
 	}
--- a/fleet/assign/room.go
+++ b/fleet/assign/room.go
@@ -105,17 +105,17 @@
 // options returns the room that a worker can offer, task by task, the cheapest first.
 func (s *Site) options(u Unit, w *pool.Worker, victims []Victim) []option {
 	var out []option
-	for range s.taskCount(u, w, w.Free()) {
+	each, room := u.Step.Each(), w.Free()
+	for range s.taskCount(u, w, each, room) {
 		out = append(out, option{worker: w})
 	}
-	room := w.Free()
 	var runs []*pool.Run
 	cost := 0.0
 	for _, v := range victims {
 		room = room.Add(v.Run.Each)
 		runs = append(runs, v.Run)
 		cost += v.Cost
-		if more := min(s.taskCount(u, w, room), len(u.Indexes)) - len(out); more > 0 {
+		if more := min(s.taskCount(u, w, each, room), len(u.Indexes)) - len(out); more > 0 {
 			out = append(out, shareCost(w, runs, cost, more, out)...)
 			runs, cost = nil, 0
 		}
@@ -160,7 +160,7 @@
 func (s *Site) Total(service string) fleet.Accels {
 	var n fleet.Accels
 	for _, w := range s.Pool.Sorted() {
-		if w.Service == service && w.Ready() && !s.OutOfService[w.Domain] {
+		if w.Service == service && w.Ready() && !contains(s.OutOfService, w.Domain) {
 			n += w.Capacity.Accels
 		}
 	}
@@ -172,7 +172,7 @@
 func (s *Site) Load(service string) float64 {
 	var used, room fleet.Res
 	for _, w := range s.Pool.Sorted() {
-		if w.Service == service && w.Ready() && !s.OutOfService[w.Domain] {
+		if w.Service == service && w.Ready() && !contains(s.OutOfService, w.Domain) {
 			used, room = used.Add(w.Used()), room.Add(w.Capacity)
 		}
 	}
