A plan does less work that its outcome does not depend on

Cause: for each placement, the reservations of all workers were looked through even if the job holds none; for each urgent unit, all jobs were summed up for its workspace's guarantee; the tasks of a running gang were all looked at to find that it does not wait; the message of a job was asked twice for each step whether it repeats; a worker's victims were stored again though nothing had changed.

Change: these are left out or done once in a plan. What a preemption within the plan may change is forgotten after it.

--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -128,6 +128,11 @@
 	if j.Repeats() && wall.Before(r.Due) {
 		return false
 	}
+	return r.mayRun(s)
+}
+
+// mayRun reports whether the steps that a step of the round depends on have completed.
+func (r *Round) mayRun(s *Step) bool {
 	for _, i := range s.Spec.After {
 		if r.Steps[i].unfinished > 0 {
 			return false
@@ -141,12 +146,13 @@
 	if j.HasEnded() {
 		return
 	}
+	repeats := j.Repeats()
 	for _, r := range j.Rounds {
-		if j.Repeats() && wall.Before(r.Due) {
+		if repeats && wall.Before(r.Due) {
 			return
 		}
 		for _, s := range r.Steps {
-			if j.Open(s, wall) {
+			if s.unfinished > 0 && r.mayRun(s) {
 				f(s)
 			}
 		}
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -46,7 +46,7 @@
 		return
 	}
 	sc.changed, sc.plannedAt = false, sc.now
-	p := &planState{Site: sc.site(), full: assign.FullCache{}, loads: map[string]float64{}, victims: newVictimsCache()}
+	p := &planState{Site: sc.site(), full: assign.FullCache{}, loads: map[string]float64{}, guarantees: map[fleet.SpaceID]bool{}, victims: newVictimsCache()}
 	for _, u := range sc.units() {
 		sc.placedAt = sc.now
 		u.AnyRack = sc.mayRunOffRack(p, u)
@@ -57,9 +57,10 @@
 // planState caches what one pass of plan has found out about the site.
 type planState struct {
 	*assign.Site
-	full    assign.FullCache
-	loads   map[string]float64 // by service
-	victims victimsCache
+	full       assign.FullCache
+	loads      map[string]float64     // by service
+	guarantees map[fleet.SpaceID]bool // whether the urgent jobs of a workspace fit into its guarantee
+	victims    victimsCache
 }
 
 // load returns the load of a service's workers as of the first call in this pass.
@@ -72,6 +73,24 @@
 	return l
 }
 
+// withinGuarantee is the scheduler's withinGuarantee, as of the first call in this pass or
+// since the last preemption.
+func (p *planState) withinGuarantee(sc *Scheduler, j *job) bool {
+	space := fleet.SpaceID(j.Spec.Space)
+	within, ok := p.guarantees[space]
+	if !ok {
+		within = sc.withinGuarantee(j)
+		p.guarantees[space] = within
+	}
+	return within
+}
+
+// noteStops forgets what stops of runs in this pass may have changed.
+func (p *planState) noteStops() {
+	p.NoteFreed()
+	clear(p.guarantees)
+}
+
 func (sc *Scheduler) site() *assign.Site {
 	return &assign.Site{Now: sc.now, Pool: sc.pool, OutOfService: sc.domainsOut, Unreachable: sc.unreachable}
 }
@@ -148,12 +167,14 @@
 	var out []int
 	for i := range s.Tasks {
 		if k := &s.Tasks[i]; !k.Done && k.Worker == "" {
+			if out == nil {
+				out = make([]int, 0, s.Unfinished())
+			}
 			out = append(out, i)
+		} else if s.Spec.Gang {
+			return nil
 		}
 	}
-	if s.Spec.Gang && len(out) < len(s.Tasks) {
-		return nil
-	}
 	return out
 }
 
@@ -186,7 +207,7 @@
 	switch {
 	case u.waited > max(offRackAfterRunTimes*u.Step.Estimate(), guaranteeOffRackAfter):
 		return true
-	case u.priority == 0 && u.waited > guaranteeOffRackAfter && sc.withinGuarantee(u.job):
+	case u.priority == 0 && u.waited > guaranteeOffRackAfter && p.withinGuarantee(sc, u.job):
 		return true
 	case u.waited > idleOffRackAfter && p.load(u.Service) < idleLoad:
 		return true
@@ -229,8 +250,10 @@
 	}
 	run := sc.nextRun(u.Step)
 	u.Step.OffRack = u.AnyRack
-	for _, w := range sc.pool.Sorted() {
-		w.Unreserve(u.job.ID)
+	if sc.holdsReservation(u.job) {
+		for _, w := range sc.pool.Sorted() {
+			w.Unreserve(u.job.ID)
+		}
 	}
 	for _, pl := range placements {
 		t := u.Step.Task(u.job.ID, pl.Index)
@@ -245,8 +268,7 @@
 
 // findPlacements returns the workers on which a unit can start now.
 func (sc *Scheduler) findPlacements(p *planState, u unit) []assign.Placement {
-	reserved := sc.now.Sub(u.job.preemptedAt) < reservationTime // capacity may be reserved for this job alone
-	if !reserved && p.full.Rejects(u.Unit) {
+	if !sc.holdsReservation(u.job) && p.full.Rejects(u.Unit) {
 		return nil
 	}
 	placements := p.Place(u.Unit)
@@ -256,6 +278,11 @@
 	return placements
 }
 
+// holdsReservation reports whether capacity may be reserved for a job alone.
+func (sc *Scheduler) holdsReservation(j *job) bool {
+	return sc.now.Sub(j.preemptedAt) < reservationTime
+}
+
 func hostList(placements []assign.Placement) string {
 	out := ""
 	for i, pl := range placements {
--- a/fleet/sched/preempt.go
+++ b/fleet/sched/preempt.go
@@ -31,7 +31,7 @@
 		return
 	}
 	u.job.preemptTriedAt = sc.now
-	entitled := sc.withinGuarantee(u.job)
+	entitled := p.withinGuarantee(sc, u.job)
 	claimsGuarantee := entitled && u.waited >= guaranteePreemptAfter
 	clearing, ok := p.PlanPreemption(u.Unit, func(w *pool.Worker) []assign.Victim { return sc.victims(p, w, claimsGuarantee) })
 	if !ok || len(clearing.Runs) == 0 || clearing.Cost > coreSeconds(u) && !claimsGuarantee {
@@ -45,6 +45,7 @@
 	for _, r := range clearing.Runs {
 		sc.evict(r, "preempted by urgent work")
 	}
+	p.noteStops()
 }
 
 // coreSeconds returns the work of a unit in core-seconds.
@@ -103,7 +104,11 @@
 		}
 		assign.SortVictims(all)
 	} else {
+		n := len(all)
 		all = slices.DeleteFunc(all, func(v assign.Victim) bool { return v.Run.Phase != pool.Running })
+		if len(all) == n {
+			return all
+		}
 	}
 	cache[w] = all
 	return all
@@ -114,11 +119,17 @@
 // its workspace's guarantee may stop any less urgent run that is running, except
 // for lasting tasks.
 func (sc *Scheduler) preemptionCost(r *pool.Run, claimsGuarantee bool) float64 {
+	if r.Phase != pool.Running {
+		return -1
+	}
 	j, ok := sc.jobs[r.Task.Job]
-	if !ok || j.Spec.Priority <= 0 || r.Phase != pool.Running || j.Step(r.Task).Spec.Lasting {
+	if !ok || j.Spec.Priority <= 0 {
 		return -1
 	}
 	s := j.Step(r.Task)
+	if s.Spec.Lasting {
+		return -1
+	}
 	if !s.Spec.Saves && !claimsGuarantee && !sc.canRestart(j, s, r) {
 		return -1
 	}
