--- a/fleet/assign/room.go
+++ b/fleet/assign/room.go
@@ -126,12 +126,13 @@
 func (o option) rack() string { return o.worker.Rack }
 
 // options returns the room that a worker can offer, task by task, the cheapest first.
-func (s *Site) options(u Unit, w usableWorker, victims []Victim) []option {
+func (s *Site) options(u Unit, w *usableWorker, victims []Victim) []option {
+	s.rate(w)
 	var out []option
-	for range s.taskCount(u, w.Worker, w.Free()) {
+	each, room := u.Step.Each(), w.Free()
+	for range s.taskCount(u, w.Worker, each, room) {
 		out = append(out, option{worker: w.Worker, grade: w.grade})
 	}
-	room := w.Free()
 	var runs []*pool.Run
 	cost, beyond := 0.0, true
 	for _, v := range victims {
@@ -139,7 +140,7 @@
 		runs = append(runs, v.Run)
 		cost += v.Cost
 		beyond = beyond && v.Beyond
-		if more := min(s.taskCount(u, w.Worker, room), len(u.Indexes)) - len(out); more > 0 {
+		if more := min(s.taskCount(u, w.Worker, each, room), len(u.Indexes)) - len(out); more > 0 {
 			out = append(out, shareCost(w, runs, cost, more, out)...)
 			out[len(out)-more].beyond = beyond
 			runs, cost, beyond = nil, 0, true
@@ -150,7 +151,7 @@
 
 // shareCost divides the cost of stopping some runs among the tasks that get room by
 // it. No option costs less than those before it, as it depends on them.
-func shareCost(w usableWorker, runs []*pool.Run, cost float64, n int, before []option) []option {
+func shareCost(w *usableWorker, runs []*pool.Run, cost float64, n int, before []option) []option {
 	each := cost / float64(n)
 	if len(before) > 0 {
 		each = max(each, before[len(before)-1].cost)
@@ -194,7 +195,7 @@
 func (s *Site) Total(service string) fleet.Accels {
 	var n fleet.Accels
 	for _, w := range s.Pool.Sorted() {
-		if w.Service == service && w.Ready() && !s.OutOfService[w.Domain] {
+		if w.Service == service && w.Ready() && !contains(s.OutOfService, w.Domain) {
 			n += w.Capacity.Accels
 		}
 	}
@@ -218,7 +219,7 @@
 func (s *Site) Load(service string) float64 {
 	var used, room fleet.Res
 	for _, w := range s.Pool.Sorted() {
-		if w.Service == service && w.Ready() && !s.OutOfService[w.Domain] {
+		if w.Service == service && w.Ready() && !contains(s.OutOfService, w.Domain) {
 			used, room = used.Add(w.Used()), room.Add(w.Capacity)
 		}
 	}
--- a/fleet/sched/caps.go
+++ b/fleet/sched/caps.go
@@ -156,7 +156,7 @@
 	}
 	space := fleet.SpaceID(u.job.Spec.Space)
 	u.job.preemptTriedAt = sc.now
-	entitled := sc.withinGuarantee(u.job)
+	entitled := p.withinGuarantee(sc, u.job)
 	claimsGuarantee := entitled && u.waited >= guaranteePreemptAfter
 	need := sc.pool.Ledger.Used(space).Add(declared(u.Step).Times(len(u.Indexes)))
 	excess := sc.limitOf(space).Excess(need)
@@ -169,6 +169,7 @@
 	for _, r := range runs {
 		sc.evict(r, "its workspace needs the cap for urgent work")
 	}
+	p.noteStops()
 }
 
 // ownVictims returns the runs of a workspace whose stop frees the given resources at the least
