Preemption leaves alone what would not help

Cause: urgent work stopped runs although it would be late on the workers that it got, and runs that would have ended by themselves as soon as a stop takes.

--- a/fleet/sched/preempt.go
+++ b/fleet/sched/preempt.go
@@ -24,8 +24,8 @@
 
 // preempt stops less urgent runs for urgent work and reserves their capacity for it.
 // This serves bursts of urgent jobs on a site full of long ones. The work lost must
-// not exceed the work of the urgent job, unless its workspace is entitled to the
-// capacity.
+// not exceed the work of the urgent job, and the job must still be able to end in time,
+// unless its workspace is entitled to the capacity.
 func (sc *Scheduler) preempt(p *planState, u unit) {
 	if !sc.mayPreempt(u, preemptAfter) {
 		return
@@ -33,6 +33,7 @@
 	u.job.preemptTriedAt = sc.now
 	entitled := p.withinGuarantee(sc, u.job)
 	claimsGuarantee := entitled && u.waited >= guaranteePreemptAfter
+	u.Slack = sc.slackAfter(u, sc.limits.Stop)
 	clearing, ok := p.PlanPreemption(u.Unit, func(w *pool.Worker) []assign.Victim {
 		all := sc.victims(p, w, claimsGuarantee)
 		if u.beyond && !entitled {
@@ -40,7 +41,7 @@
 		}
 		return all
 	})
-	if !ok || len(clearing.Runs) == 0 || clearing.Cost > coreSeconds(u) && !claimsGuarantee {
+	if !ok || len(clearing.Runs) == 0 || !claimsGuarantee && (clearing.Cost > coreSeconds(u) || clearing.Late) {
 		return
 	}
 	u.job.preemptedAt = sc.now
@@ -147,7 +148,7 @@
 // preemptionCost returns the work in core-seconds that is lost by stopping a run
 // for urgent work, or a negative number if it must not be stopped. Work that claims
 // its workspace's guarantee may stop any less urgent run that is running, except
-// for lasting tasks.
+// for lasting tasks. A run that ends by itself as soon as a stop would is left alone.
 func (sc *Scheduler) preemptionCost(r *pool.Run, claimsGuarantee bool) float64 {
 	if r.Phase != pool.Running {
 		return -1
@@ -160,7 +161,7 @@
 	if s.Spec.Lasting {
 		return -1
 	}
-	if !s.Spec.Saves && !claimsGuarantee && !sc.canRestart(j, s, r) {
+	if !claimsGuarantee && (!s.Spec.Saves && !sc.canRestart(j, s, r) || sc.remainingTime(j, r) < sc.limits.Stop) {
 		return -1
 	}
 	cost := sc.lostWork(s, r)
--- a/fleet/sched/speeds.go
+++ b/fleet/sched/speeds.go
@@ -139,8 +139,11 @@
 
 // slack returns the logarithm of the slowdown of a worker with which a unit would just end when
 // its job is due.
-func (sc *Scheduler) slack(u unit) float64 {
-	left := u.due.Sub(sc.now) - u.job.PathAfter(u.Step.Index)
+func (sc *Scheduler) slack(u unit) float64 { return sc.slackAfter(u, 0) }
+
+// slackAfter returns the slack of a unit that starts after a wait.
+func (sc *Scheduler) slackAfter(u unit, wait time.Duration) float64 {
+	left := u.due.Sub(sc.now) - wait - u.job.PathAfter(u.Step.Index)
 	return math.Log(max(left, time.Millisecond).Seconds() / max(u.Step.Estimate(), time.Millisecond).Seconds())
 }
 
