A lead without a configuration guarantees nothing

Cause: Config.Guaranteed read the workspaces of a nil configuration. A daemon that starts while the stored configuration is invalid, for example with a negative cap, has none. The lead then ended as soon as restored urgent work lacked capacity. Change: a nil configuration guarantees no accelerators. Measured: TestUrgentWorkWaitsUnderALeadWithoutAConfiguration ended with a nil dereference in withinGuarantee before, and passes now.

--- a/fleet/queue/queue.go
+++ b/fleet/queue/queue.go
@@ -101,8 +101,12 @@
 	return s, ok
 }
 
-// Guaranteed returns how many accelerators are guaranteed to a workspace.
+// Guaranteed returns how many accelerators are guaranteed to a workspace. A nil
+// configuration guarantees none.
 func (c *Config) Guaranteed(name fleet.SpaceID) fleet.Accels {
+	if c == nil {
+		return 0
+	}
 	if s, ok := c.spaces[name]; ok {
 		return s.Accels
 	}
--- a/fleet/sched/caps_test.go
+++ b/fleet/sched/caps_test.go
@@ -593,3 +593,17 @@
 	w.run(3 * time.Second)
 	qt.Assert(t, w.eventCount(event.JobCapped), qt.Equals, 2)
 }
+
+// A lead without a configuration must not end with a nil dereference when urgent work lacks
+// capacity.
+func TestUrgentWorkWaitsUnderALeadWithoutAConfiguration(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	w.submitAccepted(flowOf("a", "full", "bulk", taskStep(1, 8, time.Minute)))
+	w.run(20 * time.Second)
+	w.submitAccepted(flowOf("a", "urgent", "urgent", taskStep(1, 8, time.Second)))
+	w.config = nil
+	w.restartDaemon()
+	w.becomeLead()
+	w.run(5 * time.Second)
+}
