A lead without a valid configuration places by the limits of the jobs

Cause: without a configuration nothing was placed where a job's record holds a limit. A daemon that starts while the stored configuration is invalid never gets one, so that no job of the site started until the operator had mended it. Change: only until the operator's records have been read once nothing is placed; if they hold no valid configuration, the limits in the records of the jobs apply, as the design says. Measured: TestInvalidConfigurationDoesNotKeepANewLeadFromPlacing found no end of the job within 15 s before, and passes now. TestNothingStartsBeforeTheOperatorsRecordsAreRead fails without the guard.

--- a/fleet/sched/caps_test.go
+++ b/fleet/sched/caps_test.go
@@ -607,3 +607,33 @@
 	w.becomeLead()
 	w.run(5 * time.Second)
 }
+
+// A lead whose daemon has started since the operator stored an invalid configuration has none.
+// It schedules by the limits in the records of the jobs, and must not wait for a configuration
+// that may come hours later.
+func TestInvalidConfigurationDoesNotKeepANewLeadFromPlacing(t *testing.T) {
+	w := newCappedWorld(t, accelCap(8), quota.Limit{})
+	f := flowOf("a", "invalid", "bulk", taskStep(4, 8, time.Second))
+	f.Cap, f.Weight = (fleet.Res{Accels: 8}).Wire(), 1
+	w.submitAccepted(f)
+	w.config = nil
+	w.restartDaemon()
+	w.runWithin(10*time.Second, "invalid", 8)
+	w.awaitCompleted(f, 5*time.Second)
+}
+
+// Before a new lead has read the operator's records, a cap may be lower than the recorded one.
+func TestNothingStartsBeforeTheOperatorsRecordsAreRead(t *testing.T) {
+	w := newCappedWorld(t, accelCap(16), quota.Limit{})
+	f := flowOf("a", "norecords", "bulk", taskStep(4, 8, time.Second))
+	f.Cap, f.Weight = (fleet.Res{Accels: 16}).Wire(), 1
+	w.submitAccepted(f)
+	w.restartDaemon()
+	w.events = slices.DeleteFunc(w.events, func(e sched.Event) bool { _, ok := e.(sched.ConfigChanged); return ok })
+	w.becomeLead()
+	before := w.startCount("norecords")
+	w.run(3 * time.Second)
+	qt.Assert(t, w.startCount("norecords"), qt.Equals, before)
+	w.postConfig()
+	w.awaitCompleted(f, 5*time.Second)
+}
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -41,11 +41,12 @@
 // plan places all waiting work that can start now. Load pattern: on a large, full
 // site, hundreds of run ends arrive each second, one by one, and each changes what
 // can be placed. A plan for each would leave no time for anything else. Without a current
-// list of workers nothing is placed, as any of them may be leaving, and without a configuration
-// nothing of limited workspaces, as their caps may have been lowered.
+// list of workers nothing is placed, as any of them may be leaving, and neither before the
+// operator's records are read on a site with limits, as caps may have been lowered. If these hold no
+// valid configuration, the limits in the records of the jobs apply.
 func (sc *Scheduler) plan() {
 	since := sc.now.Sub(sc.plannedAt)
-	if since < minPlanInterval || !sc.changed && since < planInterval || sc.outbox.stuck(sc.now) || !sc.listIsCurrent() || sc.config == nil && sc.limited() {
+	if since < minPlanInterval || !sc.changed && since < planInterval || sc.outbox.stuck(sc.now) || !sc.listIsCurrent() || sc.configEnd == 0 && sc.limited() {
 		return
 	}
 	sc.changed, sc.plannedAt = false, sc.now
