A search under the cap does not delay preemption for other tasks

Cause: the search for runs of the own workspace and the one for room share the time of the last search, and the first comes first in every plan. A job with tasks above the cap and tasks under it never preempted for the latter. Change: each search has its own time.

--- a/fleet/sched/caps.go
+++ b/fleet/sched/caps.go
@@ -149,13 +149,14 @@
 
 // preemptOwn stops less urgent runs of an urgent job's own workspace whose cap they fill. The
 // conditions are those of preempt, but it does not wait: no end of another workspace's run can
-// help. Load pattern: a workspace fills its cap with long work, and then claims its guarantee.
+// help. Load pattern: a workspace fills its cap with long work, and then claims its guarantee. A
+// search here does not delay the one of preempt, as other tasks of the job may fit under the cap.
 func (sc *Scheduler) preemptOwn(p *planState, u unit) {
-	if !sc.mayPreempt(u, 0) {
+	if !sc.mayPreempt(u, 0) || sc.now.Sub(u.job.capTriedAt) < preemptSearchRetry {
 		return
 	}
 	space := fleet.SpaceID(u.job.Spec.Space)
-	u.job.preemptTriedAt = sc.now
+	u.job.capTriedAt = sc.now
 	entitled := sc.withinGuarantee(u.job)
 	claimsGuarantee := entitled && u.waited >= guaranteePreemptAfter
 	need := sc.pool.Ledger.Used(space).Add(declared(u.Step).Times(len(u.Indexes)))
--- a/fleet/sched/caps_test.go
+++ b/fleet/sched/caps_test.go
@@ -637,3 +637,17 @@
 	w.postConfig()
 	w.awaitCompleted(f, 5*time.Second)
 }
+
+// Tasks of an urgent step that no stop in their own workspace can bring under the cap must not
+// keep the others, which fit under it, from preempting work of other workspaces.
+func TestTasksUnderTheCapPreemptBesideOnesAboveIt(t *testing.T) {
+	w := newCappedWorld(t, accelCap(16), quota.Limit{})
+	w.submitAccepted(flowOf("a", "first", "urgent", taskStep(8, 1, time.Minute)))
+	w.run(200 * time.Millisecond)
+	other := flowOf("b", "other", "bulk", taskStep(56, 1, time.Minute))
+	other.Steps[0].Saves = true
+	w.submitAccepted(other)
+	w.run(5 * time.Second)
+	w.submitAccepted(flowOf("a", "second", "urgent", taskStep(12, 1, 10*time.Second)))
+	w.runUntil(1500*time.Millisecond, "start of a task under the cap", func() bool { return w.startCount("second") > 0 })
+}
