A gang that cannot start beside lasting tasks blocks nothing

Cause: a unit that waits for the cap keeps back less urgent work of its workspace if it fits under the empty cap. Beside a lasting task, which runs until it is cancelled and is never preempted, it may never fit, and the workspace started nothing less urgent for as long. Change: what lasting tasks take is not counted as becoming free. Measured: TestGangBesideALastingTaskBlocksNothing found no end of the small job within 5 s before, and passes now.

--- a/fleet/sched/caps.go
+++ b/fleet/sched/caps.go
@@ -120,12 +120,12 @@
 }
 
 // waitForCap lets a unit wait for the cap of its workspace, and stops less urgent work of the
-// workspace for it. One that does not fit while nothing else runs, as the cap was lowered, keeps
-// nothing from the others.
+// workspace for it. One that does not fit while nothing but lasting tasks runs keeps nothing from
+// the others, as it would wait until the operator raises the cap or a caller cancels those tasks.
 func (sc *Scheduler) waitForCap(p *planState, u unit) {
 	space := fleet.SpaceID(u.job.Spec.Space)
 	sc.noteCapped(u)
-	n := atOnce(u, sc.limitOf(space).Room(fleet.Res{}, declared(u.Step)))
+	n := atOnce(u, sc.limitOf(space).Room(sc.lastingUse(p, space), declared(u.Step)))
 	if n == 0 {
 		return
 	}
@@ -136,6 +136,23 @@
 	sc.preemptOwn(p, u)
 }
 
+// lastingUse returns what the placed tasks of a workspace that do not end by themselves count.
+func (sc *Scheduler) lastingUse(p *planState, space fleet.SpaceID) fleet.Res {
+	if p.lasting != nil {
+		return p.lasting[space]
+	}
+	p.lasting = map[fleet.SpaceID]fleet.Res{}
+	for _, j := range sc.jobs {
+		owner := fleet.SpaceID(j.Spec.Space)
+		j.EachOpen(sc.now, func(s *flow.Step) {
+			if s.Spec.Lasting {
+				p.lasting[owner] = p.lasting[owner].Add(declared(s).Times(len(s.Tasks) - len(waitingTasks(s))))
+			}
+		})
+	}
+	return p.lasting[space]
+}
+
 // noteCapped logs once per wait that a step waits for the cap of its workspace.
 func (sc *Scheduler) noteCapped(u unit) {
 	if u.job.capped[u.Step] {
--- a/fleet/sched/caps_test.go
+++ b/fleet/sched/caps_test.go
@@ -651,3 +651,17 @@
 	w.submitAccepted(flowOf("a", "second", "urgent", taskStep(12, 1, 10*time.Second)))
 	w.runUntil(1500*time.Millisecond, "start of a task under the cap", func() bool { return w.startCount("second") > 0 })
 }
+
+// A gang that cannot start beside a lasting task of its workspace must not keep back the other
+// work of its workspace for as long as that task runs.
+func TestGangBesideALastingTaskBlocksNothing(t *testing.T) {
+	w := newCappedWorld(t, accelCap(16), quota.Limit{})
+	lasting := flowOf("a", "lasting", "long", taskStep(1, 8, time.Second))
+	lasting.Steps[0].Lasting, runTimes["lasting"] = true, time.Hour
+	w.submitAccepted(lasting)
+	w.submitAccepted(flowOf("a", "wide", "long", gangStep(2, 8, time.Second)))
+	w.run(10 * time.Second)
+	small := flowOf("a", "small", "bulk", taskStep(2, 4, time.Second))
+	w.submitAccepted(small)
+	w.awaitCompleted(small, 5*time.Second)
+}
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -70,6 +70,7 @@
 	shares  map[string]*quota.Shares     // by service
 	capped  map[fleet.SpaceID]cappedUnit // waits for the cap of its workspace
 	waiting map[fleet.SpaceID]waitCounts
+	lasting map[fleet.SpaceID]fleet.Res // what lasting tasks that are placed count; nil until it is needed
 }
 
 func (sc *Scheduler) newPlan() *planState {
