Speeds of workers that left before a lead knew them are deleted

Cause: profiles and their records are deleted as a worker leaves the pool. One that left while the lead changed is in no pool: its record stayed in the store, was restored by each later lead, and counted in the prior and in Differ. Change: a new lead that has read the list of workers forgets the profiles of all others. Measured: in TestSpeedOfAWorkerThatLeftBeforeTheLeadIsDeleted, the record was still in the store before; now only that of the listed worker is.

--- a/fleet/sched/speeds.go
+++ b/fleet/sched/speeds.go
@@ -191,6 +191,16 @@
 	sc.goneSpeeds = append(sc.goneSpeeds, host)
 }
 
+// forgetAbsentSpeeds drops the restored profiles of workers that have left before this lead knew
+// them, and their records, which would stay in the store for good.
+func (sc *Scheduler) forgetAbsentSpeeds() {
+	for _, host := range sc.speeds.book.Hosts() {
+		if _, ok := sc.pool.Workers[host]; !ok {
+			sc.forgetSpeed(host)
+		}
+	}
+}
+
 // restoreSpeed restores a profile from its record.
 func (sc *Scheduler) restoreSpeed(r fleet.Record) {
 	var p wire.Speed
--- a/fleet/sched/workers.go
+++ b/fleet/sched/workers.go
@@ -51,6 +51,9 @@
 		sc.logf(event.WorkersRead, string(sc.self.Host), "term=%d ready=%d draining=%d age=%s before=%s", sc.term, ready, draining, age(sc.now, e.ReadAt), age(sc.now, before.readAt))
 	}
 	sc.updateWorkers(e.Entries)
+	if before.term != sc.term {
+		sc.forgetAbsentSpeeds()
+	}
 }
 
 // minListAge is the least age that the list may reach; the reads of a healthy store are
