Room that depends on another stop is not taken before it

Cause: options of preemption at equal cost were ordered by whether their runs are of workspaces beyond their share, also among those of one worker. The later of these count on the stops of the earlier ones, so that runs were stopped and the unit still had no room. Change: an option that costs as much as the one before it on its worker does not overtake it. Measured: in TestRoomBesideRunsBeyondTheirShareIsComplete, one run was stopped and left no memory before; now there is room for a task. The digest of choices without shares (TestChoiceIsAsBeforeWhereWorkersDoNotDiffer) is unchanged.

--- a/fleet/assign/room.go
+++ b/fleet/assign/room.go
@@ -140,14 +140,21 @@
 		cost += v.Cost
 		beyond = beyond && v.Beyond
 		if more := min(s.taskCount(u, w.Worker, room), len(u.Indexes)) - len(out); more > 0 {
+			first := len(out)
 			out = append(out, shareCost(w, runs, cost, more, out)...)
-			out[len(out)-more].beyond = beyond
+			out[first].beyond = beyond && !followsAtEqualCost(out, first)
 			runs, cost, beyond = nil, 0, true
 		}
 	}
 	return out
 }
 
+// followsAtEqualCost reports whether an option costs as much as the one before it, on which it
+// depends, while that one is not of workspaces that use their share. It must not be taken first.
+func followsAtEqualCost(out []option, i int) bool {
+	return i > 0 && out[i-1].cost == out[i].cost && !out[i-1].beyond
+}
+
 // shareCost divides the cost of stopping some runs among the tasks that get room by
 // it. No option costs less than those before it, as it depends on them.
 func shareCost(w usableWorker, runs []*pool.Run, cost float64, n int, before []option) []option {
