Runs stopped for the cap do not start again before the urgent work

Cause: as the stops had freed the cap, the urgent gang no longer waited for it, but had no room, as the runs were spread over more workers than it needs. The stopped tasks started again at once in the same plan, and the gang was above the cap again. This repeated each second: the guarantee was never served, and all work lost. Change: less urgent work of the workspace gets no cap while runs that were stopped for a unit are ending and it waits for room. The stops for the cap no longer delay preemption for room.

--- a/fleet/sched/caps.go
+++ b/fleet/sched/caps.go
@@ -167,9 +167,10 @@
 // preemptOwn stops less urgent runs of an urgent job's own workspace whose cap they fill. The
 // conditions are those of preempt, but it does not wait: no end of another workspace's run can
 // help. Load pattern: a workspace fills its cap with long work, and then claims its guarantee. A
-// search here does not delay the one of preempt, as other tasks of the job may fit under the cap.
+// search here does not delay the one of preempt: other tasks of the job may fit under the cap, and
+// what is stopped here may free room on too many workers for a gang.
 func (sc *Scheduler) preemptOwn(p *planState, u unit) {
-	if !sc.mayPreempt(u, 0) || sc.now.Sub(u.job.capTriedAt) < preemptSearchRetry {
+	if !sc.mayPreempt(u, 0) || sc.now.Sub(u.job.capPreemptedAt) < preemptRetry || sc.now.Sub(u.job.capTriedAt) < preemptSearchRetry {
 		return
 	}
 	space := fleet.SpaceID(u.job.Spec.Space)
@@ -182,13 +183,24 @@
 	if !ok || len(runs) == 0 || cost > coreSeconds(u) && !claimsGuarantee {
 		return
 	}
-	u.job.preemptedAt = sc.now
+	u.job.capPreemptedAt = sc.now
 	sc.logf(event.JobEvicted, string(u.job.ID), "runs=%d of workspace %s stopped for it, cost=%.0f work=%.0f owed=%t waited=%s", len(runs), space, cost, coreSeconds(u), entitled, u.waited)
 	for _, r := range runs {
 		sc.evict(r, "its workspace needs the cap for urgent work")
 	}
 }
 
+// keepCap keeps what was stopped for a unit that still lacks room from starting again under the
+// cap. The unit would be above the cap again, and wait for good.
+func (sc *Scheduler) keepCap(p *planState, u unit) {
+	space := fleet.SpaceID(u.job.Spec.Space)
+	stoppedFor := min(sc.now.Sub(u.job.preemptedAt), sc.now.Sub(u.job.capPreemptedAt))
+	if _, ok := p.capped[space]; ok || stoppedFor >= reservationTime || !sc.limitOf(space).Capped() {
+		return
+	}
+	p.capped[space] = cappedUnit{priority: u.priority}
+}
+
 // ownVictims returns the runs of a workspace whose stop frees the given resources at the least
 // cost. It reports false if all of them do not free enough.
 func (sc *Scheduler) ownVictims(p *planState, space fleet.SpaceID, excess fleet.Res, claimsGuarantee bool) ([]*pool.Run, float64, bool) {
--- a/fleet/sched/caps_test.go
+++ b/fleet/sched/caps_test.go
@@ -665,3 +665,22 @@
 	w.submitAccepted(small)
 	w.awaitCompleted(small, 5*time.Second)
 }
+
+// The runs of its own workspace that are stopped for the cap must not start again at once in the
+// room and under the cap that they left, or urgent work within the guarantee waits forever.
+func TestGuaranteeIsServedWhenOwnWorkIsSpreadOverWorkers(t *testing.T) {
+	w := newCappedWorld(t, accelCap(24), quota.Limit{})
+	other := flowOf("b", "other", "bulk", taskStep(5, 8, 5*time.Minute))
+	other.Target = 3600_000
+	w.submitAccepted(other)
+	w.run(200 * time.Millisecond)
+	for i := range 3 {
+		f := flowOf("a", fmt.Sprint("own", i), "bulk", taskStep(8, 1, 5*time.Minute))
+		f.Steps[0].Spread, f.Target = 3, 3600_000
+		w.submitAccepted(f)
+		w.run(5 * time.Second)
+	}
+	w.run(15 * time.Second)
+	w.submitAccepted(flowOf("a", "urgent", "urgent", gangStep(2, 8, time.Second)))
+	w.runUntil(2700*time.Millisecond, "start of the urgent gang", func() bool { return w.startCount("urgent") == 2 })
+}
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -259,6 +259,7 @@
 	p.noteWaiting(u, len(u.Indexes)-len(placements), u.waitReason())
 	if len(placements) == 0 {
 		sc.preempt(p, u)
+		sc.keepCap(p, u)
 		return
 	}
 	run := sc.nextRun(u.Step)
