--- a/fleet/sched/caps_test.go
+++ b/fleet/sched/caps_test.go
@@ -667,20 +667,29 @@
 }
 
 // The runs of its own workspace that are stopped for the cap must not start again at once in the
-// room and under the cap that they left, or urgent work within the guarantee waits forever.
+// room and under the cap that they left, or urgent work within the guarantee waits forever. They
+// could start in the same place, or in room on other workers.
 func TestGuaranteeIsServedWhenOwnWorkIsSpreadOverWorkers(t *testing.T) {
-	w := newCappedWorld(t, accelCap(24), quota.Limit{})
-	other := flowOf("b", "other", "bulk", taskStep(5, 8, 5*time.Minute))
-	other.Target = 3600_000
-	w.submitAccepted(other)
-	w.run(200 * time.Millisecond)
-	for i := range 3 {
-		f := flowOf("a", fmt.Sprint("own", i), "bulk", taskStep(8, 1, 5*time.Minute))
-		f.Steps[0].Spread, f.Target = 3, 3600_000
-		w.submitAccepted(f)
-		w.run(5 * time.Second)
+	for name, ends := range map[string]time.Duration{"full": 5 * time.Minute, "room elsewhere": 20 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			w := newCappedWorld(t, accelCap(24), quota.Limit{})
+			spread := func(space, id string, step *wire.Step, limit int32) {
+				f := flowOf(space, id, "bulk", step)
+				f.Steps[0].Spread, f.Target = limit, time.Hour.Milliseconds()
+				w.submitAccepted(f)
+			}
+			spread("b", "other", taskStep(5, 5, 5*time.Minute), 1)
+			w.run(200 * time.Millisecond)
+			spread("b", "others", taskStep(5, 3, ends), 1)
+			w.run(200 * time.Millisecond)
+			for i := range 3 {
+				spread("a", fmt.Sprint("own", i), taskStep(8, 1, 5*time.Minute), 3)
+				w.run(5 * time.Second)
+			}
+			w.run(15 * time.Second)
+			w.submitAccepted(flowOf("a", "urgent", "urgent", gangStep(2, 8, time.Second)))
+			w.runUntil(2700*time.Millisecond, "start of the urgent gang", func() bool { return w.startCount("urgent") == 2 })
+			qt.Assert(t, w.eventCount(event.JobEvicted) <= 2, qt.IsTrue, qt.Commentf("stops once for the cap and once for room, not %d times", w.eventCount(event.JobEvicted)))
+		})
 	}
-	w.run(15 * time.Second)
-	w.submitAccepted(flowOf("a", "urgent", "urgent", gangStep(2, 8, time.Second)))
-	w.runUntil(2700*time.Millisecond, "start of the urgent gang", func() bool { return w.startCount("urgent") == 2 })
 }
