Only speeds of services whose workers differ are due to be stored

Cause: the profiles of other services were chosen for each batch, skipped, and due again. Those without a record come first, so that 64 of them kept the speeds of a service that differs from ever being stored. Change: the caller names the services whose records it wants. The calls in tests pass a function that wants all; their checks are the same.

--- a/fleet/sched/speeds.go
+++ b/fleet/sched/speeds.go
@@ -166,12 +166,7 @@
 // addSpeedRecords adds the profiles that have changed to a batch that is stored anyway. Those
 // of services whose workers do not differ are of no use to the next lead.
 func (sc *Scheduler) addSpeedRecords(s *batch) {
-	var skipped []*wire.Speed
-	for _, r := range sc.speeds.book.Due(maxSpeedRecords) {
-		if !sc.speeds.book.Differ(r.Service) {
-			skipped = append(skipped, r)
-			continue
-		}
+	for _, r := range sc.speeds.book.Due(maxSpeedRecords, sc.speeds.book.Differ) {
 		s.speeds = append(s.speeds, r)
 		s.addRecord(speedKey+r.Host, r)
 	}
@@ -179,7 +174,6 @@
 		s.records = append(s.records, fleet.Record{Key: speedKey + string(host)})
 	}
 	sc.goneSpeeds = nil
-	sc.speeds.book.NotStored(skipped)
 }
 
 // forgetSpeed drops the profile of a worker that is gone, and its record.
--- a/fleet/speed/store_test.go
+++ b/fleet/speed/store_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"testing"
 
+	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/speed"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
@@ -39,7 +41,7 @@
 		}
 	}
 	qt.Check(t, next.Differ(service), qt.IsTrue)
-	qt.Check(t, next.Due(64), qt.HasLen, 0)
+	qt.Check(t, next.Due(64, anyService), qt.HasLen, 0)
 }
 
 // Guards against records that make no sense and would spoil the estimates, and
@@ -83,13 +85,13 @@
 func TestDueRecordsAreStoredOnce(t *testing.T) {
 	s := newSite(100, 1)
 	s.round("tasks")
-	first, second := s.book.Due(64), s.book.Due(64)
+	first, second := s.book.Due(64, anyService), s.book.Due(64, anyService)
 	qt.Assert(t, first, qt.HasLen, 64)
 	qt.Assert(t, second, qt.HasLen, 36)
 	s.book.Stored(first)
-	qt.Check(t, s.book.Due(64), qt.HasLen, 0)
+	qt.Check(t, s.book.Due(64, anyService), qt.HasLen, 0)
 	s.book.NotStored(second)
-	qt.Check(t, hosts(s.book.Due(64)), qt.DeepEquals, hosts(second))
+	qt.Check(t, hosts(s.book.Due(64, anyService)), qt.DeepEquals, hosts(second))
 }
 
 // Guards against a move that is lost because it came while the former record was
@@ -97,12 +99,12 @@
 func TestMoveDuringAnAppendIsDue(t *testing.T) {
 	s := newSite(1, 1)
 	s.task(0)
-	records := s.book.Due(64)
+	records := s.book.Due(64, anyService)
 	for range 10 {
 		s.book.ObserveTask(worker(0), 0.7, whole, &speed.Counted{})
 	}
 	s.book.Stored(records)
-	again := s.book.Due(64)
+	again := s.book.Due(64, anyService)
 	qt.Assert(t, again, qt.HasLen, 1)
 	qt.Check(t, again[0].Mean-records[0].Mean > 0.1, qt.IsTrue)
 
@@ -110,10 +112,10 @@
 	next.Inc = 2
 	s.book.ObserveTask(next, 0, whole, &speed.Counted{})
 	s.book.Stored(again)
-	qt.Check(t, s.book.Due(64), qt.HasLen, 1)
+	qt.Check(t, s.book.Due(64, anyService), qt.HasLen, 1)
 	s.book.Forget(next.Host)
 	s.book.NotStored(again)
-	qt.Check(t, s.book.Due(64), qt.HasLen, 0)
+	qt.Check(t, s.book.Due(64, anyService), qt.HasLen, 0)
 }
 
 // Guards against a store that is written for every measurement.
@@ -122,7 +124,7 @@
 	records := 0
 	for range 100 {
 		s.round("tasks")
-		due := s.book.Due(64)
+		due := s.book.Due(64, anyService)
 		records += len(due)
 		s.book.Stored(due)
 	}
@@ -138,3 +140,32 @@
 	}
 	return out
 }
+
+func anyService(string) bool { return true }
+
+// Workers of a service whose records are of no use are due for good, as they have none. They
+// must not take the places of those of other services.
+func TestOnlyRecordsOfWantedServicesAreDue(t *testing.T) {
+	b := speed.New()
+	for i := range 100 {
+		var c speed.Counted
+		b.ObserveTask(speed.Worker{Host: fleet.HostID(fmt.Sprintf("a%03d", i)), Inc: 1, Service: "similar"}, 0.3, 100, &c)
+	}
+	var c speed.Counted
+	b.ObserveTask(speed.Worker{Host: "z", Inc: 1, Service: "mixed"}, 0.3, 100, &c)
+	due := b.Due(64, func(service string) bool { return service == "mixed" })
+	qt.Assert(t, due, qt.HasLen, 1)
+	qt.Assert(t, due[0].Host, qt.Equals, "z")
+}
+
+// Each batch of a lead asks for what is due, also where no records are of use.
+func BenchmarkNoneDueOf700(b *testing.B) {
+	book := speed.New()
+	for i := range 700 {
+		var c speed.Counted
+		book.ObserveTask(speed.Worker{Host: fleet.HostID(fmt.Sprint("w", i)), Inc: 1, Service: "s"}, 0.01*float64(i%30), 100, &c)
+	}
+	for b.Loop() {
+		book.Due(64, book.Differ)
+	}
+}
