--- a/fleet/sched/caps.go
+++ b/fleet/sched/caps.go
@@ -120,12 +120,12 @@
 }
 
 // waitForCap lets a unit wait for the cap of its workspace, and stops less urgent work of the
-// workspace for it. One that does not fit while nothing else runs, as the cap was lowered, keeps
-// nothing from the others.
+// workspace for it. One that does not fit while nothing but lasting tasks runs keeps nothing from
+// the others, as it would wait until the operator raises the cap or a caller cancels those tasks.
 func (sc *Scheduler) waitForCap(p *planState, u unit) {
 	space := fleet.SpaceID(u.job.Spec.Space)
 	sc.noteCapped(u)
-	n := atOnce(u, sc.limitOf(space).Room(fleet.Res{}, declared(u.Step)))
+	n := atOnce(u, sc.limitOf(space).Room(sc.lastingUse(p, space), declared(u.Step)))
 	if n == 0 {
 		return
 	}
@@ -136,6 +136,23 @@
 	sc.preemptOwn(p, u)
 }
 
+// lastingUse returns what the placed tasks of a workspace that do not end by themselves count.
+func (sc *Scheduler) lastingUse(p *planState, space fleet.SpaceID) fleet.Res {
+	if p.lasting != nil {
+		return p.lasting[space]
+	}
+	p.lasting = map[fleet.SpaceID]fleet.Res{}
+	for _, j := range sc.jobs {
+		owner := fleet.SpaceID(j.Spec.Space)
+		j.EachOpen(sc.now, func(s *flow.Step) {
+			if s.Spec.Lasting {
+				p.lasting[owner] = p.lasting[owner].Add(declared(s).Times(len(s.Tasks) - len(waitingTasks(s))))
+			}
+		})
+	}
+	return p.lasting[space]
+}
+
 // noteCapped logs once per wait that a step waits for the cap of its workspace.
 func (sc *Scheduler) noteCapped(u unit) {
 	if u.job.capped[u.Step] {
@@ -149,13 +166,15 @@
 
 // preemptOwn stops less urgent runs of an urgent job's own workspace whose cap they fill. The
 // conditions are those of preempt, but it does not wait: no end of another workspace's run can
-// help. Load pattern: a workspace fills its cap with long work, and then claims its guarantee.
+// help. Load pattern: a workspace fills its cap with long work, and then claims its guarantee. A
+// search here does not delay the one of preempt: other tasks of the job may fit under the cap, and
+// what is stopped here may free room on too many workers for a gang.
 func (sc *Scheduler) preemptOwn(p *planState, u unit) {
-	if !sc.mayPreempt(u, 0) {
+	if !sc.mayPreempt(u, 0) || sc.now.Sub(u.job.capPreemptedAt) < preemptRetry || sc.now.Sub(u.job.capTriedAt) < preemptSearchRetry {
 		return
 	}
 	space := fleet.SpaceID(u.job.Spec.Space)
-	u.job.preemptTriedAt = sc.now
+	u.job.capTriedAt = sc.now
 	entitled := p.withinGuarantee(sc, u.job)
 	claimsGuarantee := entitled && u.waited >= guaranteePreemptAfter
 	need := sc.pool.Ledger.Used(space).Add(declared(u.Step).Times(len(u.Indexes)))
@@ -164,7 +183,7 @@
 	if !ok || len(runs) == 0 || cost > coreSeconds(u) && !claimsGuarantee {
 		return
 	}
-	u.job.preemptedAt = sc.now
+	u.job.capPreemptedAt = sc.now
 	sc.logf(event.JobEvicted, string(u.job.ID), "runs=%d of workspace %s stopped for it, cost=%.0f work=%.0f owed=%t waited=%s", len(runs), space, cost, coreSeconds(u), entitled, u.waited)
 	for _, r := range runs {
 		sc.evict(r, "its workspace needs the cap for urgent work")
@@ -172,6 +191,17 @@
 	p.noteStops()
 }
 
+// keepCap keeps what was stopped for a unit that still lacks room from starting again under the
+// cap. The unit would be above the cap again, and wait for good.
+func (sc *Scheduler) keepCap(p *planState, u unit) {
+	space := fleet.SpaceID(u.job.Spec.Space)
+	stoppedFor := min(sc.now.Sub(u.job.preemptedAt), sc.now.Sub(u.job.capPreemptedAt))
+	if _, ok := p.capped[space]; ok || stoppedFor >= reservationTime || !sc.limitOf(space).Capped() {
+		return
+	}
+	p.capped[space] = cappedUnit{priority: u.priority}
+}
+
 // ownVictims returns the runs of a workspace whose stop frees the given resources at the least
 // cost. It reports false if all of them do not free enough.
 func (sc *Scheduler) ownVictims(p *planState, space fleet.SpaceID, excess fleet.Res, claimsGuarantee bool) ([]*pool.Run, float64, bool) {
--- a/fleet/sched/caps_test.go
+++ b/fleet/sched/caps_test.go
@@ -593,3 +593,103 @@
 	w.run(3 * time.Second)
 	qt.Assert(t, w.eventCount(event.JobCapped), qt.Equals, 2)
 }
+
+// A lead without a configuration must not end with a nil dereference when urgent work lacks
+// capacity.
+func TestUrgentWorkWaitsUnderALeadWithoutAConfiguration(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	w.submitAccepted(flowOf("a", "full", "bulk", taskStep(1, 8, time.Minute)))
+	w.run(20 * time.Second)
+	w.submitAccepted(flowOf("a", "urgent", "urgent", taskStep(1, 8, time.Second)))
+	w.config = nil
+	w.restartDaemon()
+	w.becomeLead()
+	w.run(5 * time.Second)
+}
+
+// A lead whose daemon has started since the operator stored an invalid configuration has none.
+// It schedules by the limits in the records of the jobs, and must not wait for a configuration
+// that may come hours later.
+func TestInvalidConfigurationDoesNotKeepANewLeadFromPlacing(t *testing.T) {
+	w := newCappedWorld(t, accelCap(8), quota.Limit{})
+	f := flowOf("a", "invalid", "bulk", taskStep(4, 8, time.Second))
+	f.Cap, f.Weight = (fleet.Res{Accels: 8}).Wire(), 1
+	w.submitAccepted(f)
+	w.config = nil
+	w.restartDaemon()
+	w.runWithin(10*time.Second, "invalid", 8)
+	w.awaitCompleted(f, 5*time.Second)
+}
+
+// Before a new lead has read the operator's records, a cap may be lower than the recorded one.
+func TestNothingStartsBeforeTheOperatorsRecordsAreRead(t *testing.T) {
+	w := newCappedWorld(t, accelCap(16), quota.Limit{})
+	f := flowOf("a", "norecords", "bulk", taskStep(4, 8, time.Second))
+	f.Cap, f.Weight = (fleet.Res{Accels: 16}).Wire(), 1
+	w.submitAccepted(f)
+	w.restartDaemon()
+	w.events = slices.DeleteFunc(w.events, func(e sched.Event) bool { _, ok := e.(sched.ConfigChanged); return ok })
+	w.becomeLead()
+	before := w.startCount("norecords")
+	w.run(3 * time.Second)
+	qt.Assert(t, w.startCount("norecords"), qt.Equals, before)
+	w.postConfig()
+	w.awaitCompleted(f, 5*time.Second)
+}
+
+// Tasks of an urgent step that no stop in their own workspace can bring under the cap must not
+// keep the others, which fit under it, from preempting work of other workspaces.
+func TestTasksUnderTheCapPreemptBesideOnesAboveIt(t *testing.T) {
+	w := newCappedWorld(t, accelCap(16), quota.Limit{})
+	w.submitAccepted(flowOf("a", "first", "urgent", taskStep(8, 1, time.Minute)))
+	w.run(200 * time.Millisecond)
+	other := flowOf("b", "other", "bulk", taskStep(56, 1, time.Minute))
+	other.Steps[0].Saves = true
+	w.submitAccepted(other)
+	w.run(5 * time.Second)
+	w.submitAccepted(flowOf("a", "second", "urgent", taskStep(12, 1, 10*time.Second)))
+	w.runUntil(1500*time.Millisecond, "start of a task under the cap", func() bool { return w.startCount("second") > 0 })
+}
+
+// A gang that cannot start beside a lasting task of its workspace must not keep back the other
+// work of its workspace for as long as that task runs.
+func TestGangBesideALastingTaskBlocksNothing(t *testing.T) {
+	w := newCappedWorld(t, accelCap(16), quota.Limit{})
+	lasting := flowOf("a", "lasting", "long", taskStep(1, 8, time.Second))
+	lasting.Steps[0].Lasting, runTimes["lasting"] = true, time.Hour
+	w.submitAccepted(lasting)
+	w.submitAccepted(flowOf("a", "wide", "long", gangStep(2, 8, time.Second)))
+	w.run(10 * time.Second)
+	small := flowOf("a", "small", "bulk", taskStep(2, 4, time.Second))
+	w.submitAccepted(small)
+	w.awaitCompleted(small, 5*time.Second)
+}
+
+// The runs of its own workspace that are stopped for the cap must not start again at once in the
+// room and under the cap that they left, or urgent work within the guarantee waits forever. They
+// could start in the same place, or in room on other workers.
+func TestGuaranteeIsServedWhenOwnWorkIsSpreadOverWorkers(t *testing.T) {
+	for name, ends := range map[string]time.Duration{"full": 5 * time.Minute, "room elsewhere": 20 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			w := newCappedWorld(t, accelCap(24), quota.Limit{})
+			spread := func(space, id string, step *wire.Step, limit int32) {
+				f := flowOf(space, id, "bulk", step)
+				f.Steps[0].Spread, f.Target = limit, time.Hour.Milliseconds()
+				w.submitAccepted(f)
+			}
+			spread("b", "other", taskStep(5, 5, 5*time.Minute), 1)
+			w.run(200 * time.Millisecond)
+			spread("b", "others", taskStep(5, 3, ends), 1)
+			w.run(200 * time.Millisecond)
+			for i := range 3 {
+				spread("a", fmt.Sprint("own", i), taskStep(8, 1, 5*time.Minute), 3)
+				w.run(5 * time.Second)
+			}
+			w.run(15 * time.Second)
+			w.submitAccepted(flowOf("a", "urgent", "urgent", gangStep(2, 8, time.Second)))
+			w.runUntil(2700*time.Millisecond, "start of the urgent gang", func() bool { return w.startCount("urgent") == 2 })
+			qt.Assert(t, w.eventCount(event.JobEvicted) <= 2, qt.IsTrue, qt.Commentf("stops once for the cap and once for room, not %d times", w.eventCount(event.JobEvicted)))
+		})
+	}
+}
