Records keep the runs of cancelled and failed jobs where workspaces are limited

Cause: the record of such a job told nothing of its runs, so a new lead counted all of its tasks as running until each worker had reported. One worker out of reach kept urgent work from its guarantee for 7.89 s, and runs on workers that were no longer listed did not count (32 accelerators in use with a cap of 16).

Change: the record keeps the runs that may not have ended yet; a new lead adopts them, counts them and stops them. The holds of the ledger and their column in `deck flow spaces` are gone. Without limits the records are as before.

Tests: TestCancelledJobDoesNotDelayTheGuaranteeUnderANewLead and TestRunsOfACancelledJobOnUnlistedWorkersCount failed before. The tests of holds keep their checks under new names; that of the ledger's holds went with them. With the runs left out of the records TestTasksOfACancelledJobCountUnderANewLead, TestRunsCountBeforeTheListOfWorkersIsRead and TestRunsOfACancelledJobOnUnlistedWorkersCount fail.

--- a/deck/cmd_flow_spaces.go
+++ b/deck/cmd_flow_spaces.go
@@ -18,8 +18,7 @@
 	"ACCELS, MILLICORES and MIB are the use and the cap; a cap of - means no limit.\n" +
 	"SHARE/% is the entitlement on a full site, - for a workspace without work.\n" +
 	"FOR-CAP, FOR-SHARE and FOR-ROOM count the tasks that wait for the cap, for\n" +
-	"the share, and for capacity. HELD is shown while a new lead counts tasks of\n" +
-	"ended jobs as running, because it does not know yet which of them still run."
+	"the share, and for capacity."
 
 func cmdFlowSpaces(a *app) *cobra.Command {
 	return &cobra.Command{
@@ -70,30 +69,13 @@
 	return exitError{fmt.Errorf("workspace %q does not exist; known: %s", name, orDash(strings.Join(known, ", "))), exitFailed}
 }
 
-// printSpaceUse prints the use of workspaces, with a column for what is held if anything is.
+// printSpaceUse prints the use of workspaces.
 func (a *app) printSpaceUse(r *wire.SpaceUseReply) error {
-	header, held := flowSpaceHeader, anyHeld(r.Spaces)
-	if held {
-		header += " HELD"
-	}
 	var rows [][]string
 	for _, s := range r.Spaces {
-		row := spaceUseRow(s)
-		if held {
-			row = append(row, formatHeld(fleet.ResOf(s.Held)))
-		}
-		rows = append(rows, row)
-	}
-	return a.print(r, header, rows)
-}
-
-func anyHeld(spaces []*wire.SpaceUse) bool {
-	for _, s := range spaces {
-		if !fleet.ResOf(s.Held).Zero() {
-			return true
-		}
+		rows = append(rows, spaceUseRow(s))
 	}
-	return false
+	return a.print(r, flowSpaceHeader, rows)
 }
 
 func spaceUseRow(s *wire.SpaceUse) []string {
@@ -130,13 +112,6 @@
 	return strconv.FormatFloat(100*s.Share, 'f', 1, 64)
 }
 
-func formatHeld(r fleet.Res) string {
-	if r.Zero() {
-		return "-"
-	}
-	return r.String()
-}
-
 func yesNo(on bool) string {
 	if on {
 		return "yes"
--- a/fleet/flow/track.go
+++ b/fleet/flow/track.go
@@ -8,23 +8,31 @@
 )
 
 // Track returns the job's progress in its stored form. Of a job that has ended,
-// only how and when it ended is stored.
-func (j *Job) Track() *wire.Track {
+// only how and when it ended is stored, and with keepRuns also its runs that may not
+// have ended yet.
+func (j *Job) Track(keepRuns bool) *wire.Track {
 	t := &wire.Track{Id: string(j.ID), Cancelled: j.Cancelled, Failed: j.Failed}
 	if j.HasEnded() {
 		t.Ended = j.Ended.UnixMilli()
+	}
+	if j.HasEnded() && !keepRuns {
 		return t
 	}
 	for _, r := range j.Rounds {
 		for _, s := range r.Steps {
-			t.Pieces = s.pieces(t.Pieces)
+			t.Pieces = s.pieces(t.Pieces, j.HasEnded())
 		}
 	}
 	return t
 }
 
-func (s *Step) pieces(out []*wire.Piece) []*wire.Piece {
+// pieces adds the stored form of the step's tasks; with onlyRuns, only of those that are on
+// a worker.
+func (s *Step) pieces(out []*wire.Piece, onlyRuns bool) []*wire.Piece {
 	for i, k := range s.Tasks {
+		if onlyRuns && k.Worker == "" {
+			continue
+		}
 		p := &wire.Piece{
 			Round: int32(s.Round), Step: int32(s.Index), Index: int32(i),
 			Done: k.Done, Fails: int32(k.Fails), Saved: k.Saved, Run: int64(k.Run), Worker: string(k.Worker),
--- a/fleet/quota/ledger.go
+++ b/fleet/quota/ledger.go
@@ -7,13 +7,10 @@
 	"dragonflydeck.example/fleet"
 )
 
-// Ledger counts what the runs of each workspace take. A hold is what a job may have
-// running that no worker has reported yet.
+// Ledger counts what the runs of each workspace take.
 type Ledger struct {
 	used  map[account]fleet.Res
 	total map[fleet.SpaceID]fleet.Res
-	holds map[fleet.JobID]hold
-	held  map[fleet.SpaceID]fleet.Res
 }
 
 // account is what a workspace uses of one service's workers.
@@ -22,17 +19,9 @@
 	service string
 }
 
-type hold struct {
-	space fleet.SpaceID
-	res   fleet.Res
-}
-
 // NewLedger returns a ledger without runs.
 func NewLedger() *Ledger {
-	return &Ledger{
-		used: map[account]fleet.Res{}, total: map[fleet.SpaceID]fleet.Res{},
-		holds: map[fleet.JobID]hold{}, held: map[fleet.SpaceID]fleet.Res{},
-	}
+	return &Ledger{used: map[account]fleet.Res{}, total: map[fleet.SpaceID]fleet.Res{}}
 }
 
 // Take counts a run on a worker of a service.
@@ -61,29 +50,8 @@
 	delete(m, k)
 }
 
-// Hold counts resources as used by a job until Unhold.
-func (l *Ledger) Hold(job fleet.JobID, space fleet.SpaceID, r fleet.Res) {
-	if _, ok := l.holds[job]; ok {
-		return
-	}
-	l.holds[job] = hold{space, r}
-	addTo(l.held, space, r)
-}
-
-// Unhold ends all holds.
-func (l *Ledger) Unhold() {
-	clear(l.holds)
-	clear(l.held)
-}
-
-// Holds returns the number of holds.
-func (l *Ledger) Holds() int { return len(l.holds) }
-
-// Used returns what a workspace uses, with what is held for it.
-func (l *Ledger) Used(space fleet.SpaceID) fleet.Res { return l.total[space].Add(l.held[space]) }
-
-// Held returns what is held for a workspace.
-func (l *Ledger) Held(space fleet.SpaceID) fleet.Res { return l.held[space] }
+// Used returns what the runs of a workspace take.
+func (l *Ledger) Used(space fleet.SpaceID) fleet.Res { return l.total[space] }
 
 // UsedOf returns what the runs of a workspace take on the workers of a service.
 func (l *Ledger) UsedOf(space fleet.SpaceID, service string) fleet.Res {
@@ -103,8 +71,4 @@
 }
 
 // Spaces returns the workspaces that use anything, in order of name.
-func (l *Ledger) Spaces() []fleet.SpaceID {
-	all := maps.Clone(l.total)
-	maps.Copy(all, l.held)
-	return slices.Sorted(maps.Keys(all))
-}
+func (l *Ledger) Spaces() []fleet.SpaceID { return slices.Sorted(maps.Keys(l.total)) }
--- a/fleet/sched/caps.go
+++ b/fleet/sched/caps.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/assign"
@@ -160,8 +159,8 @@
 	}
 	u.job.capped[u.Step] = true
 	space := fleet.SpaceID(u.job.Spec.Space)
-	sc.logf(event.JobCapped, string(u.job.ID), "space=%s round=%d step=%d need=%s used=%s held=%s cap=%s",
-		space, u.Step.Round, u.Step.Index, declared(u.Step).Times(len(u.Indexes)), sc.pool.Ledger.Used(space), sc.pool.Ledger.Held(space), sc.limitOf(space).Cap)
+	sc.logf(event.JobCapped, string(u.job.ID), "space=%s round=%d step=%d need=%s used=%s cap=%s",
+		space, u.Step.Round, u.Step.Index, declared(u.Step).Times(len(u.Indexes)), sc.pool.Ledger.Used(space), sc.limitOf(space).Cap)
 }
 
 // preemptOwn stops less urgent runs of an urgent job's own workspace whose cap they fill. The
@@ -257,44 +256,6 @@
 	return sc.limitOf(r.Space).Exceeded(sc.pool.Ledger.Used(r.Space))
 }
 
-// holdClockMargin is by how much the clock of a former lead may differ from this one's.
-const holdClockMargin = 5 * time.Second
-
-// holdUnknown counts all tasks of a job that was cancelled or failed under a former lead as
-// running, as its record does not tell which of its runs have ended.
-func (sc *Scheduler) holdUnknown(j *job) {
-	if !j.Cancelled && !j.Failed || sc.now.Sub(j.Ended) > sc.pool.LongestLease()+holdClockMargin {
-		return
-	}
-	var sum fleet.Res
-	for _, r := range j.Rounds {
-		for _, s := range r.Steps {
-			sum = sum.Add(declared(s).Times(len(s.Tasks)))
-		}
-	}
-	sc.pool.Ledger.Hold(j.ID, fleet.SpaceID(j.Spec.Space), sum)
-}
-
-// releaseHolds ends the holds once each worker has reported its runs, or the leases of a
-// former lead have expired.
-func (sc *Scheduler) releaseHolds() {
-	if sc.pool.Ledger.Holds() == 0 {
-		return
-	}
-	if sc.now.Sub(sc.leadingSince) <= aloneDetection+sc.pool.LongestLease() {
-		if sc.list.term != sc.term {
-			return
-		}
-		for _, w := range sc.pool.Workers {
-			if !w.Synced && !sc.now.After(w.LeasesExpireAt()) {
-				return
-			}
-		}
-	}
-	sc.pool.Ledger.Unhold()
-	sc.changed = true
-}
-
 // logChangedLimits logs the workspaces whose limits differ between two configurations.
 func (sc *Scheduler) logChangedLimits(before, after *queue.Config) {
 	if !before.Limited() && !after.Limited() {
@@ -356,7 +317,7 @@
 		_, configured := sc.config.Limit(space)
 		waiting := sc.waiting[space]
 		r.Spaces = append(r.Spaces, &wire.SpaceUse{
-			Name: string(space), Used: sc.pool.Ledger.Used(space).Wire(), Held: sc.pool.Ledger.Held(space).Wire(),
+			Name: string(space), Used: sc.pool.Ledger.Used(space).Wire(),
 			Cap: limit.Cap.Wire(), Weight: limit.Weight, Share: shares.Fraction(space), Absent: !configured,
 			Capped: int32(waiting[waitsForCap]), Deferred: int32(waiting[waitsForShare]), Crowded: int32(waiting[waitsForRoom]),
 		})
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -113,12 +113,9 @@
 	}
 }
 
-// adopt adds the runs in a job's record to their workers.
+// adopt adds the runs in a job's record to their workers. Those of a job that was cancelled or has
+// failed are stopped later, and count for its workspace until then.
 func (sc *Scheduler) adopt(j *job) {
-	if j.HasEnded() {
-		sc.holdUnknown(j)
-		return
-	}
 	for _, r := range j.Rounds {
 		for _, s := range r.Steps {
 			for i := range s.Tasks {
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -179,7 +179,7 @@
 			later = append(later, j) // its progress must not be stored before the job itself
 		default:
 			j.dirty, j.lastBatch = false, b.batchNo
-			s.addRecord(trackKey+string(j.ID), j.Track())
+			s.addRecord(trackKey+string(j.ID), j.Track(sc.limited()))
 		}
 	}
 	for _, id := range b.deletes {
--- a/fleet/sched/supervise.go
+++ b/fleet/sched/supervise.go
@@ -27,7 +27,6 @@
 // their gangs on its side.
 func (sc *Scheduler) supervise() {
 	sc.reportOldList()
-	sc.releaseHolds()
 	sc.logSpeeds()
 	for _, w := range sc.pool.Sorted() {
 		if w.Leased() && sc.now.After(w.LeasesExpireAt()) && !sc.quorum.alone {
