deck flow workers shows how fast workers are

Cause: the lead learns a lasting speed for each worker and places by it, and an operator could see neither the estimates nor what they rest on.

--- a/deck/cmd_flow.go
+++ b/deck/cmd_flow.go
@@ -29,7 +29,7 @@
 		Long: "Submit, show and cancel jobs of steps on a site with a single lead.\n" +
 			"--addr lists the addresses on which the daemons of the site serve each other.",
 	}
-	cmd.AddCommand(cmdFlowSubmit(a), cmdFlowStatus(a), cmdFlowDrop(a), cmdFlowBacklog(a), cmdFlowLead(a), cmdFlowSpaces(a))
+	cmd.AddCommand(cmdFlowSubmit(a), cmdFlowStatus(a), cmdFlowDrop(a), cmdFlowBacklog(a), cmdFlowLead(a), cmdFlowSpaces(a), cmdFlowWorkers(a))
 	return cmd
 }
 
--- a/deck/flow_spaces_test.go
+++ b/deck/flow_spaces_test.go
@@ -36,7 +36,12 @@
 
 // serveLead serves a fake lead through a handler that may change requests.
 func serveLead(t *testing.T, f *fakeLead, wrap func(http.Handler) http.Handler) {
-	server := httptest.NewServer(wrap(wire.NewSiteServer(f)))
+	serveHandler(t, f, wrap(wire.NewSiteServer(f)))
+}
+
+// serveHandler serves a handler and makes it the lead's address.
+func serveHandler(t *testing.T, f *fakeLead, h http.Handler) {
+	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
 	f.addr = strings.TrimPrefix(server.URL, "http://")
 }
--- a/deck/golden_test.go
+++ b/deck/golden_test.go
@@ -63,7 +63,7 @@
 }
 
 func TestHelp(t *testing.T) {
-	for _, command := range []string{"", "space set", "job submit", "request", "domain out", "flow spaces"} {
+	for _, command := range []string{"", "space set", "job submit", "request", "domain out", "flow spaces", "flow workers"} {
 		out := &bytes.Buffer{}
 		status := Main(append(strings.Fields(command), "--help"), out, out)
 		qt.Check(t, status, qt.Equals, exitOK)
