Runs are measured by the progress in the report at hand

Cause: measureRun took the time of a poll's answer and the progress of the answer before, up to 1.5 s older. For runs of a few seconds the projected run time was off by a factor of two and more, and a first report without progress counted as one percent, so that transient factors and profiles followed the timing of polls.

Change: the progress is taken over before the run is measured.

--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -212,10 +212,10 @@
 		r.FromPercent, r.WorkedBefore = seen.Percent, sc.estimateElapsed(seen)
 		sc.logf(event.RunStarted, string(r.Task.Job), "%s by=look percent=%d", describeRun(r.Task, r.No, w.Endpoint.Host), seen.Percent)
 	}
-	sc.measureRun(w, r)
 	if seen.Percent > r.Percent {
 		r.Percent, r.ProgressAt = seen.Percent, sc.now
 	}
+	sc.measureRun(w, r)
 	if j, ok := sc.jobs[seen.Task.Job]; ok {
 		j.Save(seen.Task, seen.Saved)
 	}
