Services with similar workers hold up no records and lose no changes of class

Cause: at most 64 records a batch are looked at, those without a stored one first. On a site with several services, 64 workers of one that does not differ took the place of all others in each batch. A deletion came after the new record of a worker that was back in the same batch.

Change: Due and TakeClassChanges take the services that are wanted; changes of others are kept. Deletions come first in a batch. The key's prefix is exported for tests.

--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -82,7 +82,7 @@
 	tracks := map[fleet.JobID]*wire.Track{}
 	for _, r := range records {
 		switch {
-		case strings.HasPrefix(r.Key, speedKey):
+		case strings.HasPrefix(r.Key, SpeedKey):
 			sc.restoreSpeed(r)
 		case len(r.Key) > len(flowKey) && r.Key[:len(flowKey)] == flowKey:
 			f := &wire.Flow{}
--- a/fleet/sched/speeds.go
+++ b/fleet/sched/speeds.go
@@ -14,8 +14,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// speedKey is the prefix of the keys of the records of workers' speeds.
-const speedKey = "speed/"
+// SpeedKey is the prefix of the keys of the records of workers' speeds.
+const SpeedKey = "speed/"
 
 // stepErrorWeight is the weight of a step in the average of its queue. A step tells the error of
 // its estimate more exactly than a run.
@@ -164,22 +164,17 @@
 }
 
 // addSpeedRecords adds the profiles that have changed to a batch that is stored anyway. Those
-// of services whose workers do not differ are of no use to the next lead.
+// of services whose workers do not differ are of no use to the next lead. Deletions come first,
+// as a worker that is back may have a new profile.
 func (sc *Scheduler) addSpeedRecords(s *batch) {
-	var skipped []*wire.Speed
-	for _, r := range sc.speeds.book.Due(maxSpeedRecords) {
-		if !sc.speeds.book.Differ(r.Service) {
-			skipped = append(skipped, r)
-			continue
-		}
-		s.speeds = append(s.speeds, r)
-		s.addRecord(speedKey+r.Host, r)
-	}
 	for _, host := range sc.goneSpeeds {
-		s.records = append(s.records, fleet.Record{Key: speedKey + string(host)})
+		s.records = append(s.records, fleet.Record{Key: SpeedKey + string(host)})
 	}
 	sc.goneSpeeds = nil
-	sc.speeds.book.NotStored(skipped)
+	s.speeds = sc.speeds.book.Due(maxSpeedRecords, sc.speeds.book.Differ)
+	for _, r := range s.speeds {
+		s.addRecord(SpeedKey+r.Host, r)
+	}
 }
 
 // forgetSpeed drops the profile of a worker that is gone, and its record.
@@ -209,9 +204,9 @@
 		return
 	}
 	sc.speeds.loggedAt = sc.now
-	for _, c := range sc.speeds.book.TakeClassChanges() {
+	for _, c := range sc.speeds.book.TakeClassChanges(sc.speeds.book.Differ) {
 		w, ok := sc.pool.Workers[c.Host]
-		if !ok || !sc.speeds.book.Differ(c.Service) {
+		if !ok {
 			continue
 		}
 		p := sc.speeds.book.Profile(identity(w))
--- a/fleet/speed/class.go
+++ b/fleet/speed/class.go
@@ -95,20 +95,24 @@
 	return counts
 }
 
-// TakeClassChanges returns the changes of classes since the last call, ordered by
-// host. Several changes of one worker are returned as one.
-func (b *Book) TakeClassChanges() []ClassChange {
+// TakeClassChanges returns the changes of classes since they were last returned, ordered
+// by host. Several changes of one worker are returned as one. Changes of services that
+// are not wanted are kept for a later call.
+func (b *Book) TakeClassChanges(wanted func(service string) bool) []ClassChange {
 	for host, p := range b.profiles {
 		b.classify(host, p) // the mean over the workers may have changed
 	}
 	var out []ClassChange
 	for host, from := range b.changed {
 		p := b.profiles[host]
+		if !wanted(p.service.name) {
+			continue
+		}
+		delete(b.changed, host)
 		if p.class != from {
 			out = append(out, ClassChange{host, p.service.name, from, p.class})
 		}
 	}
-	clear(b.changed)
 	slices.SortFunc(out, func(x, y ClassChange) int { return cmp.Compare(x.Host, y.Host) })
 	return out
 }
--- a/fleet/speed/class_test.go
+++ b/fleet/speed/class_test.go
@@ -94,12 +94,24 @@
 		s.round("tasks")
 	}
 	s.book.Forget(worker(1).Host)
-	qt.Check(t, s.book.TakeClassChanges(), qt.DeepEquals, []speed.ClassChange{
+	qt.Check(t, s.book.TakeClassChanges(anyService), qt.DeepEquals, []speed.ClassChange{
 		{Host: "w000", Service: service, From: speed.Unknown, To: speed.Fast},
 		{Host: "w002", Service: service, From: speed.Unknown, To: speed.Slow},
 	})
-	qt.Check(t, s.book.TakeClassChanges(), qt.HasLen, 0)
+	qt.Check(t, s.book.TakeClassChanges(anyService), qt.HasLen, 0)
 	qt.Check(t, s.book.Classes(service), qt.DeepEquals, map[speed.Class]int{
 		speed.Unknown: 0, speed.Fast: 1, speed.Middle: 0, speed.Slow: 1,
 	})
 }
+
+// Guards against a change that is lost because the workers of its service were not known
+// to differ yet when it was looked for.
+func TestChangesOfUnwantedServicesAreKept(t *testing.T) {
+	s := newSite(3, 0.5, 1, 2)
+	for range 10 {
+		s.round("tasks")
+	}
+	none := func(string) bool { return false }
+	qt.Check(t, s.book.TakeClassChanges(none), qt.HasLen, 0)
+	qt.Check(t, s.book.TakeClassChanges(anyService), qt.HasLen, 3)
+}
--- a/fleet/speed/store.go
+++ b/fleet/speed/store.go
@@ -88,12 +88,13 @@
 
 // Due returns the records of at most limit workers whose mean or spread has moved by
 // more than 0.1 since their last record, or that have none; those that moved
-// furthest first. They are not due again until the caller reports the outcome with
-// Stored or NotStored.
-func (b *Book) Due(limit int) []*wire.Speed {
+// furthest first. Workers of services that are not wanted are left out, so that they
+// do not take the place of others. The records are not due again until the caller
+// reports the outcome with Stored or NotStored.
+func (b *Book) Due(limit int, wanted func(service string) bool) []*wire.Speed {
 	var hosts []fleet.HostID
 	for host := range b.moved {
-		if !b.profiles[host].inFlight {
+		if p := b.profiles[host]; !p.inFlight && wanted(p.service.name) {
 			hosts = append(hosts, host)
 		}
 	}
--- a/fleet/speed/store_test.go
+++ b/fleet/speed/store_test.go
@@ -39,7 +39,7 @@
 		}
 	}
 	qt.Check(t, next.Differ(service), qt.IsTrue)
-	qt.Check(t, next.Due(64), qt.HasLen, 0)
+	qt.Check(t, next.Due(64, anyService), qt.HasLen, 0)
 }
 
 // Guards against records that make no sense and would spoil the estimates, and
@@ -83,13 +83,13 @@
 func TestDueRecordsAreStoredOnce(t *testing.T) {
 	s := newSite(100, 1)
 	s.round("tasks")
-	first, second := s.book.Due(64), s.book.Due(64)
+	first, second := s.book.Due(64, anyService), s.book.Due(64, anyService)
 	qt.Assert(t, first, qt.HasLen, 64)
 	qt.Assert(t, second, qt.HasLen, 36)
 	s.book.Stored(first)
-	qt.Check(t, s.book.Due(64), qt.HasLen, 0)
+	qt.Check(t, s.book.Due(64, anyService), qt.HasLen, 0)
 	s.book.NotStored(second)
-	qt.Check(t, hosts(s.book.Due(64)), qt.DeepEquals, hosts(second))
+	qt.Check(t, hosts(s.book.Due(64, anyService)), qt.DeepEquals, hosts(second))
 }
 
 // Guards against a move that is lost because it came while the former record was
@@ -97,12 +97,12 @@
 func TestMoveDuringAnAppendIsDue(t *testing.T) {
 	s := newSite(1, 1)
 	s.task(0)
-	records := s.book.Due(64)
+	records := s.book.Due(64, anyService)
 	for range 10 {
 		s.book.ObserveTask(worker(0), 0.7, whole, &speed.Counted{})
 	}
 	s.book.Stored(records)
-	again := s.book.Due(64)
+	again := s.book.Due(64, anyService)
 	qt.Assert(t, again, qt.HasLen, 1)
 	qt.Check(t, again[0].Mean-records[0].Mean > 0.1, qt.IsTrue)
 
@@ -110,10 +110,10 @@
 	next.Inc = 2
 	s.book.ObserveTask(next, 0, whole, &speed.Counted{})
 	s.book.Stored(again)
-	qt.Check(t, s.book.Due(64), qt.HasLen, 1)
+	qt.Check(t, s.book.Due(64, anyService), qt.HasLen, 1)
 	s.book.Forget(next.Host)
 	s.book.NotStored(again)
-	qt.Check(t, s.book.Due(64), qt.HasLen, 0)
+	qt.Check(t, s.book.Due(64, anyService), qt.HasLen, 0)
 }
 
 // Guards against a store that is written for every measurement.
@@ -122,7 +122,7 @@
 	records := 0
 	for range 100 {
 		s.round("tasks")
-		due := s.book.Due(64)
+		due := s.book.Due(64, anyService)
 		records += len(due)
 		s.book.Stored(due)
 	}
@@ -138,3 +138,16 @@
 	}
 	return out
 }
+
+func anyService(string) bool { return true }
+
+// Guards against records of a service that are never due, because those of a larger one
+// whose records are not stored come first.
+func TestUnwantedServicesLeaveRoomForOthers(t *testing.T) {
+	s := newSite(100, 1)
+	s.round("tasks")
+	other := speed.Worker{Host: "z", Inc: 1, Service: "other"}
+	s.book.ObserveTask(other, 0, whole, &speed.Counted{})
+	due := s.book.Due(64, func(name string) bool { return name == "other" })
+	qt.Check(t, hosts(due), qt.DeepEquals, []string{"z"})
+}
