Speeds of workers that left without a lead are deleted

Cause: a worker that left while no daemon led is in the store and in no list, so that the next lead never forgot it: its record stayed for good, and its profile counted in the prior, the scale and the comparison of the service.

Change: once a lead has read its first list of workers it drops the restored profiles of those that are neither listed nor hold runs.

--- a/fleet/sched/speeds.go
+++ b/fleet/sched/speeds.go
@@ -34,6 +34,7 @@
 	steps  map[*flow.Step]*speed.Step
 	gangs  map[*flow.Step]*measuredGang
 
+	listed   bool      // the first list of workers was compared with the restored profiles
 	loggedAt time.Time // when changed classes were last logged
 }
 
@@ -186,6 +187,20 @@
 	sc.goneSpeeds = append(sc.goneSpeeds, host)
 }
 
+// forgetAbsentSpeeds drops the profiles in the store of workers that were gone before this lead
+// read its first list of workers.
+func (sc *Scheduler) forgetAbsentSpeeds() {
+	if sc.speeds.listed || sc.list.term != sc.term {
+		return
+	}
+	sc.speeds.listed = true
+	for _, host := range sc.speeds.book.Hosts() {
+		if sc.pool.Workers[host] == nil {
+			sc.forgetSpeed(host)
+		}
+	}
+}
+
 // restoreSpeed restores a profile from its record.
 func (sc *Scheduler) restoreSpeed(r fleet.Record) {
 	var p wire.Speed
--- a/fleet/sched/supervise.go
+++ b/fleet/sched/supervise.go
@@ -46,6 +46,7 @@
 	for _, host := range sc.pool.Sweep(sc.now) {
 		sc.forgetSpeed(host)
 	}
+	sc.forgetAbsentSpeeds()
 }
 
 func (sc *Scheduler) superviseRun(w *pool.Worker, r *pool.Run) {
--- a/fleet/speed/speed.go
+++ b/fleet/speed/speed.go
@@ -26,7 +26,12 @@
 // step share.
 package speed
 
-import "dragonflydeck.example/fleet"
+import (
+	"maps"
+	"slices"
+
+	"dragonflydeck.example/fleet"
+)
 
 const (
 	// countedPercent is the progress at which a run counts. By then a task three
@@ -142,6 +147,9 @@
 	delete(b.changed, host)
 }
 
+// Hosts returns the workers that have a profile, in order.
+func (b *Book) Hosts() []fleet.HostID { return slices.Sorted(maps.Keys(b.profiles)) }
+
 // Counted says whether a run has been counted. The caller keeps one for each run
 // of a gang or of a single task; the zero value is that of a new run.
 type Counted struct{ done bool }
