--- a/deckd/site/space_metrics.go
+++ b/deckd/site/space_metrics.go
@@ -3,43 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"time"
 
 	"dragonflydeck.example/fleet"
-	"dragonflydeck.example/fleet/sched"
 	"dragonflydeck.example/fleet/wire"
 )
 
-// spaceMetricsTimeout is how long the metrics page waits for the control loop. A plan of a large
-// site takes tens of milliseconds.
-const spaceMetricsTimeout = 200 * time.Millisecond
-
-// writeSpaceMetrics writes what workspaces use and wait for. It writes nothing if this daemon is
-// not the lead, or if its control loop does not answer in time.
-func (s *Site) writeSpaceMetrics(w io.Writer) {
-	if !s.view.Load().leading {
-		return
-	}
-	for _, u := range s.spaceUse(spaceMetricsTimeout).GetSpaces() {
-		writeSpaceUse(w, u)
-	}
-}
-
-// spaceUse returns what workspaces use, or nil if the control loop does not answer in time. A call
-// that is queued on the loop cannot be taken back, so the wait for it is bounded here.
-func (s *Site) spaceUse(timeout time.Duration) *wire.SpaceUseReply {
-	done := make(chan *wire.SpaceUseReply, 1)
-	go s.runOnLoop(time.Now().Add(timeout), func(sc *sched.Scheduler) { done <- sc.SpaceUse("") })
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case r := <-done:
-		return r
-	case <-timer.C:
-		return nil
-	}
-}
-
 // hasWork reports whether a workspace has tasks that run or wait.
 func hasWork(u *wire.SpaceUse) bool {
 	return !fleet.ResOf(u.Used).Zero() || u.Capped+u.Deferred+u.Crowded > 0
--- a/deckd/site/space_metrics_test.go
+++ b/deckd/site/space_metrics_test.go
@@ -67,7 +67,7 @@
 	s := newSiteWithLoop(newLeadingScheduler(t, testSelf))
 	begun := time.Now()
 	status, page := s.metrics()
-	qt.Check(t, time.Since(begun) < 5*spaceMetricsTimeout, qt.IsTrue, qt.Commentf("served after %s", time.Since(begun)))
+	qt.Check(t, time.Since(begun) < 5*leadMetricsTimeout, qt.IsTrue, qt.Commentf("served after %s", time.Since(begun)))
 	qt.Check(t, status, qt.Equals, http.StatusOK)
 	qt.Check(t, strings.Contains(page, "deckd_lead 1\n"), qt.IsTrue)
 	qt.Check(t, strings.Contains(page, "deckd_space_"), qt.IsFalse)
--- a/fleet/sched/speeds.go
+++ b/fleet/sched/speeds.go
@@ -247,3 +247,18 @@
 	}
 	return reply
 }
+
+// SpeedClasses returns the number of measured workers in each class of speed, by service. It holds
+// only services whose workers are known to differ, and nothing on a daemon that is not the lead.
+func (sc *Scheduler) SpeedClasses() map[string]map[speed.Class]int {
+	classes := map[string]map[speed.Class]int{}
+	if sc.mode != leading {
+		return classes
+	}
+	for _, w := range sc.pool.Workers {
+		if _, ok := classes[w.Service]; !ok && sc.speeds.book.Differ(w.Service) {
+			classes[w.Service] = sc.speeds.book.Classes(w.Service)
+		}
+	}
+	return classes
+}
