--- a/fleet/sched/worker_test.go
+++ b/fleet/sched/worker_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -23,7 +24,7 @@
 	fails        bool          // every run fails
 	flaky        bool          // every other run fails
 	hangs        bool          // no run makes progress
-	slow         float64       // factor by which runs take longer; 0 counts as 1
+	slow         float64       // factor by which runs take longer, below 1 on a faster worker; 0 counts as 1
 	capacity     fleet.Res
 	maxAccels    int64 // most accelerators ever in use at one time
 
@@ -50,8 +51,9 @@
 	upAt    time.Time  // when it is back after a crash; zero while it is up
 	hung    []longPoll // polls that time out, as it fell silent
 
-	gangFinished func(fleet.JobID) bool // reports whether all members of a gang have finished their part; nil if they do not wait for each other
-	rush         *rush                  // knows the gangs and run times of a simulated day; nil otherwise
+	gangFinished func(fleet.JobID) bool    // reports whether all members of a gang have finished their part; nil if they do not wait for each other
+	gangSlowdown func(fleet.JobID) float64 // slowdown of a gang's slowest member; nil if members advance on their own
+	rush         *rush                     // knows the gangs and run times of a simulated day; nil otherwise
 }
 
 type running struct {
@@ -70,6 +72,9 @@
 // accelsOf is how many accelerators each task of a job takes.
 var accelsOf = map[fleet.JobID]int64{}
 
+// gangJobs are the jobs whose tasks form a gang.
+var gangJobs = map[fleet.JobID]bool{}
+
 func newWorker(id fleet.HostID, rack string, now time.Time) *worker {
 	return &worker{
 		id: id, rack: rack, domain: "d1", inc: fleet.Incarnation(now.UnixMilli()), epoch: now.Add(-time.Hour),
@@ -86,6 +91,27 @@
 	}
 }
 
+// advanceGangsTogether makes all members of a gang advance at the pace of the slowest, and end
+// together. Single tasks end on their own.
+func (w *world) advanceGangsTogether() {
+	for _, one := range w.workers {
+		one.gangSlowdown = w.slowestMember
+		one.gangFinished = func(job fleet.JobID) bool { return !gangJobs[job] || w.allDone(job) }
+	}
+}
+
+func (w *world) slowestMember(job fleet.JobID) float64 {
+	slowest := 0.0
+	for _, one := range w.workers {
+		for k := range one.runs {
+			if k.Task.Job == job {
+				slowest = max(slowest, cmp.Or(one.slow, 1))
+			}
+		}
+	}
+	return slowest
+}
+
 func (w *world) allDone(job fleet.JobID) bool {
 	for _, one := range w.workers {
 		for k, r := range one.runs {
@@ -152,7 +178,7 @@
 		case r.gang != nil:
 			w.advanceMember(k, r, now, span)
 		case !w.hangs:
-			r.left -= w.progress(span)
+			r.left -= w.progressOf(k.Task.Job, span)
 			if r.left <= 0 && (w.gangFinished == nil || w.gangFinished(k.Task.Job)) {
 				w.end(k, fleet.EndDone, "")
 			}
@@ -176,7 +202,15 @@
 
 // progress returns how much of a run's work the worker does in a span.
 func (w *worker) progress(span time.Duration) time.Duration {
-	return time.Duration(float64(span) / max(w.slow, 1))
+	return time.Duration(float64(span) / cmp.Or(w.slow, 1))
+}
+
+// progressOf returns how much of a job's run the worker does in a span.
+func (w *worker) progressOf(job fleet.JobID, span time.Duration) time.Duration {
+	if w.gangSlowdown != nil && gangJobs[job] {
+		return time.Duration(float64(span) / w.gangSlowdown(job))
+	}
+	return w.progress(span)
 }
 
 func (w *worker) end(k pool.Key, how fleet.End, saved string) {
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -355,6 +355,7 @@
 // newFlow returns a job of one step.
 func newFlow(id, queueName string, step *wire.Step) *wire.Flow {
 	accelsOf[fleet.JobID(id)] = step.GetEach().GetAccels()
+	gangJobs[fleet.JobID(id)] = step.GetGang()
 	f := &wire.Flow{Id: id, Queue: queueName, Space: "a", Service: service, Steps: []*wire.Step{step}, Spec: "spec"}
 	switch queueName {
 	case "urgent":
