--- a/fleet/sched/speeds.go
+++ b/fleet/sched/speeds.go
@@ -14,8 +14,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// speedKey is the prefix of the keys of the records of workers' speeds.
-const speedKey = "speed/"
+// SpeedKey is the prefix of the keys of the records of workers' speeds.
+const SpeedKey = "speed/"
 
 // stepErrorWeight is the weight of a step in the average of its queue. A step tells the error of
 // its estimate more exactly than a run.
@@ -34,6 +34,7 @@
 	steps  map[*flow.Step]*speed.Step
 	gangs  map[*flow.Step]*measuredGang
 
+	listed   bool      // the first list of workers was compared with the restored profiles
 	loggedAt time.Time // when changed classes were last logged
 }
 
@@ -167,16 +168,17 @@
 }
 
 // addSpeedRecords adds the profiles that have changed to a batch that is stored anyway. Those
-// of services whose workers do not differ are of no use to the next lead.
+// of services whose workers do not differ are of no use to the next lead. Deletions come first,
+// as a worker that is back may have a new profile.
 func (sc *Scheduler) addSpeedRecords(s *batch) {
-	for _, r := range sc.speeds.book.Due(maxSpeedRecords, sc.speeds.book.Differ) {
-		s.speeds = append(s.speeds, r)
-		s.addRecord(speedKey+r.Host, r)
-	}
 	for _, host := range sc.goneSpeeds {
-		s.records = append(s.records, fleet.Record{Key: speedKey + string(host)})
+		s.records = append(s.records, fleet.Record{Key: SpeedKey + string(host)})
 	}
 	sc.goneSpeeds = nil
+	s.speeds = sc.speeds.book.Due(maxSpeedRecords, sc.speeds.book.Differ)
+	for _, r := range s.speeds {
+		s.addRecord(SpeedKey+r.Host, r)
+	}
 }
 
 // forgetSpeed drops the profile of a worker that is gone, and its record.
@@ -188,11 +190,15 @@
 	sc.goneSpeeds = append(sc.goneSpeeds, host)
 }
 
-// forgetAbsentSpeeds drops the restored profiles of workers that have left before this lead knew
-// them, and their records, which would stay in the store for good.
+// forgetAbsentSpeeds drops the profiles in the store of workers that were gone before this lead
+// read its first list of workers.
 func (sc *Scheduler) forgetAbsentSpeeds() {
+	if sc.speeds.listed || sc.list.term != sc.term {
+		return
+	}
+	sc.speeds.listed = true
 	for _, host := range sc.speeds.book.Hosts() {
-		if _, ok := sc.pool.Workers[host]; !ok {
+		if sc.pool.Workers[host] == nil {
 			sc.forgetSpeed(host)
 		}
 	}
@@ -216,9 +222,9 @@
 		return
 	}
 	sc.speeds.loggedAt = sc.now
-	for _, c := range sc.speeds.book.TakeClassChanges() {
+	for _, c := range sc.speeds.book.TakeClassChanges(sc.speeds.book.Differ) {
 		w, ok := sc.pool.Workers[c.Host]
-		if !ok || !sc.speeds.book.Differ(c.Service) {
+		if !ok {
 			continue
 		}
 		p := sc.speeds.book.Profile(identity(w))
@@ -244,3 +250,18 @@
 	}
 	return reply
 }
+
+// SpeedClasses returns the number of measured workers in each class of speed, by service. It holds
+// only services whose workers are known to differ, and nothing on a daemon that is not the lead.
+func (sc *Scheduler) SpeedClasses() map[string]map[speed.Class]int {
+	classes := map[string]map[speed.Class]int{}
+	if sc.mode != leading {
+		return classes
+	}
+	for _, w := range sc.pool.Workers {
+		if _, ok := classes[w.Service]; !ok && sc.speeds.book.Differ(w.Service) {
+			classes[w.Service] = sc.speeds.book.Classes(w.Service)
+		}
+	}
+	return classes
+}
--- a/fleet/speed/speed.go
+++ b/fleet/speed/speed.go
@@ -147,7 +147,7 @@
 	delete(b.changed, host)
 }
 
-// Hosts returns the measured workers, in order of name.
+// Hosts returns the workers that have a profile, in order.
 func (b *Book) Hosts() []fleet.HostID { return slices.Sorted(maps.Keys(b.profiles)) }
 
 // Counted says whether a run has been counted. The caller keeps one for each run
--- a/fleet/speed/store_test.go
+++ b/fleet/speed/store_test.go
@@ -143,19 +143,15 @@
 
 func anyService(string) bool { return true }
 
-// Workers of a service whose records are of no use are due for good, as they have none. They
-// must not take the places of those of other services.
-func TestOnlyRecordsOfWantedServicesAreDue(t *testing.T) {
-	b := speed.New()
-	for i := range 100 {
-		var c speed.Counted
-		b.ObserveTask(speed.Worker{Host: fleet.HostID(fmt.Sprintf("a%03d", i)), Inc: 1, Service: "similar"}, 0.3, 100, &c)
-	}
-	var c speed.Counted
-	b.ObserveTask(speed.Worker{Host: "z", Inc: 1, Service: "mixed"}, 0.3, 100, &c)
-	due := b.Due(64, func(service string) bool { return service == "mixed" })
-	qt.Assert(t, due, qt.HasLen, 1)
-	qt.Assert(t, due[0].Host, qt.Equals, "z")
+// Guards against records of a service that are never due, because those of a larger one
+// whose records are not stored come first.
+func TestUnwantedServicesLeaveRoomForOthers(t *testing.T) {
+	s := newSite(100, 1)
+	s.round("tasks")
+	other := speed.Worker{Host: "z", Inc: 1, Service: "other"}
+	s.book.ObserveTask(other, 0, whole, &speed.Counted{})
+	due := s.book.Due(64, func(name string) bool { return name == "other" })
+	qt.Check(t, hosts(due), qt.DeepEquals, []string{"z"})
 }
 
 // Each batch of a lead asks for what is due, also where no records are of use.
