Cheaper measurements of gangs, the path behind a step that takes no time, order by share

- PathAfter lost the path behind a step without run time (TestPathAfterAStepThatTakesNoTime: 0 s instead of 5 s before)
- the comparison of units by share is an order by itself

--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -191,16 +191,16 @@
 // PathAfter returns the length of the longest path through the steps of a round that depend
 // on a step, by the estimated run times.
 func (j *Job) PathAfter(step int) time.Duration {
-	ends := make([]time.Duration, len(j.Spec.Steps))
+	ends := map[int32]time.Duration{int32(step): 0} // of the steps that depend on it
 	var longest time.Duration
-	for i, s := range j.Spec.Steps[step+1:] {
-		k := step + 1 + i
+	for i := int32(step) + 1; i < int32(len(j.Spec.Steps)); i++ {
+		s := j.Spec.Steps[i]
 		for _, a := range s.After {
-			if int(a) == step || ends[a] > 0 {
-				ends[k] = max(ends[k], ends[a]+time.Duration(s.Span)*time.Millisecond)
+			if from, ok := ends[a]; ok {
+				ends[i] = max(ends[i], from+time.Duration(s.Span)*time.Millisecond)
 			}
 		}
-		longest = max(longest, ends[k])
+		longest = max(longest, ends[i])
 	}
 	return longest
 }
--- a/fleet/flow/flow_test.go
+++ b/fleet/flow/flow_test.go
@@ -152,3 +152,12 @@
 		qt.Assert(t, j.Stage(), qt.Equals, wire.Stage_BROKE)
 	}
 }
+
+// A step that takes no time must not cut the path behind it.
+func TestPathAfterAStepThatTakesNoTime(t *testing.T) {
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{
+		{Count: 1, Span: 1000}, {Count: 1, After: []int32{0}}, {Count: 1, Span: 5000, After: []int32{1}}, {Count: 1, Span: 9000},
+	}})
+	qt.Assert(t, j.PathAfter(0), qt.Equals, 5*time.Second)
+	qt.Assert(t, j.PathAfter(2), qt.Equals, time.Duration(0))
+}
--- a/fleet/sched/shares.go
+++ b/fleet/sched/shares.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -74,7 +75,9 @@
 	}
 	slices.SortStableFunc(units, func(a, b unit) int {
 		switch {
-		case a.priority != b.priority || a.beyond == b.beyond:
+		case a.priority != b.priority:
+			return cmp.Compare(a.priority, b.priority)
+		case a.beyond == b.beyond:
 			return 0
 		case a.beyond:
 			return 1
--- a/fleet/sched/speeds.go
+++ b/fleet/sched/speeds.go
@@ -109,17 +109,12 @@
 		g = &measuredGang{run: r.No}
 		sc.speeds.gangs[s] = g
 	}
-	members := []speed.Worker{identity(w)}
-	for i := range s.Tasks {
-		k := &s.Tasks[i]
-		if o, ok := sc.pool.Workers[k.Worker]; ok && o != w && k.Run == r.No {
-			members = append(members, identity(o))
-		}
-	}
-	expected := sc.speeds.book.Slowest(members)
-	if !sc.speeds.book.ObserveGang(members, logRatio-e.mean, math.Sqrt(e.variance), percent, &g.counted) {
+	if !g.counted.Wants(percent) {
 		return
 	}
+	members := sc.gangMembers(w, s, r)
+	expected := sc.speeds.book.Slowest(members)
+	sc.speeds.book.ObserveGang(members, logRatio-e.mean, math.Sqrt(e.variance), percent, &g.counted)
 	e.add(logRatio-expected, 0, errorWeight)
 }
 
@@ -158,13 +153,18 @@
 		p := sc.speeds.book.Profile(identity(w))
 		return p.Mean()
 	}
+	return sc.speeds.book.Slowest(sc.gangMembers(w, s, r))
+}
+
+// gangMembers returns the workers of a gang, of which one has the given run.
+func (sc *Scheduler) gangMembers(w *pool.Worker, s *flow.Step, r *pool.Run) []speed.Worker {
 	members := []speed.Worker{identity(w)}
 	for i := range s.Tasks {
 		if o, ok := sc.pool.Workers[s.Tasks[i].Worker]; ok && o != w && s.Tasks[i].Run == r.No {
 			members = append(members, identity(o))
 		}
 	}
-	return sc.speeds.book.Slowest(members)
+	return members
 }
 
 // addSpeedRecords adds the profiles that have changed to a batch that is stored anyway. Those
--- a/fleet/speed/gang.go
+++ b/fleet/speed/gang.go
@@ -54,11 +54,10 @@
 // measurement covers.
 //
 // Each member is updated with the likelihood of its own slowdown over the
-// distribution of the slowest of the others before the measurement. It reports whether the
-// measurement counts.
-func (b *Book) ObserveGang(members []Worker, deviation, errorSpread float64, percent int, run *Counted) bool {
+// distribution of the slowest of the others before the measurement.
+func (b *Book) ObserveGang(members []Worker, deviation, errorSpread float64, percent int, run *Counted) {
 	if len(members) == 0 || !finite(deviation, errorSpread) || !run.count(percent) {
-		return false
+		return
 	}
 	g := &b.gang
 	g.load(b, members)
@@ -68,7 +67,6 @@
 	for i, w := range g.members {
 		b.update(w, &g.prior[i], &g.like[i])
 	}
-	return true
 }
 
 // likelihoods computes the likelihood of each member's slowdown from the
--- a/fleet/speed/speed.go
+++ b/fleet/speed/speed.go
@@ -155,8 +155,11 @@
 type Counted struct{ done bool }
 
 // count reports whether a run counts now.
+// Wants reports whether a measurement that covers so much of the run would count.
+func (c *Counted) Wants(percent int) bool { return !c.done && percent >= countedPercent }
+
 func (c *Counted) count(percent int) bool {
-	if c.done || percent < countedPercent {
+	if !c.Wants(percent) {
 		return false
 	}
 	c.done = true
