A lead in a cut does not say that a job is done before its end is stored

Behind a cut it cannot be told: it said that a job was done, and the next lead started the task again, as the end was lost with the worker's process.

Change: an end that is not stored is told only if every other daemon has answered in the newest round that it knows no newer lead. Time without an answer is no evidence. While the store is away for all and the daemons hear one another, ends are told as before. TestEndIsNotToldByALeadInACut failed before with 0, 1 and 2 of 3 peers answering.

That this was the cause is not proved.

--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -351,6 +351,9 @@
 // of all members.
 func (e *Elector) Majority(peers int) bool { return 2*(peers+1) > len(e.members) }
 
+// Everyone reports whether this number of peers are all other members.
+func (e *Elector) Everyone(peers int) bool { return peers+1 >= len(e.members) }
+
 // majorityMisses reports whether more than half of the daemons that were asked, this
 // one included, miss the lead.
 func (e *Elector) majorityMisses() bool { return e.AskedMajority(e.missing) }
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -15,7 +15,7 @@
 const storeDownReason = "the store does not answer"
 
 // blindLeadReplaced is how long an append has failed when the lead would have been
-// replaced if another daemon reached the store.
+// replaced if another daemon reached both it and the store.
 const blindLeadReplaced = 3 * time.Second
 
 // job is a job with the state that only the current lead has and that is not stored.
@@ -168,10 +168,13 @@
 
 // mayReportEnd reports whether the end of a job may be reported. It may once it is
 // stored, or is being stored by an append of which nothing bad is known: callers that
-// ask at the moment of the end would otherwise learn of it at their next question. While the store is unavailable to all daemons it may be reported before, as
-// workers keep the underlying run ends until those are acknowledged. While it may be
-// unavailable to this daemon only, it may not: the next lead would start the task again
-// if its worker were lost meanwhile.
+// ask at the moment of the end would otherwise learn of it at their next question. While
+// the store is unavailable to all daemons it may be reported before, as workers keep the
+// underlying run ends until those are acknowledged. While it may be unavailable to some
+// daemons only, it may not: the next lead would start the task again if its worker were
+// lost meanwhile. Silence does not tell that nobody else leads: behind a cut this lead may
+// have been replaced and cannot be told. So every other daemon must have answered lately that
+// it knows no newer lead.
 func (sc *Scheduler) mayReportEnd(j *job) bool {
 	if !sc.Elect.HasOthers() {
 		return !j.dirty || sc.outbox.stuck(sc.now)
@@ -179,7 +182,7 @@
 	if !j.dirty && sc.outbox.isHealthy(sc.now) {
 		return true
 	}
-	return !sc.unstored(j) || sc.outbox.stuckFor(sc.now) >= blindLeadReplaced
+	return !sc.unstored(j) || sc.outbox.stuckFor(sc.now) >= blindLeadReplaced && sc.quorum.complete
 }
 
 // stageBeforeEnd returns the stage to report for a job whose end is not stored yet.
--- a/fleet/sched/quorum.go
+++ b/fleet/sched/quorum.go
@@ -25,6 +25,7 @@
 	counted     bool      // the answers of the current round were counted
 	answers     int       // in the current round
 	alone       bool      // neither the store nor a majority answers
+	complete    bool      // every other daemon answered in the newest round
 }
 
 // confirmLead records that the store shows no claim newer than this lead's.
@@ -77,7 +78,7 @@
 // off.
 func (sc *Scheduler) countAnswers() {
 	q := &sc.quorum
-	q.counted = true
+	q.counted, q.complete = true, sc.Elect.Everyone(q.answers)
 	if alone := !sc.Elect.Majority(q.answers); alone != q.alone {
 		q.alone = alone
 		sc.sendBeat()
--- a/fleet/sched/store_test.go
+++ b/fleet/sched/store_test.go
@@ -314,3 +314,28 @@
 	}
 	w.runUntil(time.Second, "end", func() bool { return w.stage(f) == wire.Stage_COMPLETED })
 }
+
+// A failure domain is cut off together with the lead, a task ends in it, and its worker's
+// process is replaced before the cut heals. The next lead has run the task again meanwhile, so
+// that the old one must not have said that the job is done, however long its appends have failed
+// (issue 25, seed 40119 of its day).
+func TestEndIsNotToldByALeadInACut(t *testing.T) {
+	for answers, told := range []bool{false, false, false, true} {
+		w := newWorld(t, 1, 2)
+		w.peerAnswers = 3
+		w.post(sched.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}})
+		w.becomeLead()
+		id := fmt.Sprint("cut", answers)
+		runTimes[fleet.JobID(id)] = time.Second
+		f := newFlow(id, "urgent", gangStep(2, 2, time.Second))
+		w.submitAccepted(f)
+		w.run(300 * time.Millisecond)
+		w.peerAnswers, w.store.down = answers, true
+		w.run(8 * time.Second)
+		want := wire.Stage_RUNS
+		if told {
+			want = wire.Stage_COMPLETED
+		}
+		qt.Check(t, w.stage(f), qt.Equals, want, qt.Commentf("%d of 3 peers answer", answers))
+	}
+}
