Reading the change: the grounds of a preemption stand once, slots of a task

Cause: preempt and preemptOwn repeated who may stop runs at which cost; sched.weight and quota.weight named different things. No behaviour changed; tests of fleet/sched pass.

--- a/fleet/sched/caps.go
+++ b/fleet/sched/caps.go
@@ -174,16 +174,15 @@
 	}
 	space := fleet.SpaceID(u.job.Spec.Space)
 	u.job.capTriedAt = sc.now
-	entitled := p.withinGuarantee(sc, u.job)
-	claimsGuarantee := entitled && u.waited >= guaranteePreemptAfter
+	claim := sc.claimOf(p, u)
 	need := sc.pool.Ledger.Used(space).Add(declared(u.Step).Times(len(u.Indexes)))
 	excess := sc.limitOf(space).Excess(need)
-	runs, cost, ok := sc.ownVictims(p, space, excess, claimsGuarantee)
-	if !ok || len(runs) == 0 || cost > coreSeconds(u) && !claimsGuarantee {
+	runs, cost, ok := sc.ownVictims(p, space, excess, claim.anyCost)
+	if !ok || len(runs) == 0 || !claim.allows(u, cost) {
 		return
 	}
 	u.job.capPreemptedAt = sc.now
-	sc.logf(event.JobEvicted, string(u.job.ID), "runs=%d of workspace %s stopped for it, cost=%.0f work=%.0f owed=%t waited=%s", len(runs), space, cost, coreSeconds(u), entitled, u.waited)
+	sc.logf(event.JobEvicted, string(u.job.ID), "runs=%d of workspace %s stopped for it, cost=%.0f work=%.0f owed=%t waited=%s", len(runs), space, cost, coreSeconds(u), claim.entitled, u.waited)
 	for _, r := range runs {
 		sc.evict(r, "its workspace needs the cap for urgent work")
 	}
--- a/fleet/sched/preempt.go
+++ b/fleet/sched/preempt.go
@@ -31,21 +31,20 @@
 		return
 	}
 	u.job.preemptTriedAt = sc.now
-	entitled := p.withinGuarantee(sc, u.job)
-	claimsGuarantee := entitled && u.waited >= guaranteePreemptAfter
+	claim := sc.claimOf(p, u)
 	u.Slack = sc.slackAfter(u, sc.limits.Stop)
 	clearing, ok := p.PlanPreemption(u.Unit, func(w *pool.Worker) []assign.Victim {
-		all := sc.victims(p, w, claimsGuarantee)
-		if u.beyond && !entitled {
+		all := sc.victims(p, w, claim.anyCost)
+		if u.beyond && !claim.entitled {
 			all = runsOf(fleet.SpaceID(u.job.Spec.Space), all)
 		}
 		return all
 	})
-	if !ok || len(clearing.Runs) == 0 || !claimsGuarantee && (clearing.Cost > coreSeconds(u) || clearing.Late) {
+	if !ok || len(clearing.Runs) == 0 || !claim.allows(u, clearing.Cost) || clearing.Late && !claim.anyCost {
 		return
 	}
 	u.job.preemptedAt = sc.now
-	sc.logf(event.JobEvicted, string(u.job.ID), "runs=%d stopped for it, cost=%.0f work=%.0f owed=%t waited=%s", len(clearing.Runs), clearing.Cost, coreSeconds(u), entitled, u.waited)
+	sc.logf(event.JobEvicted, string(u.job.ID), "runs=%d stopped for it, cost=%.0f work=%.0f owed=%t waited=%s", len(clearing.Runs), clearing.Cost, coreSeconds(u), claim.entitled, u.waited)
 	for _, w := range clearing.Workers {
 		w.Reserve(u.job.ID, sc.now.Add(reservationTime))
 	}
@@ -55,6 +54,20 @@
 	p.noteStops()
 }
 
+// claim is on what grounds a unit may stop less urgent runs.
+type claim struct {
+	entitled bool // it is within the guarantee of its workspace
+	anyCost  bool // and has waited so long that it gets the capacity at any cost
+}
+
+func (sc *Scheduler) claimOf(p *planState, u unit) claim {
+	entitled := p.withinGuarantee(sc, u.job)
+	return claim{entitled, entitled && u.waited >= guaranteePreemptAfter}
+}
+
+// allows reports whether work of a cost may be stopped for the unit.
+func (c claim) allows(u unit, cost float64) bool { return c.anyCost || cost <= coreSeconds(u) }
+
 // mayPreempt reports whether preemption may be tried for a unit now that must have waited for a
 // while.
 func (sc *Scheduler) mayPreempt(u unit, after time.Duration) bool {
--- a/fleet/sched/shares.go
+++ b/fleet/sched/shares.go
@@ -113,7 +113,7 @@
 	w.cores += float64(each.Cores) * tasks * span
 	w.mem += float64(each.Mem) * tasks * span
 	w.accels += float64(each.Accels) * tasks * span
-	w.slots += float64(weight(each)) * tasks * span
+	w.slots += float64(slots(each)) * tasks * span
 }
 
 // timeUnder returns how many seconds the work takes at least under a cap.
@@ -140,7 +140,7 @@
 			continue
 		}
 		o.EachOpen(sc.now, func(s *flow.Step) {
-			sum += float64(s.Unfinished()) * s.Estimate().Seconds() * float64(weight(s.Each()))
+			sum += float64(s.Unfinished()) * s.Estimate().Seconds() * float64(slots(s.Each()))
 		})
 	}
 	return sum
@@ -172,5 +172,5 @@
 	return !o.HasEnded() && o.Spec.Priority <= arriving.Spec.Priority && o.Spec.Service == arriving.Spec.Service
 }
 
-// weight counts a task without accelerators as one accelerator.
-func weight(r fleet.Res) fleet.Accels { return max(r.Accels, 1) }
+// slots counts a task without accelerators as one accelerator.
+func slots(r fleet.Res) fleet.Accels { return max(r.Accels, 1) }
