--- a/fleet/speed/speed.go
+++ b/fleet/speed/speed.go
@@ -154,10 +154,10 @@
 // of a gang or of a single task; the zero value is that of a new run.
 type Counted struct{ done bool }
 
-// count reports whether a run counts now.
 // Wants reports whether a measurement that covers so much of the run would count.
 func (c *Counted) Wants(percent int) bool { return !c.done && percent >= countedPercent }
 
+// count reports whether a run counts now, which it does once.
 func (c *Counted) count(percent int) bool {
 	if !c.Wants(percent) {
 		return false
