Leases and conclusions rest on answers to recent questions

So it renewed leases later than the 1.25 s after a claim that its successor allows for, and took leases for expired that the successor had renewed.

Change: answers of the store count from when the call was sent. Leases are granted, starts sent and leases taken for expired only if the store or a majority of the peers has confirmed the lead by an answer to a question at most 1.1 s old.

--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -52,8 +52,9 @@
 		_, err := d.site.deps.Store.Newest(d.ctx, topicHosts, "")
 		d.site.loop.Post(sched.Probed{Err: err})
 	case sched.Append:
+		sentAt := time.Now()
 		end, err := timed("append", func() (fleet.Offset, error) { return d.appendRecords(a.Timeout, topicJobs, a.At, a.Records) })
-		d.site.loop.Post(sched.Appended{Batch: a.Batch, End: end, Err: err})
+		d.site.loop.Post(sched.Appended{Batch: a.Batch, End: end, SentAt: sentAt, Err: err})
 	case sched.Check:
 		d.site.loop.Post(d.check(a))
 	case sched.Start:
@@ -104,13 +105,14 @@
 // out whether it took effect. If the store no longer has them, the newest record
 // of each key is enough to decide.
 func (d *dispatcher) check(a sched.Check) sched.Checked {
+	sentAt := time.Now()
 	b, err := d.site.deps.Store.Read(d.ctx, topicJobs, a.At, 0)
 	if err == nil || fleet.KindOf(err) != fleet.Forgotten {
-		return sched.Checked{Batch: a.Batch, Records: b.Records, End: b.Next, Err: err}
+		return sched.Checked{Batch: a.Batch, Records: b.Records, End: b.Next, SentAt: sentAt, Err: err}
 	}
 	all, end, err := readNewest(d.ctx, d.site.deps.Store, topicJobs)
 	since := slices.DeleteFunc(all, func(r fleet.Record) bool { return r.Offset < a.At })
-	return sched.Checked{Batch: a.Batch, Records: since, End: end, Err: err}
+	return sched.Checked{Batch: a.Batch, Records: since, End: end, SentAt: sentAt, Err: err}
 }
 
 // claim tries to make this daemon the lead. It reads all records and appends the
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -35,19 +35,21 @@
 		Records []fleet.Record
 		Err     error
 	}
-	// Appended is the outcome of an Append.
+	// Appended is the outcome of an Append, which was sent at SentAt.
 	Appended struct {
-		Batch uint64
-		End   fleet.Offset
-		Err   error
-	}
-	// Checked is the outcome of a Check: the records from the checked offset on, and
-	// the end of the topic. If older records have expired, only the newest record of
-	// each key is included.
+		Batch  uint64
+		End    fleet.Offset
+		SentAt time.Time
+		Err    error
+	}
+	// Checked is the outcome of a Check, which was sent at SentAt: the records from the
+	// checked offset on, and the end of the topic. If older records have expired, only the
+	// newest record of each key is included.
 	Checked struct {
 		Batch   uint64
 		Records []fleet.Record
 		End     fleet.Offset
+		SentAt  time.Time
 		Err     error
 	}
 	// ConfigChanged is the operator's configuration and the failure domains that are out
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -220,7 +220,7 @@
 		return
 	}
 	if e.Err == nil {
-		sc.commit(e.End)
+		sc.commit(e.End, e.SentAt)
 		return
 	}
 	if b.inFlight.uncertain {
@@ -291,20 +291,21 @@
 	case containsClaim(e.Records):
 		sc.stepDown("another daemon has appended", 0)
 	case e.End >= end:
-		sc.commit(end)
+		sc.commit(end, e.SentAt)
 	default:
 		// It has not taken effect, but still may until something else is appended.
 		b.inFlight.uncertain, b.inFlight.retryAt = false, sc.now
-		sc.confirmLead()
+		sc.confirmLead(e.SentAt)
 	}
 }
 
-// commit applies the effects of the batch that is now stored.
-func (sc *Scheduler) commit(end fleet.Offset) {
+// commit applies the effects of the batch that is now stored, as the store answered to a call
+// that was sent at the given time.
+func (sc *Scheduler) commit(end fleet.Offset, sentAt time.Time) {
 	b := &sc.outbox
 	s := b.inFlight
 	b.inFlight, b.end, b.appendTook = nil, end, sc.now.Sub(s.firstTry)
-	sc.confirmLead()
+	sc.confirmLead(sentAt)
 	sc.changed = true
 	for _, j := range s.accepted {
 		j.stored = true
@@ -325,9 +326,10 @@
 
 // dispatchStarts sends the starts whose placements are stored. Those whose workers or
 // workspaces take no more starts are withdrawn first, so that no member of their gangs starts either.
+// A start grants a lease, so that none is sent while the lead is not confirmed.
 func (sc *Scheduler) dispatchStarts() {
 	b := &sc.outbox
-	if len(b.stored) == 0 || !sc.listIsCurrent() {
+	if len(b.stored) == 0 || !sc.listIsCurrent() || !sc.isConfirmed() {
 		return
 	}
 	starts := b.stored
--- a/fleet/sched/quorum.go
+++ b/fleet/sched/quorum.go
@@ -11,25 +11,48 @@
 
 // How a lead detects that it is cut off and may have been replaced.
 const (
-	storeCheckAfter = 200 * time.Millisecond                                               // the store is asked if it has not confirmed the lead for this long; it normally answers within 10 ms
-	quorumAfter     = 300 * time.Millisecond                                               // all peers are asked if the store has not confirmed the lead for this long
-	quorumInterval  = 500 * time.Millisecond                                               // between two rounds of asking the store or the peers
-	aloneDetection  = quorumAfter + quorumInterval + elect.AskTimeout + elect.BeatInterval // upper bound on how long it takes a lead to notice that it is cut off
+	storeCheckAfter = 200 * time.Millisecond                          // the store is asked if it has not confirmed the lead for this long; it normally answers within 10 ms
+	quorumAfter     = 300 * time.Millisecond                          // all peers are asked if the store has not confirmed the lead for this long
+	quorumInterval  = 500 * time.Millisecond                          // between two rounds of asking the store or the peers
+	confirmationAge = quorumAfter + quorumInterval + elect.AskTimeout // a lead grants leases and draws conclusions only by answers to questions that are at most this old
+	aloneDetection  = confirmationAge + elect.BeatInterval            // upper bound on how long a lead goes on after it was replaced; a peer hears a new lead with its first heartbeat
 )
 
 // quorum is what the lead knows about its connection to the store and its peers.
 type quorum struct {
-	confirmedAt time.Time // when the store last confirmed the lead
+	confirmedAt time.Time // when the newest call was sent with which the store confirmed the lead
 	checkedAt   time.Time // when the store was last asked; zero while there is no need to ask
 	askedAt     time.Time // when the peers were last asked; zero while there is no need to ask
 	counted     bool      // the answers of the current round were counted
 	answers     int       // in the current round
 	alone       bool      // neither the store nor a majority answers
+	majorityAt  time.Time // when the newest round was sent that a majority answered
 	complete    bool      // every other daemon answered in the newest round
 }
 
-// confirmLead records that the store shows no claim newer than this lead's.
-func (sc *Scheduler) confirmLead() { sc.quorum = quorum{confirmedAt: sc.now} }
+// confirmLead records that the store showed no claim newer than this lead's to a call that
+// was sent at the given time. An answer may arrive seconds after the store gave it, and then
+// says nothing about the present.
+func (sc *Scheduler) confirmLead(sentAt time.Time) {
+	if sc.now.Sub(sentAt) < quorumAfter {
+		sc.quorum = quorum{confirmedAt: sentAt}
+		return
+	}
+	if sentAt.After(sc.quorum.confirmedAt) {
+		sc.quorum.confirmedAt = sentAt
+	}
+}
+
+// isConfirmed reports whether the store or a majority of the peers has lately confirmed the
+// lead. That nothing tells of another lead is not enough: a lead that wakes from a freeze, or
+// is cut off, has not been told yet.
+func (sc *Scheduler) isConfirmed() bool {
+	q := &sc.quorum
+	return !q.alone && (sc.isRecent(q.confirmedAt) || sc.isRecent(q.majorityAt))
+}
+
+// isRecent reports whether a question was sent recently enough for its answer to count.
+func (sc *Scheduler) isRecent(sentAt time.Time) bool { return sc.now.Sub(sentAt) <= confirmationAge }
 
 // checkQuorum asks the store if it has not confirmed the lead for a moment, and then
 // all peers if it does not answer. Load pattern: a site of a hundred daemons with
@@ -65,7 +88,7 @@
 	case containsClaim(e.Records):
 		sc.stepDown("another daemon has claimed", 0)
 	case e.End == sc.outbox.end:
-		sc.confirmLead()
+		sc.confirmLead(e.SentAt)
 	}
 }
 
@@ -79,7 +102,11 @@
 func (sc *Scheduler) countAnswers() {
 	q := &sc.quorum
 	q.counted, q.complete = true, sc.Elect.Everyone(q.answers)
-	if alone := !sc.Elect.Majority(q.answers); alone != q.alone {
+	alone := !sc.Elect.Majority(q.answers)
+	if !alone {
+		q.majorityAt = q.askedAt
+	}
+	if alone != q.alone {
 		q.alone = alone
 		sc.sendBeat()
 	}
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -115,7 +115,7 @@
 	sc.estimateErrors = map[string]*estimateError{}
 	sc.stepMeans = map[*flow.Step]*stepMean{}
 	sc.speeds, sc.goneSpeeds = newSpeeds(), nil
-	sc.confirmLead()
+	sc.quorum = quorum{confirmedAt: sc.now}
 	sc.unreachable, sc.domainPolledAt = nil, map[fleet.DomainID]time.Time{}
 }
 
--- /dev/null
+++ b/fleet/sched/silence_test.go
@@ -0,0 +1,79 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/elect"
+	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/sched"
+	qt "github.com/frankban/quicktest"
+)
+
+// fourDaemons makes the daemon one of four and the lead of a running gang that fills both workers.
+func fourDaemons(t *testing.T, id fleet.JobID) *world {
+	w := newWorld(t, 1, 2)
+	w.endGangsTogether()
+	w.peerAnswers = 3
+	w.post(sched.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}})
+	w.becomeLead()
+	runTimes[id] = time.Minute
+	w.submitAccepted(newFlow(string(id), "bulk", gangStep(2, 8, time.Minute)))
+	w.run(time.Second)
+	return w
+}
+
+// An answer of the store that was sent before a cut may arrive 1.2 s later, the timeout of a read.
+// It must not count as a present confirmation: the lead in the cut would renew leases later than
+// its successor allows for (issue 25).
+func TestLateAnswerOfTheStoreRenewsNoLeases(t *testing.T) {
+	for phase := time.Duration(0); phase < 1500*time.Millisecond; phase += 100 * time.Millisecond {
+		w := fourDaemons(t, "late-answer")
+		w.run(phase)
+		w.peerAnswers, w.store.down = 1, true
+		cut, end := w.now, fleet.Offset(len(w.store.records))
+		w.run(1200 * time.Millisecond)
+		w.post(sched.Checked{End: end, SentAt: cut})
+		w.run(3 * time.Second)
+		until := w.workers["w0-0"].leaseUntil.Sub(cut)
+		qt.Check(t, until <= limits.Lease+1250*time.Millisecond, qt.IsTrue, qt.Commentf("cut at phase %s: %s after the cut", phase, until))
+	}
+}
+
+// freeze lets the time pass for the workers, but not for the daemon.
+func (w *world) freeze(span time.Duration) {
+	for end := w.now.Add(span); w.now.Before(end); {
+		w.now = w.now.Add(w.tick)
+		for _, one := range w.workers {
+			one.advance(w.now)
+		}
+	}
+}
+
+// A lead wakes from a freeze behind a cut. Its successor renews the leases outside. It must not
+// take them for expired, and stop the other members of their gangs, before the store or its peers
+// have answered since (issue 25).
+func TestLeadThatWakesInACutStopsNoGangs(t *testing.T) {
+	w := fourDaemons(t, "wakes")
+	outside, inside := w.workers["w0-0"], w.workers["w0-1"]
+	outside.leaseUntil, inside.leaseUntil = w.now.Add(time.Hour), w.now.Add(time.Hour) // renewed by the next lead
+	w.freeze(2 * limits.Lease)
+	w.peerAnswers, w.store.down, outside.cutOff = 0, true, true
+	w.run(2 * time.Second)
+	qt.Check(t, w.eventCount(event.WorkerLost), qt.Equals, 0)
+	qt.Check(t, w.eventCount(event.RunStopped), qt.Equals, 0)
+}
+
+// A lead freezes for 2 s, in which it may be replaced, and wakes behind a cut. It must not
+// renew leases by what it knew before (issue 25).
+func TestLeadThatWakesInACutRenewsNoLeases(t *testing.T) {
+	w := fourDaemons(t, "wakes-soon")
+	frozen := w.now
+	w.freeze(2 * time.Second)
+	w.peerAnswers, w.store.down = 0, true
+	w.run(2 * time.Second)
+	for _, one := range w.workers {
+		qt.Check(t, one.leaseUntil.Sub(frozen) <= limits.Lease+1250*time.Millisecond, qt.IsTrue, qt.Commentf("%s after the freeze", one.leaseUntil.Sub(frozen)))
+	}
+}
--- a/fleet/sched/store_test.go
+++ b/fleet/sched/store_test.go
@@ -245,7 +245,7 @@
 	id := w.submit(newFlow("second", "bulk", taskStep(1, 1, time.Minute)))
 	w.run(50 * time.Millisecond)
 	for n := range old {
-		w.post(sched.Appended{Batch: n + 1, End: fleet.Offset(len(w.store.records))})
+		w.post(sched.Appended{Batch: n + 1, End: fleet.Offset(len(w.store.records)), SentAt: w.now})
 		w.run(30 * time.Millisecond)
 	}
 	qt.Assert(t, w.submitReplies[id] == nil || w.submitReplies[id].Verdict != wire.Verdict_OK, qt.IsTrue, qt.Commentf("accepted, but not stored"))
--- a/fleet/sched/supervise.go
+++ b/fleet/sched/supervise.go
@@ -29,7 +29,7 @@
 	sc.reportOldList()
 	sc.logSpeeds()
 	for _, w := range sc.pool.Sorted() {
-		if w.Leased() && sc.now.After(w.LeasesExpireAt()) && !sc.quorum.alone {
+		if w.Leased() && sc.now.After(w.LeasesExpireAt()) && sc.isConfirmed() {
 			sc.judgeLoss(w, sc.mayHaveCrashed(w), "its lease has expired")
 			sc.closeRuns(w, "its lease has expired")
 			w.Synced, w.UnknownEndsUntil = false, sc.now.Add(expiredEndsWindow)
@@ -75,7 +75,7 @@
 	if r.Phase != pool.Sent || !r.Dispatched || r.Sends >= maxStartSends || sc.now.Sub(r.Since) < time.Duration(r.Sends)*startRetry {
 		return false
 	}
-	return sc.listIsCurrent() && sc.takesStarts(w) && !sc.overCap(r)
+	return sc.listIsCurrent() && sc.isConfirmed() && sc.takesStarts(w) && !sc.overCap(r)
 }
 
 // isUnwanted reports whether a run is no longer needed.
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -285,7 +285,7 @@
 		if fleet.KindOf(err) == fleet.OutcomeUnknown && err != nil {
 			span = a.Timeout
 		}
-		w.postAfter(span, sched.Appended{Batch: a.Batch, End: end, Err: err})
+		w.postAfter(span, sched.Appended{Batch: a.Batch, End: end, SentAt: w.now, Err: err})
 	case sched.Check:
 		if w.store.rejects {
 			w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Err: &fleet.Error{Op: "check", Kind: fleet.NotApplied}})
@@ -295,7 +295,7 @@
 			w.postAfter(time.Second, sched.Checked{Batch: a.Batch, Err: &fleet.Error{Op: "check", Kind: fleet.OutcomeUnknown}})
 			return
 		}
-		w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Records: w.store.records[a.At:], End: fleet.Offset(len(w.store.records))})
+		w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Records: w.store.records[a.At:], End: fleet.Offset(len(w.store.records)), SentAt: w.now})
 	case sched.Start:
 		clock, span, err := w.worker(a.Endpoint).start(w.now, a.Order)
 		w.postAfter(span, sched.Started{Host: a.Endpoint.Host, Key: a.Key, Clock: clock, Err: err})
