An end is told only by answers of peers to a recent question

A lead that froze and woke told an end by answers from before the freeze, in which it may have been replaced. Answers were counted in whatever round they arrived.

Answers carry when they were asked for; those of an earlier round are not counted.

Tests, failed before: TestEndIsNotToldByAnswersFromBeforeAFreeze (told at once after a freeze of 5 s), TestAnswersOfAnEarlierRoundAreNotCounted. All tests of fleet/sched pass.

--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -162,6 +162,7 @@
 // random sample.
 func (d *dispatcher) askPeers(all bool) {
 	var group sync.WaitGroup
+	askedAt := time.Now()
 	peers := d.site.members.others(d.site.self.Host)
 	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
 	if !all {
@@ -176,7 +177,7 @@
 				d.site.logCallFailure("ask whether it hears the lead", m.Host, err)
 				return
 			}
-			d.site.loop.Post(sched.PeerAnswered{Reply: r})
+			d.site.loop.Post(sched.PeerAnswered{AskedAt: askedAt, Reply: r})
 		})
 	}
 	group.Wait()
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -20,8 +20,11 @@
 type (
 	// BeatReceived is a lead's heartbeat.
 	BeatReceived struct{ Beat *wire.Beat }
-	// PeerAnswered is a peer's answer to AskPeers.
-	PeerAnswered struct{ Reply *wire.SightReply }
+	// PeerAnswered is a peer's answer to AskPeers. AskedAt is when the peers were asked.
+	PeerAnswered struct {
+		AskedAt time.Time
+		Reply   *wire.SightReply
+	}
 	// Members are all daemons of the site, including this one.
 	Members struct{ All []elect.Member }
 	// Probed is the outcome of a Probe; Err is nil if the store answered.
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -182,7 +182,7 @@
 	if !j.dirty && sc.outbox.isHealthy(sc.now) {
 		return true
 	}
-	return !sc.unstored(j) || sc.outbox.stuckFor(sc.now) >= blindLeadReplaced && sc.quorum.complete
+	return !sc.unstored(j) || sc.outbox.stuckFor(sc.now) >= blindLeadReplaced && sc.everyoneConfirms()
 }
 
 // stageBeforeEnd returns the stage to report for a job whose end is not stored yet.
--- a/fleet/sched/quorum.go
+++ b/fleet/sched/quorum.go
@@ -6,16 +6,15 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/elect"
-	"dragonflydeck.example/fleet/wire"
 )
 
 // How a lead detects that it is cut off and may have been replaced.
 const (
-	storeCheckAfter = 200 * time.Millisecond                          // the store is asked if it has not confirmed the lead for this long; it normally answers within 10 ms
-	quorumAfter     = 300 * time.Millisecond                          // all peers are asked if the store has not confirmed the lead for this long
-	quorumInterval  = 500 * time.Millisecond                          // between two rounds of asking the store or the peers
-	confirmationAge = quorumAfter + quorumInterval + elect.AskTimeout // a lead grants leases and draws conclusions only by answers to questions that are at most this old
-	aloneDetection  = confirmationAge + elect.BeatInterval            // upper bound on how long a lead goes on after it was replaced; a peer hears a new lead with its first heartbeat
+	storeCheckAfter = 200 * time.Millisecond                                               // the store is asked if it has not confirmed the lead for this long; it normally answers within 10 ms
+	quorumAfter     = 300 * time.Millisecond                                               // all peers are asked if the store has not confirmed the lead for this long
+	quorumInterval  = 500 * time.Millisecond                                               // between two rounds of asking the store or the peers
+	confirmationAge = quorumAfter + quorumInterval + elect.AskTimeout                      // a lead grants leases and draws conclusions only by answers to questions that are at most this old
+	aloneDetection  = confirmationAge + elect.BeatInterval                                 // upper bound on how long a lead goes on after it was replaced; a peer hears a new lead with its first heartbeat
 )
 
 // quorum is what the lead knows about its connection to the store and its peers.
@@ -27,7 +26,7 @@
 	answers     int       // in the current round
 	alone       bool      // neither the store nor a majority answers
 	majorityAt  time.Time // when the newest round was sent that a majority answered
-	complete    bool      // every other daemon answered in the newest round
+	completeAt  time.Time // when the newest round was sent that every other daemon answered
 }
 
 // confirmLead records that the store showed no claim newer than this lead's to a call that
@@ -51,6 +50,10 @@
 	return !q.alone && (sc.isRecent(q.confirmedAt) || sc.isRecent(q.majorityAt))
 }
 
+// everyoneConfirms reports whether every other daemon has lately answered that it knows no
+// newer lead.
+func (sc *Scheduler) everyoneConfirms() bool { return sc.isRecent(sc.quorum.completeAt) }
+
 // isRecent reports whether a question was sent recently enough for its answer to count.
 func (sc *Scheduler) isRecent(sentAt time.Time) bool { return sc.now.Sub(sentAt) <= confirmationAge }
 
@@ -101,7 +104,10 @@
 // off.
 func (sc *Scheduler) countAnswers() {
 	q := &sc.quorum
-	q.counted, q.complete = true, sc.Elect.Everyone(q.answers)
+	q.counted = true
+	if sc.Elect.Everyone(q.answers) {
+		q.completeAt = q.askedAt
+	}
 	alone := !sc.Elect.Majority(q.answers)
 	if !alone {
 		q.majorityAt = q.askedAt
@@ -113,8 +119,9 @@
 }
 
 // handlePeerAnswer processes a peer's answer. A lead that learns of a newer term
-// steps down.
-func (sc *Scheduler) handlePeerAnswer(r *wire.SightReply) {
+// steps down. Answers to an earlier round are not counted.
+func (sc *Scheduler) handlePeerAnswer(e PeerAnswered) {
+	r := e.Reply
 	sc.Elect.NoteAnswer(r)
 	if sc.mode != leading {
 		return
@@ -123,5 +130,7 @@
 		sc.stepDown("a peer hears a newer lead", fleet.Term(r.Term))
 		return
 	}
-	sc.quorum.answers++
+	if !e.AskedAt.Before(sc.quorum.askedAt) {
+		sc.quorum.answers++
+	}
 }
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -174,7 +174,7 @@
 	case BeatReceived:
 		sc.handleBeat(e.Beat)
 	case PeerAnswered:
-		sc.handlePeerAnswer(e.Reply)
+		sc.handlePeerAnswer(e)
 	case Members:
 		sc.Elect.SetMembers(e.All)
 	case Claimed:
--- a/fleet/sched/silence_test.go
+++ b/fleet/sched/silence_test.go
@@ -8,6 +8,7 @@
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/sched"
+	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -77,3 +78,43 @@
 		qt.Check(t, one.leaseUntil.Sub(frozen) <= limits.Lease+1250*time.Millisecond, qt.IsTrue, qt.Commentf("%s after the freeze", one.leaseUntil.Sub(frozen)))
 	}
 }
+
+// The store is away for all, all peers answer, and the lead freezes. When it wakes it may have
+// been replaced. It must not report an end by answers from before the freeze (issue 25).
+func TestEndIsNotToldByAnswersFromBeforeAFreeze(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.peerAnswers = 3
+	w.post(sched.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}})
+	w.becomeLead()
+	runTimes["froze"] = time.Second
+	f := newFlow("froze", "urgent", gangStep(2, 2, time.Second))
+	w.submitAccepted(f)
+	w.run(300 * time.Millisecond)
+	w.store.down = true
+	w.run(2 * time.Second)
+	w.freeze(5 * time.Second)
+	w.peerAnswers = 0
+	for range 20 {
+		w.step()
+		qt.Assert(t, w.stage(f), qt.Equals, wire.Stage_RUNS, qt.Commentf("at %s", w.now.Sub(startTime)))
+	}
+}
+
+// Answers of a round that arrive in the next one say nothing about the present: two late
+// ones and one of now are not three peers that answer (issue 25).
+func TestAnswersOfAnEarlierRoundAreNotCounted(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.peerAnswers = 3
+	w.post(sched.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}})
+	w.becomeLead()
+	w.peerAnswers, w.store.down = 1, true
+	w.submit(newFlow("rounds", "bulk", taskStep(1, 1, time.Second)))
+	rounds := w.peerAsks
+	asked := w.now
+	w.runUntil(2*time.Second, "second round", func() bool { return w.peerAsks == rounds+2 })
+	for range 2 {
+		w.post(sched.PeerAnswered{AskedAt: asked, Reply: &wire.SightReply{}})
+	}
+	w.run(400 * time.Millisecond)
+	qt.Check(t, w.alone, qt.IsTrue)
+}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -261,7 +261,7 @@
 	case sched.AskPeers:
 		w.peerAsks++
 		for range w.peerAnswers {
-			w.postAfter(callTime, sched.PeerAnswered{Reply: &wire.SightReply{}})
+			w.postAfter(callTime, sched.PeerAnswered{AskedAt: w.now, Reply: &wire.SightReply{}})
 		}
 	case sched.Claim:
 		w.claim()
