Foreign leases are expected for as long as first assumed

Change: the latest end of unknown leases never moves back.

Test, failed before: TestForeignLeasesAreStillExpectedAfterARestart. That a task ran twice by it was not seen.

--- a/fleet/pool/lease.go
+++ b/fleet/pool/lease.go
@@ -77,7 +77,10 @@
 }
 
 // AssumeLease assumes that an unknown lease was granted no later than now. It is no
-// longer than the platform's limit, on a clock that may run slow.
+// longer than the platform's limit, on a clock that may run slow. The latest end never moves
+// back, as a former lead may still grant leases until a later time.
 func (w *Worker) AssumeLease(now time.Time) {
-	w.unknownLeaseEnd = now.Add(longestLease(w.maxLease))
+	if end := now.Add(longestLease(w.maxLease)); end.After(w.unknownLeaseEnd) {
+		w.unknownLeaseEnd = end
+	}
 }
--- a/fleet/pool/pool_test.go
+++ b/fleet/pool/pool_test.go
@@ -160,3 +160,19 @@
 	p.NoteOrderAnswer(w, 8990, now.Add(2*time.Second)) // overtaken on its way
 	qt.Check(t, w.Outlived(r), qt.IsTrue)
 }
+
+// A worker's process is replaced, or the limit of leases raised, just after a new lead took over.
+// A former lead may still grant leases for a while, so that their latest end must not move back
+// (issue 25).
+func TestForeignLeasesAreStillExpectedAfterARestart(t *testing.T) {
+	p := pool.New(lease)
+	w, _ := p.Update(entry(0), "r1", now)
+	w.ExpectForeignLeases(now.Add(1250 * time.Millisecond))
+	until := w.LeasesExpireAt()
+	e := entry(0)
+	e.Inc = 2
+	p.Update(e, "r1", now.Add(100*time.Millisecond))
+	qt.Check(t, w.LeasesExpireAt().Before(until), qt.IsFalse)
+	p.SetMaxLease(lease+100*time.Millisecond, now.Add(200*time.Millisecond))
+	qt.Check(t, w.LeasesExpireAt().Before(until), qt.IsFalse)
+}
