--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -119,7 +119,7 @@
 	}
 	j := sc.findJob(e.Ask)
 	if j == nil {
-		sc.emit(AnswerCancel{e.Waiter, &wire.FlowReply{Verdict: wire.Verdict_ABSENT}})
+		sc.emit(AnswerCancel{e.Waiter, &wire.FlowReply{Verdict: sc.absence()}})
 		return
 	}
 	if j.Cancel(sc.now) {
@@ -146,6 +146,15 @@
 	return j
 }
 
+// absence returns the verdict on a job that this lead does not know. Unless it is confirmed, its
+// successor may have accepted the job.
+func (sc *Scheduler) absence() wire.Verdict {
+	if sc.isConfirmed() {
+		return wire.Verdict_ABSENT
+	}
+	return wire.Verdict_UNKNOWN
+}
+
 // Status returns the stage of a job.
 func (sc *Scheduler) Status(ask *wire.FlowAsk) *wire.FlowReply {
 	if sc.mode != leading {
@@ -154,7 +163,7 @@
 	j := sc.findJob(ask)
 	switch {
 	case j == nil:
-		return &wire.FlowReply{Verdict: wire.Verdict_ABSENT}
+		return &wire.FlowReply{Verdict: sc.absence()}
 	case !j.stored || j.Cancelled && sc.unstored(j) || j.HasEnded() && !sc.mayReportEnd(j):
 		return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: sc.stageBeforeEnd(j)}
 	}
--- a/fleet/sched/quorum.go
+++ b/fleet/sched/quorum.go
@@ -10,11 +10,11 @@
 
 // How a lead detects that it is cut off and may have been replaced.
 const (
-	storeCheckAfter = 200 * time.Millisecond                                               // the store is asked if it has not confirmed the lead for this long; it normally answers within 10 ms
-	quorumAfter     = 300 * time.Millisecond                                               // all peers are asked if the store has not confirmed the lead for this long
-	quorumInterval  = 500 * time.Millisecond                                               // between two rounds of asking the store or the peers
-	confirmationAge = quorumAfter + quorumInterval + elect.AskTimeout                      // a lead grants leases and draws conclusions only by answers to questions that are at most this old
-	aloneDetection  = confirmationAge + elect.BeatInterval                                 // upper bound on how long a lead goes on after it was replaced; a peer hears a new lead with its first heartbeat
+	storeCheckAfter = 200 * time.Millisecond                          // the store is asked if it has not confirmed the lead for this long; it normally answers within 10 ms
+	quorumAfter     = 300 * time.Millisecond                          // all peers are asked if the store has not confirmed the lead for this long
+	quorumInterval  = 500 * time.Millisecond                          // between two rounds of asking the store or the peers
+	confirmationAge = quorumAfter + quorumInterval + elect.AskTimeout // a lead grants leases and draws conclusions only by answers to questions that are at most this old
+	aloneDetection  = confirmationAge + elect.BeatInterval            // upper bound on how long a lead goes on after it was replaced; a peer hears a new lead with its first heartbeat
 )
 
 // quorum is what the lead knows about its connection to the store and its peers.
--- a/fleet/sched/silence_test.go
+++ b/fleet/sched/silence_test.go
@@ -118,3 +118,21 @@
 	w.run(400 * time.Millisecond)
 	qt.Check(t, w.alone, qt.IsTrue)
 }
+
+// A lead in a cut does not know the jobs that its successor has accepted. It must not tell
+// callers that there is no such job (issue 25).
+func TestLeadInACutDoesNotSayThatAJobIsUnknown(t *testing.T) {
+	w := fourDaemons(t, "known")
+	ask := &wire.FlowAsk{Id: "elsewhere", Queue: "bulk", Space: "a"}
+	qt.Assert(t, w.scheduler.Status(ask).Verdict, qt.Equals, wire.Verdict_ABSENT)
+	w.peerAnswers, w.store.down = 1, true
+	w.run(2 * time.Second)
+	qt.Check(t, w.scheduler.Status(ask).Verdict, qt.Equals, wire.Verdict_UNKNOWN)
+	id := w.cancel(newFlow("elsewhere", "bulk", taskStep(1, 1, time.Minute)))
+	w.run(50 * time.Millisecond)
+	qt.Assert(t, w.cancelReplies[id], qt.IsNotNil)
+	qt.Check(t, w.cancelReplies[id].Verdict, qt.Equals, wire.Verdict_UNKNOWN)
+	w.peerAnswers, w.store.down = 3, false
+	w.run(2 * time.Second)
+	qt.Check(t, w.scheduler.Status(ask).Verdict, qt.Equals, wire.Verdict_ABSENT)
+}
