The first append behind a cut does not let an end be told

Behind a cut that began while nothing was being stored, the first append looks the same, and is lost.

Change: the store must also have confirmed the lead by a call that is less than 300 ms old. An idle lead asks it after 200 ms, so that nothing changes while it answers.

Test, failed before: TestEndIsNotToldByANewAppendInACut (told in 5 steps of 10 ms). An end within 0.3 s after the beginning of a cut may still be told.

--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -177,7 +177,8 @@
 
 // mayReportEnd reports whether the end of a job may be reported. It may once it is
 // stored, or is being stored by an append of which nothing bad is known: callers that
-// ask at the moment of the end would otherwise learn of it at their next question. While
+// ask at the moment of the end would otherwise learn of it at their next question. The store
+// must have answered just before, as the first append behind a cut looks healthy too. While
 // the store is unavailable to all daemons it may be reported before, as workers keep the
 // underlying run ends until those are acknowledged. While it may be unavailable to some
 // daemons only, it may not: the next lead would start the task again if its worker were
@@ -188,7 +189,7 @@
 	if !sc.Elect.HasOthers() {
 		return !j.dirty || sc.outbox.stuck(sc.now)
 	}
-	if !j.dirty && sc.outbox.isHealthy(sc.now) {
+	if !j.dirty && sc.outbox.isHealthy(sc.now) && sc.now.Sub(sc.quorum.confirmedAt) < quorumAfter {
 		return true
 	}
 	return !sc.unstored(j) || sc.outbox.stuckFor(sc.now) >= blindLeadReplaced && sc.everyoneConfirms()
--- a/fleet/sched/silence_test.go
+++ b/fleet/sched/silence_test.go
@@ -136,3 +136,21 @@
 	w.run(2 * time.Second)
 	qt.Check(t, w.scheduler.Status(ask).Verdict, qt.Equals, wire.Verdict_ABSENT)
 }
+
+// A task ends behind a cut, and nothing was being stored when the cut began. Its end must not be
+// told while the first append behind the cut is new, as it will be lost (issue 25).
+func TestEndIsNotToldByANewAppendInACut(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.peerAnswers = 3
+	w.post(sched.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}})
+	w.becomeLead()
+	runTimes["window"] = time.Second
+	f := newFlow("window", "urgent", gangStep(2, 2, time.Second))
+	w.submitAccepted(f)
+	w.run(300 * time.Millisecond)
+	w.peerAnswers, w.store.down = 0, true
+	for range 300 {
+		w.step()
+		qt.Assert(t, w.stage(f), qt.Equals, wire.Stage_RUNS, qt.Commentf("at %s", w.now.Sub(startTime)))
+	}
+}
