A claim confirms the lead as of when it was sent

After a freeze another daemon may have claimed since, and it granted leases for 1.1 s more.

Change: the claim counts from when the call was sent that stored or found it.

Test, failed before: TestLateAnswerToAClaimConfirmsNoLead (a lease moved by 3.21 s, though the answer came 3 s late and neither the store nor a peer answered).

--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -121,7 +121,7 @@
 // there already is a claim newer than the known term, claim returns that one
 // instead: it may be this daemon's own, whose response was lost.
 func (d *dispatcher) claim(known fleet.Term) sched.Claimed {
-	store, self := d.site.deps.Store, d.site.self
+	store, self, sentAt := d.site.deps.Store, d.site.self, time.Now()
 	records, end, err := readNewest(d.ctx, store, topicJobs)
 	if err != nil {
 		return sched.Claimed{Err: err}
@@ -131,18 +131,19 @@
 		return sched.Claimed{Err: err}
 	}
 	if term > known {
-		return sched.Claimed{Lead: before, Term: term, End: end, Records: records}
+		return sched.Claimed{Lead: before, Term: term, End: end, Records: records, SentAt: sentAt}
 	}
 	mine := &wire.Lead{Host: string(self.Host), Addr: self.Addr, Inc: int64(self.Inc), Epoch: before.Epoch + 1}
 	value, err := proto.Marshal(mine)
 	if err != nil {
 		return sched.Claimed{Err: err}
 	}
+	sentAt = time.Now()
 	after, err := d.appendRecords(claimTimeout, topicJobs, end, []fleet.Record{{Key: sched.LeadKey, Value: value}})
 	if err != nil {
 		return sched.Claimed{Err: err}
 	}
-	return sched.Claimed{Lead: mine, Term: fleet.Term(after), End: after, Records: records}
+	return sched.Claimed{Lead: mine, Term: fleet.Term(after), End: after, Records: records, SentAt: sentAt}
 }
 
 // newestClaim returns the newest claim and its term, which is the offset after
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -30,12 +30,14 @@
 	// Probed is the outcome of a Probe; Err is nil if the store answered.
 	Probed struct{ Err error }
 	// Claimed is the outcome of a Claim: the newest claim in the store, the end of
-	// the topic, and the newest record of every key up to there.
+	// the topic, and the newest record of every key up to there. SentAt is when the call
+	// was sent that stored or found the claim.
 	Claimed struct {
 		Lead    *wire.Lead
 		Term    fleet.Term
 		End     fleet.Offset
 		Records []fleet.Record
+		SentAt  time.Time
 		Err     error
 	}
 	// Appended is the outcome of an Append, which was sent at SentAt.
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -64,7 +64,7 @@
 	}
 	sc.reset()
 	sc.mode, sc.term, sc.epoch, sc.leadingSince = leading, e.Term, e.Lead.Epoch, sc.now
-	sc.outbox.end = e.End
+	sc.outbox.end, sc.quorum.confirmedAt = e.End, e.SentAt
 	sc.logf(event.LeadTaken, string(sc.self.Host), "term=%d epoch=%d", sc.term, sc.epoch)
 	sc.sendBeat()
 	sc.restore(e.Records)
--- a/fleet/sched/silence_test.go
+++ b/fleet/sched/silence_test.go
@@ -154,3 +154,18 @@
 		qt.Assert(t, w.stage(f), qt.Equals, wire.Stage_RUNS, qt.Commentf("at %s", w.now.Sub(startTime)))
 	}
 }
+
+// The answer to a claim arrives late, as after a freeze, in which another daemon may have claimed. The
+// new lead must grant no leases by it (issue 25).
+func TestLateAnswerToAClaimConfirmsNoLead(t *testing.T) {
+	w := fourDaemons(t, "claimed")
+	w.restartDaemon()
+	w.post(sched.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}})
+	w.claimDelay, w.claims = 3*time.Second, 0
+	w.runUntil(5*time.Second, "claim", func() bool { return w.claims > 0 })
+	w.peerAnswers, w.store.down = 0, true
+	w.runUntil(5*time.Second, "lead", w.scheduler.Leads)
+	until := w.workers["w0-0"].leaseUntil
+	w.run(2 * time.Second)
+	qt.Check(t, w.workers["w0-0"].leaseUntil, qt.Equals, until)
+}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -64,6 +64,8 @@
 	peerAnswers   int           // number of peers that answer
 	peerAsks      int           // how often the peers were asked
 	alone         bool          // as in the newest heartbeat
+	claimDelay    time.Duration // extra duration of a claim
+	claims        int           // how often the daemon has claimed
 }
 
 // delayed is an event that is delivered at a later time.
@@ -340,7 +342,8 @@
 	lead := &wire.Lead{Host: "e1", Addr: "e1:7000", Inc: int64(w.inc), Epoch: int64(w.inc)}
 	end, records := fleet.Offset(len(w.store.records)), w.store.newest()
 	after, err := w.store.append(end, []fleet.Record{{Key: sched.LeadKey, Value: []byte{byte(w.inc)}}})
-	w.postAfter(storeCallTime, sched.Claimed{Lead: lead, Term: fleet.Term(after), End: after, Records: records, Err: err})
+	w.claims++
+	w.postAfter(storeCallTime+w.claimDelay, sched.Claimed{Lead: lead, Term: fleet.Term(after), End: after, Records: records, SentAt: w.now, Err: err})
 	if !w.listHangs {
 		w.postAfter(2*storeCallTime, sched.WorkersListed{Entries: maps.Clone(w.listed), ReadAt: w.now.Add(storeCallTime)}) // a new lead reads the list at once
 	}
