--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -52,8 +52,9 @@
 		_, err := d.site.deps.Store.Newest(d.ctx, topicHosts, "")
 		d.site.loop.Post(sched.Probed{Err: err})
 	case sched.Append:
+		sentAt := time.Now()
 		end, err := timed("append", func() (fleet.Offset, error) { return d.appendRecords(a.Timeout, topicJobs, a.At, a.Records) })
-		d.site.loop.Post(sched.Appended{Batch: a.Batch, End: end, Err: err})
+		d.site.loop.Post(sched.Appended{Batch: a.Batch, End: end, SentAt: sentAt, Err: err})
 	case sched.Check:
 		d.site.loop.Post(d.check(a))
 	case sched.Start:
@@ -104,13 +105,14 @@
 // out whether it took effect. If the store no longer has them, the newest record
 // of each key is enough to decide.
 func (d *dispatcher) check(a sched.Check) sched.Checked {
+	sentAt := time.Now()
 	b, err := d.site.deps.Store.Read(d.ctx, topicJobs, a.At, 0)
 	if err == nil || fleet.KindOf(err) != fleet.Forgotten {
-		return sched.Checked{Batch: a.Batch, Records: b.Records, End: b.Next, Err: err}
+		return sched.Checked{Batch: a.Batch, Records: b.Records, End: b.Next, SentAt: sentAt, Err: err}
 	}
 	all, end, err := readNewest(d.ctx, d.site.deps.Store, topicJobs)
 	since := slices.DeleteFunc(all, func(r fleet.Record) bool { return r.Offset < a.At })
-	return sched.Checked{Batch: a.Batch, Records: since, End: end, Err: err}
+	return sched.Checked{Batch: a.Batch, Records: since, End: end, SentAt: sentAt, Err: err}
 }
 
 // claim tries to make this daemon the lead. It reads all records and appends the
@@ -119,7 +121,7 @@
 // there already is a claim newer than the known term, claim returns that one
 // instead: it may be this daemon's own, whose response was lost.
 func (d *dispatcher) claim(known fleet.Term) sched.Claimed {
-	store, self := d.site.deps.Store, d.site.self
+	store, self, sentAt := d.site.deps.Store, d.site.self, time.Now()
 	records, end, err := readNewest(d.ctx, store, topicJobs)
 	if err != nil {
 		return sched.Claimed{Err: err}
@@ -129,18 +131,19 @@
 		return sched.Claimed{Err: err}
 	}
 	if term > known {
-		return sched.Claimed{Lead: before, Term: term, End: end, Records: records}
+		return sched.Claimed{Lead: before, Term: term, End: end, Records: records, SentAt: sentAt}
 	}
 	mine := &wire.Lead{Host: string(self.Host), Addr: self.Addr, Inc: int64(self.Inc), Epoch: before.Epoch + 1}
 	value, err := proto.Marshal(mine)
 	if err != nil {
 		return sched.Claimed{Err: err}
 	}
+	sentAt = time.Now()
 	after, err := d.appendRecords(claimTimeout, topicJobs, end, []fleet.Record{{Key: sched.LeadKey, Value: value}})
 	if err != nil {
 		return sched.Claimed{Err: err}
 	}
-	return sched.Claimed{Lead: mine, Term: fleet.Term(after), End: after, Records: records}
+	return sched.Claimed{Lead: mine, Term: fleet.Term(after), End: after, Records: records, SentAt: sentAt}
 }
 
 // newestClaim returns the newest claim and its term, which is the offset after
@@ -160,6 +163,7 @@
 // random sample.
 func (d *dispatcher) askPeers(all bool) {
 	var group sync.WaitGroup
+	askedAt := time.Now()
 	peers := d.site.members.others(d.site.self.Host)
 	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
 	if !all {
@@ -174,7 +178,7 @@
 				d.site.logCallFailure("ask whether it hears the lead", m.Host, err)
 				return
 			}
-			d.site.loop.Post(sched.PeerAnswered{Reply: r})
+			d.site.loop.Post(sched.PeerAnswered{AskedAt: askedAt, Reply: r})
 		})
 	}
 	group.Wait()
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -20,34 +20,41 @@
 type (
 	// BeatReceived is a lead's heartbeat.
 	BeatReceived struct{ Beat *wire.Beat }
-	// PeerAnswered is a peer's answer to AskPeers.
-	PeerAnswered struct{ Reply *wire.SightReply }
+	// PeerAnswered is a peer's answer to AskPeers. AskedAt is when the peers were asked.
+	PeerAnswered struct {
+		AskedAt time.Time
+		Reply   *wire.SightReply
+	}
 	// Members are all daemons of the site, including this one.
 	Members struct{ All []elect.Member }
 	// Probed is the outcome of a Probe; Err is nil if the store answered.
 	Probed struct{ Err error }
 	// Claimed is the outcome of a Claim: the newest claim in the store, the end of
-	// the topic, and the newest record of every key up to there.
+	// the topic, and the newest record of every key up to there. SentAt is when the call
+	// was sent that stored or found the claim.
 	Claimed struct {
 		Lead    *wire.Lead
 		Term    fleet.Term
 		End     fleet.Offset
 		Records []fleet.Record
+		SentAt  time.Time
 		Err     error
 	}
-	// Appended is the outcome of an Append.
+	// Appended is the outcome of an Append, which was sent at SentAt.
 	Appended struct {
-		Batch uint64
-		End   fleet.Offset
-		Err   error
-	}
-	// Checked is the outcome of a Check: the records from the checked offset on, and
-	// the end of the topic. If older records have expired, only the newest record of
-	// each key is included.
+		Batch  uint64
+		End    fleet.Offset
+		SentAt time.Time
+		Err    error
+	}
+	// Checked is the outcome of a Check, which was sent at SentAt: the records from the
+	// checked offset on, and the end of the topic. If older records have expired, only the
+	// newest record of each key is included.
 	Checked struct {
 		Batch   uint64
 		Records []fleet.Record
 		End     fleet.Offset
+		SentAt  time.Time
 		Err     error
 	}
 	// ConfigChanged is the operator's configuration and the failure domains that are out
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -119,7 +119,7 @@
 	}
 	j := sc.findJob(e.Ask)
 	if j == nil {
-		sc.emit(AnswerCancel{e.Waiter, &wire.FlowReply{Verdict: wire.Verdict_ABSENT}})
+		sc.emit(AnswerCancel{e.Waiter, &wire.FlowReply{Verdict: sc.absence()}})
 		return
 	}
 	if j.Cancel(sc.now) {
@@ -146,6 +146,15 @@
 	return j
 }
 
+// absence returns the verdict on a job that this lead does not know. Unless it is confirmed, its
+// successor may have accepted the job.
+func (sc *Scheduler) absence() wire.Verdict {
+	if sc.isConfirmed() {
+		return wire.Verdict_ABSENT
+	}
+	return wire.Verdict_UNKNOWN
+}
+
 // Status returns the stage of a job.
 func (sc *Scheduler) Status(ask *wire.FlowAsk) *wire.FlowReply {
 	if sc.mode != leading {
@@ -154,7 +163,7 @@
 	j := sc.findJob(ask)
 	switch {
 	case j == nil:
-		return &wire.FlowReply{Verdict: wire.Verdict_ABSENT}
+		return &wire.FlowReply{Verdict: sc.absence()}
 	case !j.stored || j.Cancelled && sc.unstored(j) || j.HasEnded() && !sc.mayReportEnd(j):
 		return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: sc.stageBeforeEnd(j)}
 	}
@@ -168,7 +177,8 @@
 
 // mayReportEnd reports whether the end of a job may be reported. It may once it is
 // stored, or is being stored by an append of which nothing bad is known: callers that
-// ask at the moment of the end would otherwise learn of it at their next question. While
+// ask at the moment of the end would otherwise learn of it at their next question. The store
+// must have answered just before, as the first append behind a cut looks healthy too. While
 // the store is unavailable to all daemons it may be reported before, as workers keep the
 // underlying run ends until those are acknowledged. While it may be unavailable to some
 // daemons only, it may not: the next lead would start the task again if its worker were
@@ -179,10 +189,10 @@
 	if !sc.Elect.HasOthers() {
 		return !j.dirty || sc.outbox.stuck(sc.now)
 	}
-	if !j.dirty && sc.outbox.isHealthy(sc.now) {
+	if !j.dirty && sc.outbox.isHealthy(sc.now) && sc.now.Sub(sc.quorum.confirmedAt) < quorumAfter {
 		return true
 	}
-	return !sc.unstored(j) || sc.outbox.stuckFor(sc.now) >= blindLeadReplaced && sc.quorum.complete
+	return !sc.unstored(j) || sc.outbox.stuckFor(sc.now) >= blindLeadReplaced && sc.everyoneConfirms()
 }
 
 // stageBeforeEnd returns the stage to report for a job whose end is not stored yet.
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -115,7 +115,7 @@
 	sc.estimateErrors = map[string]*estimateError{}
 	sc.stepMeans = map[*flow.Step]*stepMean{}
 	sc.speeds, sc.goneSpeeds = newSpeeds(), nil
-	sc.confirmLead()
+	sc.quorum = quorum{confirmedAt: sc.now}
 	sc.unreachable, sc.domainPolledAt = nil, map[fleet.DomainID]time.Time{}
 }
 
@@ -174,7 +174,7 @@
 	case BeatReceived:
 		sc.handleBeat(e.Beat)
 	case PeerAnswered:
-		sc.handlePeerAnswer(e.Reply)
+		sc.handlePeerAnswer(e)
 	case Members:
 		sc.Elect.SetMembers(e.All)
 	case Claimed:
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -64,6 +64,8 @@
 	peerAnswers   int           // number of peers that answer
 	peerAsks      int           // how often the peers were asked
 	alone         bool          // as in the newest heartbeat
+	claimDelay    time.Duration // extra duration of a claim
+	claims        int           // how often the daemon has claimed
 }
 
 // delayed is an event that is delivered at a later time.
@@ -261,7 +263,7 @@
 	case sched.AskPeers:
 		w.peerAsks++
 		for range w.peerAnswers {
-			w.postAfter(callTime, sched.PeerAnswered{Reply: &wire.SightReply{}})
+			w.postAfter(callTime, sched.PeerAnswered{AskedAt: w.now, Reply: &wire.SightReply{}})
 		}
 	case sched.Claim:
 		w.claim()
@@ -285,7 +287,7 @@
 		if fleet.KindOf(err) == fleet.OutcomeUnknown && err != nil {
 			span = a.Timeout
 		}
-		w.postAfter(span, sched.Appended{Batch: a.Batch, End: end, Err: err})
+		w.postAfter(span, sched.Appended{Batch: a.Batch, End: end, SentAt: w.now, Err: err})
 	case sched.Check:
 		if w.store.rejects {
 			w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Err: &fleet.Error{Op: "check", Kind: fleet.NotApplied}})
@@ -295,7 +297,7 @@
 			w.postAfter(time.Second, sched.Checked{Batch: a.Batch, Err: &fleet.Error{Op: "check", Kind: fleet.OutcomeUnknown}})
 			return
 		}
-		w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Records: w.store.records[a.At:], End: fleet.Offset(len(w.store.records))})
+		w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Records: w.store.records[a.At:], End: fleet.Offset(len(w.store.records)), SentAt: w.now})
 	case sched.Start:
 		clock, span, err := w.worker(a.Endpoint).start(w.now, a.Order)
 		w.postAfter(span, sched.Started{Host: a.Endpoint.Host, Key: a.Key, Clock: clock, Err: err})
@@ -340,7 +342,8 @@
 	lead := &wire.Lead{Host: "e1", Addr: "e1:7000", Inc: int64(w.inc), Epoch: int64(w.inc)}
 	end, records := fleet.Offset(len(w.store.records)), w.store.newest()
 	after, err := w.store.append(end, []fleet.Record{{Key: sched.LeadKey, Value: []byte{byte(w.inc)}}})
-	w.postAfter(storeCallTime, sched.Claimed{Lead: lead, Term: fleet.Term(after), End: after, Records: records, Err: err})
+	w.claims++
+	w.postAfter(storeCallTime+w.claimDelay, sched.Claimed{Lead: lead, Term: fleet.Term(after), End: after, Records: records, SentAt: w.now, Err: err})
 	if !w.listHangs {
 		w.postAfter(2*storeCallTime, sched.WorkersListed{Entries: maps.Clone(w.listed), ReadAt: w.now.Add(storeCallTime)}) // a new lead reads the list at once
 	}
