--- a/deckd/site/loop.go
+++ b/deckd/site/loop.go
@@ -27,8 +27,8 @@
 	return loop.New(sc, s.timer.Every(tickInterval), make(chan sched.Event, loop.EventQueue), step)
 }
 
-// runOnLoop runs a function on the control loop. It returns false if the loop
-// had not run it by the deadline.
+// runOnLoop runs a function on the control loop. It returns false if the loop had not
+// accepted it by the deadline; once it has, the call waits for it to run.
 func (s *Site) runOnLoop(until time.Time, f func(*sched.Scheduler)) bool {
 	giveUp := make(chan struct{})
 	timer := time.AfterFunc(time.Until(until), func() { close(giveUp) })
--- a/fleet/sched/silence_test.go
+++ b/fleet/sched/silence_test.go
@@ -169,3 +169,26 @@
 	w.run(2 * time.Second)
 	qt.Check(t, w.workers["w0-0"].leaseUntil, qt.Equals, until)
 }
+
+// An end is told while the store is away for all daemons. If the lead and the worker are both lost
+// before it is stored, the task runs again.
+func TestToldEndSurvivesTheLossOfLeadAndWorker(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.peerAnswers = 3
+	w.post(sched.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}})
+	w.becomeLead()
+	runTimes["told"] = time.Second
+	f := newFlow("told", "urgent", taskStep(1, 2, time.Second))
+	w.submitAccepted(f)
+	w.run(300 * time.Millisecond)
+	w.store.down = true
+	w.runUntil(8*time.Second, "end", func() bool { return w.stage(f) == wire.Stage_COMPLETED })
+	for _, one := range w.workers {
+		one.crash(w.now)
+	}
+	w.restartDaemon()
+	w.store.down = false
+	w.becomeLead()
+	w.run(3 * time.Second)
+	qt.Check(t, w.startCount("told"), qt.Equals, 1)
+}
