--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -36,6 +36,8 @@
 			d.site.submitWaiters.answer(a.Waiter, a.Reply)
 		case sched.AnswerCancel:
 			d.site.cancelWaiters.answer(a.Waiter, a.Reply)
+		case sched.AnswerStatus:
+			d.site.statusWaiters.answer(a.Waiter, a.Reply)
 		default:
 			d.group.Go(func() { d.perform(a) })
 		}
--- a/deckd/site/intake.go
+++ b/deckd/site/intake.go
@@ -236,11 +236,9 @@
 }
 
 func (s *Site) statusLocally(ask *wire.FlowAsk, until time.Time) *wire.FlowReply {
-	var r *wire.FlowReply
-	if !s.runOnLoop(until, func(sc *sched.Scheduler) { r = sc.Status(ask) }) {
-		return &wire.FlowReply{Verdict: wire.Verdict_UNKNOWN}
-	}
-	return r
+	id, answer := s.statusWaiters.add()
+	s.loop.Post(sched.StatusAsked{Waiter: id, Ask: ask})
+	return awaitAnswer(s.statusWaiters, id, answer, until, &wire.FlowReply{Verdict: wire.Verdict_UNKNOWN})
 }
 
 func (s *Site) cancelLocally(ask *wire.FlowAsk, until time.Time) *wire.FlowReply {
--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -53,6 +53,7 @@
 	heartbeats    *heartbeats
 	submitWaiters *waiters[*wire.HandReply]
 	cancelWaiters *waiters[*wire.FlowReply]
+	statusWaiters *waiters[*wire.FlowReply]
 
 	view      atomic.Pointer[leadView] // what is known about the lead
 	leadHeard atomic.Bool              // the lead was heard recently, so this daemon can serve callers
@@ -77,7 +78,7 @@
 			Host: s.Host, Addr: s.Peer, Domain: s.Domain,
 			Inc: fleet.Incarnation(time.Now().UnixMilli()), Power: s.Power,
 		},
-		submitWaiters: newWaiters[*wire.HandReply](), cancelWaiters: newWaiters[*wire.FlowReply](),
+		submitWaiters: newWaiters[*wire.HandReply](), cancelWaiters: newWaiters[*wire.FlowReply](), statusWaiters: newWaiters[*wire.FlowReply](),
 		logger: logger.NewAsync(s.Host, options.Level, options.Lines, w), leadGained: make(chan struct{}, 1),
 	}
 	site.operator = newOperatorRecords(site)
--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -188,6 +188,21 @@
 // Estimate returns the caller's estimate of a task's run time.
 func (s *Step) Estimate() time.Duration { return time.Duration(s.Spec.Span) * time.Millisecond }
 
+// MayEnd reports whether the job may end at any time: every task that has not succeeded is on
+// a worker, and none is lasting.
+func (j *Job) MayEnd() bool {
+	for _, r := range j.Rounds {
+		for _, s := range r.Steps {
+			for i := range s.Tasks {
+				if t := &s.Tasks[i]; s.Spec.Lasting || !t.Done && t.Worker == "" {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
 // PathAfter returns the length of the longest path through the steps of a round that depend
 // on a step, by the estimated run times.
 func (j *Job) PathAfter(step int) time.Duration {
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -91,6 +91,11 @@
 		Ask      *wire.FlowAsk
 		Deadline time.Time
 	}
+	// StatusAsked is a caller's question about a job.
+	StatusAsked struct {
+		Waiter Waiter
+		Ask    *wire.FlowAsk
+	}
 )
 
 // Events from workers.
@@ -177,4 +182,9 @@
 		Waiter Waiter
 		Reply  *wire.FlowReply
 	}
+	// AnswerStatus answers a caller that asked about a job.
+	AnswerStatus struct {
+		Waiter Waiter
+		Reply  *wire.FlowReply
+	}
 )
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -14,10 +14,6 @@
 
 const storeDownReason = "the store does not answer"
 
-// blindLeadReplaced is how long an append has failed when the lead would have been
-// replaced if another daemon reached both it and the store.
-const blindLeadReplaced = 3 * time.Second
-
 // job is a job with the state that only the current lead has and that is not stored.
 type job struct {
 	*flow.Job
@@ -155,54 +151,6 @@
 	return wire.Verdict_UNKNOWN
 }
 
-// Status returns the stage of a job.
-func (sc *Scheduler) Status(ask *wire.FlowAsk) *wire.FlowReply {
-	if sc.mode != leading {
-		return &wire.FlowReply{Verdict: wire.Verdict_ASTRAY}
-	}
-	j := sc.findJob(ask)
-	switch {
-	case j == nil:
-		return &wire.FlowReply{Verdict: sc.absence()}
-	case !j.stored || j.Cancelled && sc.unstored(j) || j.HasEnded() && !sc.mayReportEnd(j):
-		return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: sc.stageBeforeEnd(j)}
-	}
-	return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: j.Stage()}
-}
-
-// unstored reports whether progress of a job is waiting to be stored or in flight.
-func (sc *Scheduler) unstored(j *job) bool {
-	return j.dirty || sc.outbox.inFlight != nil && j.lastBatch == sc.outbox.batchNo
-}
-
-// mayReportEnd reports whether the end of a job may be reported. It may once it is
-// stored, or is being stored by an append of which nothing bad is known: callers that
-// ask at the moment of the end would otherwise learn of it at their next question. The store
-// must have answered just before, as the first append behind a cut looks healthy too. While
-// the store is unavailable to all daemons it may be reported before, as workers keep the
-// underlying run ends until those are acknowledged. While it may be unavailable to some
-// daemons only, it may not: the next lead would start the task again if its worker were
-// lost meanwhile. Silence does not tell that nobody else leads: behind a cut this lead may
-// have been replaced and cannot be told. So every other daemon must have answered lately that
-// it knows no newer lead.
-func (sc *Scheduler) mayReportEnd(j *job) bool {
-	if !sc.Elect.HasOthers() {
-		return !j.dirty || sc.outbox.stuck(sc.now)
-	}
-	if !j.dirty && sc.outbox.isHealthy(sc.now) && sc.now.Sub(sc.quorum.confirmedAt) < quorumAfter {
-		return true
-	}
-	return !sc.unstored(j) || sc.outbox.stuckFor(sc.now) >= blindLeadReplaced && sc.everyoneConfirms()
-}
-
-// stageBeforeEnd returns the stage to report for a job whose end is not stored yet.
-func (sc *Scheduler) stageBeforeEnd(j *job) wire.Stage {
-	if j.Begun() {
-		return wire.Stage_RUNS
-	}
-	return wire.Stage_WAITS
-}
-
 // Backlog counts the accepted jobs of a queue that have not started.
 func (sc *Scheduler) Backlog(ask *wire.BacklogAsk) *wire.BacklogReply {
 	if sc.mode != leading {
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -76,6 +76,7 @@
 	jobs              map[fleet.JobID]*job
 	pool              *pool.Pool
 	outbox            outbox
+	statusWaiters     []statusWaiter
 	recordedLimits    map[fleet.SpaceID]recordedLimit // in the records of jobs
 	waiting           map[fleet.SpaceID]waitCounts    // as of the last plan
 	estimateErrors    map[string]*estimateError       // by queue
@@ -143,6 +144,7 @@
 		sc.pollWorkers()
 		sc.flush()
 	}
+	sc.answerStatus()
 	out := sc.actions
 	sc.actions = nil
 	return out
@@ -198,6 +200,8 @@
 		sc.submit(e)
 	case CancelRequested:
 		sc.cancel(e)
+	case StatusAsked:
+		sc.askStatus(e)
 	case Started:
 		sc.handleStarted(e)
 	case Stopped:
--- /dev/null
+++ b/fleet/sched/status.go
@@ -0,0 +1,113 @@
+package sched
+
+import (
+	"time"
+
+	"dragonflydeck.example/fleet/wire"
+)
+
+// How long a question about a job waits for an end that can be told soon.
+const (
+	endTransit  = 50 * time.Millisecond  // for the report of an end to arrive from a worker; a healthy one takes a few milliseconds
+	endStorable = 250 * time.Millisecond // for an end to be stored, also if the store is slow
+)
+
+// blindLeadReplaced is how long an append has failed when the lead would have been
+// replaced if another daemon reached both it and the store.
+const blindLeadReplaced = 3 * time.Second
+
+// statusWaiter is a caller whose question about a job waits for the job's end.
+type statusWaiter struct {
+	waiter  Waiter
+	ask     *wire.FlowAsk
+	askedAt time.Time
+}
+
+// askStatus answers a question about a job, at once unless its end can be told soon.
+func (sc *Scheduler) askStatus(e StatusAsked) {
+	w := statusWaiter{e.Waiter, e.Ask, sc.now}
+	if sc.endIsNear(w) {
+		sc.statusWaiters = append(sc.statusWaiters, w)
+		return
+	}
+	sc.emit(AnswerStatus{e.Waiter, sc.Status(e.Ask)})
+}
+
+// answerStatus answers the questions that wait no longer.
+func (sc *Scheduler) answerStatus() {
+	remaining := sc.statusWaiters[:0]
+	for _, w := range sc.statusWaiters {
+		if sc.endIsNear(w) {
+			remaining = append(remaining, w)
+			continue
+		}
+		sc.emit(AnswerStatus{w.waiter, sc.Status(w.ask)})
+	}
+	sc.statusWaiters = remaining
+}
+
+// endIsNear reports whether the end of the job that a caller asks about may be told soon: it is
+// being stored, or may be on its way from a worker. Load pattern: callers with little slack ask
+// again every few hundred milliseconds. A question that crosses the end on its way, or arrives
+// while the end is being stored, would cost its caller a whole interval.
+func (sc *Scheduler) endIsNear(w statusWaiter) bool {
+	if sc.mode != leading {
+		return false
+	}
+	j, waited := sc.findJob(w.ask), sc.now.Sub(w.askedAt)
+	switch {
+	case j == nil || !j.stored:
+		return false
+	case j.HasEnded():
+		return waited < endStorable && !sc.outbox.stuck(sc.now) && !sc.mayReportEnd(j)
+	}
+	return waited < endTransit && j.MayEnd()
+}
+
+// Status returns the stage of a job.
+func (sc *Scheduler) Status(ask *wire.FlowAsk) *wire.FlowReply {
+	if sc.mode != leading {
+		return &wire.FlowReply{Verdict: wire.Verdict_ASTRAY}
+	}
+	j := sc.findJob(ask)
+	switch {
+	case j == nil:
+		return &wire.FlowReply{Verdict: sc.absence()}
+	case !j.stored || j.Cancelled && sc.unstored(j) || j.HasEnded() && !sc.mayReportEnd(j):
+		return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: sc.stageBeforeEnd(j)}
+	}
+	return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: j.Stage()}
+}
+
+// unstored reports whether progress of a job is waiting to be stored or in flight.
+func (sc *Scheduler) unstored(j *job) bool {
+	return j.dirty || sc.outbox.inFlight != nil && j.lastBatch == sc.outbox.batchNo
+}
+
+// mayReportEnd reports whether the end of a job may be reported. It may once it is
+// stored, or is being stored by an append of which nothing bad is known: callers that
+// ask at the moment of the end would otherwise learn of it at their next question. The store
+// must have answered just before, as the first append behind a cut looks healthy too. While
+// the store is unavailable to all daemons it may be reported before, as workers keep the
+// underlying run ends until those are acknowledged. While it may be unavailable to some
+// daemons only, it may not: the next lead would start the task again if its worker were
+// lost meanwhile. Silence does not tell that nobody else leads: behind a cut this lead may
+// have been replaced and cannot be told. So every other daemon must have answered lately that
+// it knows no newer lead.
+func (sc *Scheduler) mayReportEnd(j *job) bool {
+	if !sc.Elect.HasOthers() {
+		return !j.dirty || sc.outbox.stuck(sc.now)
+	}
+	if !j.dirty && sc.outbox.isHealthy(sc.now) && sc.now.Sub(sc.quorum.confirmedAt) < quorumAfter {
+		return true
+	}
+	return !sc.unstored(j) || sc.outbox.stuckFor(sc.now) >= blindLeadReplaced && sc.everyoneConfirms()
+}
+
+// stageBeforeEnd returns the stage to report for a job whose end is not stored yet.
+func (sc *Scheduler) stageBeforeEnd(j *job) wire.Stage {
+	if j.Begun() {
+		return wire.Stage_RUNS
+	}
+	return wire.Stage_WAITS
+}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -51,6 +51,7 @@
 	logged        []event.Event
 	submitReplies map[sched.Waiter]*wire.HandReply
 	cancelReplies map[sched.Waiter]*wire.FlowReply
+	statusReplies map[sched.Waiter]*wire.FlowReply
 	waiters       sched.Waiter
 	polls         int
 	openPolls     int // polls without an answer so far
@@ -122,7 +123,7 @@
 func newWorld(t *testing.T, racks, perRack int) *world {
 	w := &world{
 		t: t, now: startTime, tick: 10 * time.Millisecond, store: &store{}, workers: map[fleet.HostID]*worker{}, outOfService: map[fleet.DomainID]bool{},
-		submitReplies: map[sched.Waiter]*wire.HandReply{}, cancelReplies: map[sched.Waiter]*wire.FlowReply{}, configEnd: 1,
+		submitReplies: map[sched.Waiter]*wire.HandReply{}, cancelReplies: map[sched.Waiter]*wire.FlowReply{}, statusReplies: map[sched.Waiter]*wire.FlowReply{}, configEnd: 1,
 	}
 	w.config = queue.New(queue.Config{Version: 1, Queues: []queue.Queue{
 		{Name: "urgent", Service: service, Attempts: 3, Slowdown: 1.5, Target: 250 * time.Millisecond, Priority: 0},
@@ -313,6 +314,8 @@
 		w.submitReplies[a.Waiter] = a.Reply
 	case sched.AnswerCancel:
 		w.cancelReplies[a.Waiter] = a.Reply
+	case sched.AnswerStatus:
+		w.statusReplies[a.Waiter] = a.Reply
 	}
 }
 
@@ -403,6 +406,13 @@
 	return w.scheduler.Status(&wire.FlowAsk{Id: f.Id, Queue: f.Queue, Space: f.Space}).Stage
 }
 
+// askStatus asks for a job's stage and returns the waiter.
+func (w *world) askStatus(f *wire.Flow) sched.Waiter {
+	w.waiters++
+	w.post(sched.StatusAsked{Waiter: w.waiters, Ask: &wire.FlowAsk{Id: f.Id, Queue: f.Queue, Space: f.Space}})
+	return w.waiters
+}
+
 // awaitCompleted waits for a job's end.
 func (w *world) awaitCompleted(f *wire.Flow, span time.Duration) {
 	w.t.Helper()
