--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -48,6 +48,8 @@
 	switch a := a.(type) {
 	case sched.AskPeers:
 		d.askPeers(a.All)
+	case sched.AskEnds:
+		d.askEnds(a)
 	case sched.Claim:
 		d.site.loop.Post(d.claim(a.Known))
 	case sched.Probe:
@@ -161,26 +163,50 @@
 	return lead, 0, nil
 }
 
-// askPeers asks other daemons whether they hear the lead: all of them, or a
-// random sample.
-func (d *dispatcher) askPeers(all bool) {
-	var group sync.WaitGroup
-	askedAt := time.Now()
+// peersToAsk returns other daemons: all of them, or a random sample.
+func (d *dispatcher) peersToAsk(all bool) []*wire.Member {
 	peers := d.site.members.others(d.site.self.Host)
 	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
 	if !all {
 		peers = peers[:min(len(peers), elect.MaxAsked)]
 	}
-	for _, m := range peers {
+	return peers
+}
+
+// askPeers asks other daemons whether they hear the lead.
+func (d *dispatcher) askPeers(all bool) {
+	askedAt := time.Now()
+	d.eachPeer(all, "ask whether it hears the lead", func(ctx context.Context, peer wire.Site) error {
+		r, err := peer.Sight(ctx, &wire.SightAsk{})
+		if err == nil {
+			d.site.loop.Post(sched.PeerAnswered{AskedAt: askedAt, Reply: r})
+		}
+		return err
+	})
+}
+
+// askEnds asks other daemons to keep the ends of jobs, and for those that they keep.
+func (d *dispatcher) askEnds(a sched.AskEnds) {
+	d.eachPeer(a.All, "ask to keep the ends of jobs", func(ctx context.Context, peer wire.Site) error {
+		r, err := peer.Ends(ctx, a.Ask)
+		if err == nil {
+			d.site.loop.Post(sched.EndsAnswered{Round: a.Round, Reply: r})
+		}
+		return err
+	})
+}
+
+// eachPeer calls other daemons at the same time, all of them or a random sample, and waits for
+// their answers.
+func (d *dispatcher) eachPeer(all bool, what string, call func(context.Context, wire.Site) error) {
+	var group sync.WaitGroup
+	for _, m := range d.peersToAsk(all) {
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(d.ctx, elect.AskTimeout)
 			defer cancel()
-			r, err := d.site.pool.Site(m.Addr).Sight(ctx, &wire.SightAsk{})
-			if err != nil {
-				d.site.logCallFailure("ask whether it hears the lead", m.Host, err)
-				return
+			if err := call(ctx, d.site.pool.Site(m.Addr)); err != nil {
+				d.site.logCallFailure(what, m.Host, err)
 			}
-			d.site.loop.Post(sched.PeerAnswered{AskedAt: askedAt, Reply: r})
 		})
 	}
 	group.Wait()
--- a/deckd/site/peer.go
+++ b/deckd/site/peer.go
@@ -70,6 +70,14 @@
 	return r, nil
 }
 
+func (s siteServer) Ends(_ context.Context, ask *wire.EndsAsk) (*wire.EndsReply, error) {
+	var r *wire.EndsReply
+	if !s.site.runOnLoop(deadlineIn(peerTimeout.Milliseconds()), func(sc *sched.Scheduler) { r = sc.KeepEnds(ask) }) {
+		return nil, errLoopBusy
+	}
+	return r, nil
+}
+
 func (s siteServer) Orders(_ context.Context, ask *wire.OrdersAsk) (*wire.OrdersReply, error) {
 	return s.site.operator.reply(fleet.Offset(ask.Since)), nil
 }
--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -351,6 +351,9 @@
 // of all members.
 func (e *Elector) Majority(peers int) bool { return 2*(peers+1) > len(e.members) }
 
+// AllAsked reports whether this number of peers are all that were asked.
+func (e *Elector) AllAsked(peers int) bool { return peers+1 >= e.askedCount() }
+
 // Everyone reports whether this number of peers are all other members.
 func (e *Elector) Everyone(peers int) bool { return peers+1 >= len(e.members) }
 
--- a/fleet/sched/ends.go
+++ b/fleet/sched/ends.go
@@ -52,6 +52,7 @@
 	}
 	if j.HasEnded() {
 		sc.logf(event.JobDone, string(j.ID), "queue=%s after=%s", j.Spec.Queue, sc.now.Sub(time.UnixMilli(j.Spec.At)))
+		sc.noteCompleted(j)
 	}
 }
 
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -25,6 +25,11 @@
 		AskedAt time.Time
 		Reply   *wire.SightReply
 	}
+	// EndsAnswered is a peer's answer to AskEnds.
+	EndsAnswered struct {
+		Round uint64
+		Reply *wire.EndsReply
+	}
 	// Members are all daemons of the site, including this one.
 	Members struct{ All []elect.Member }
 	// Probed is the outcome of a Probe; Err is nil if the store answered.
@@ -135,6 +140,13 @@
 	// AskPeers asks peers whether they hear the lead: all of them, or at most
 	// elect.MaxAsked.
 	AskPeers struct{ All bool }
+	// AskEnds asks peers to keep ends of jobs, and for those that they keep: all of them, or
+	// at most elect.MaxAsked. Round 0 only asks for those that they keep.
+	AskEnds struct {
+		Round uint64
+		Ask   *wire.EndsAsk
+		All   bool
+	}
 	// Claim appends a claim to the lead, unless the store has a claim newer than the
 	// known term.
 	Claim struct{ Known fleet.Term }
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -18,8 +18,10 @@
 type job struct {
 	*flow.Job
 	stored         bool // the job itself is stored, and thereby accepted
+	restored       bool // a former lead accepted it
 	dirty          bool
-	lastBatch      uint64 // number of the batch with its newest progress
+	copiedAt       time.Time // when all other daemons kept its end
+	lastBatch      uint64    // number of the batch with its newest progress
 	waiters        []submitter
 	preemptedAt    time.Time                  // when runs were last preempted for it
 	preemptTriedAt time.Time                  // when runs to preempt for it were last searched for
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -68,6 +68,8 @@
 	sc.logf(event.LeadTaken, string(sc.self.Host), "term=%d epoch=%d", sc.term, sc.epoch)
 	sc.sendBeat()
 	sc.restore(e.Records)
+	sc.gatherEnds()
+	sc.adoptEnds()
 	sc.recallWorkers()
 	for _, w := range sc.pool.Sorted() {
 		w.ExpectForeignLeases(sc.now.Add(aloneDetection)) // a former lead may renew leases until it notices that it is cut off
@@ -91,7 +93,7 @@
 				continue
 			}
 			j := newJob(flow.New(f))
-			j.stored = true
+			j.stored, j.restored = true, true
 			sc.jobs[j.ID] = j
 			sc.noteLimit(j)
 		case len(r.Key) > len(trackKey) && r.Key[:len(trackKey)] == trackKey:
--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -19,6 +19,7 @@
 	leaseCutoff         = 2500 * time.Millisecond // a worker silent for this long has missed a poll; its lease is no longer renewed, so that it expires if the worker is gone
 	brokenWithin        = 500 * time.Millisecond  // a poll that fails so soon, or while it waits, was broken off; a silent worker fails it a second later
 	maxAcknowledgeDelay = 800 * time.Millisecond  // the next poll waits no longer than this for run ends to be stored and acknowledged
+	outagePoll          = 300 * time.Millisecond  // between two polls of a worker whose ends wait for a store that is away; it answers each at once
 )
 
 // Limits of concurrent polls.
@@ -105,11 +106,20 @@
 	case w.LastHeard.Before(w.LastPoll) && since < pollRetry:
 		return false
 	case w.EndsSeen > w.EndsStored:
-		return sc.outbox.inFlight == nil || since >= maxAcknowledgeDelay
+		return sc.outbox.inFlight == nil || since >= sc.acknowledgeDelay()
 	}
 	return len(w.Runs) > 0 || w.EndsStored > w.EndsForgettable
 }
 
+// acknowledgeDelay returns how long the next poll of a worker waits for its ends to be stored. While
+// the store is away they are not stored soon, and callers are told of further ends.
+func (sc *Scheduler) acknowledgeDelay() time.Duration {
+	if sc.outbox.stuck(sc.now) {
+		return outagePoll
+	}
+	return maxAcknowledgeDelay
+}
+
 // hasUnsettledStop reports whether a worker has answered a stop since the newest
 // poll was sent. The next poll tells whether the run is gone.
 func hasUnsettledStop(w *pool.Worker) bool {
--- a/fleet/sched/quorum.go
+++ b/fleet/sched/quorum.go
@@ -26,7 +26,6 @@
 	answers     int       // in the current round
 	alone       bool      // neither the store nor a majority answers
 	majorityAt  time.Time // when the newest round was sent that a majority answered
-	completeAt  time.Time // when the newest round was sent that every other daemon answered
 }
 
 // confirmLead records that the store showed no claim newer than this lead's to a call that
@@ -50,10 +49,6 @@
 	return !q.alone && (sc.isRecent(q.confirmedAt) || sc.isRecent(q.majorityAt))
 }
 
-// everyoneConfirms reports whether every other daemon has lately answered that it knows no
-// newer lead.
-func (sc *Scheduler) everyoneConfirms() bool { return sc.isRecent(sc.quorum.completeAt) }
-
 // isRecent reports whether a question was sent recently enough for its answer to count.
 func (sc *Scheduler) isRecent(sentAt time.Time) bool { return sc.now.Sub(sentAt) <= confirmationAge }
 
@@ -105,9 +100,6 @@
 func (sc *Scheduler) countAnswers() {
 	q := &sc.quorum
 	q.counted = true
-	if sc.Elect.Everyone(q.answers) {
-		q.completeAt = q.askedAt
-	}
 	alone := !sc.Elect.Majority(q.answers)
 	if !alone {
 		q.majorityAt = q.askedAt
--- a/fleet/sched/status.go
+++ b/fleet/sched/status.go
@@ -12,10 +12,6 @@
 	endStorable = 250 * time.Millisecond // for an end to be stored, also if the store is slow
 )
 
-// blindLeadReplaced is how long an append has failed when the lead would have been
-// replaced if another daemon reached both it and the store.
-const blindLeadReplaced = 3 * time.Second
-
 // statusWaiter is a caller whose question about a job waits for the job's end.
 type statusWaiter struct {
 	waiter  Waiter
@@ -59,11 +55,16 @@
 	case j == nil || !j.stored:
 		return false
 	case j.HasEnded():
-		return waited < endStorable && !sc.outbox.stuck(sc.now) && !sc.mayReportEnd(j)
+		return waited < endStorable && sc.isTellable(j) && !sc.mayReportEnd(j)
 	}
 	return waited < endTransit && j.MayEnd()
 }
 
+// isTellable reports whether the end of a job is being stored, or copied while the store is away.
+func (sc *Scheduler) isTellable(j *job) bool {
+	return !sc.outbox.stuck(sc.now) || sc.now.Sub(j.Ended) < endStorable
+}
+
 // Status returns the stage of a job.
 func (sc *Scheduler) Status(ask *wire.FlowAsk) *wire.FlowReply {
 	if sc.mode != leading {
@@ -88,12 +89,10 @@
 // stored, or is being stored by an append of which nothing bad is known: callers that
 // ask at the moment of the end would otherwise learn of it at their next question. The store
 // must have answered just before, as the first append behind a cut looks healthy too. While
-// the store is unavailable to all daemons it may be reported before, as workers keep the
-// underlying run ends until those are acknowledged. While it may be unavailable to some
-// daemons only, it may not: the next lead would start the task again if its worker were
-// lost meanwhile. Silence does not tell that nobody else leads: behind a cut this lead may
-// have been replaced and cannot be told. So every other daemon must have answered lately that
-// it knows no newer lead.
+// the store does not answer, the end of a job that has completed may be reported once all other
+// daemons keep it for the next lead, which would otherwise start its tasks again if their
+// worker were lost. Silence does not tell that nobody else leads: behind a cut this lead may
+// have been replaced and cannot be told.
 func (sc *Scheduler) mayReportEnd(j *job) bool {
 	if !sc.Elect.HasOthers() {
 		return !j.dirty || sc.outbox.stuck(sc.now)
@@ -101,7 +100,7 @@
 	if !j.dirty && sc.outbox.isHealthy(sc.now) && sc.now.Sub(sc.quorum.confirmedAt) < quorumAfter {
 		return true
 	}
-	return !sc.unstored(j) || sc.outbox.stuckFor(sc.now) >= blindLeadReplaced && sc.everyoneConfirms()
+	return !sc.unstored(j) || !j.copiedAt.IsZero()
 }
 
 // stageBeforeEnd returns the stage to report for a job whose end is not stored yet.
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -63,7 +63,9 @@
 	stepTime      time.Duration // processor time spent in Step
 	appendDelay   time.Duration // extra duration of appends
 	peerAnswers   int           // number of peers that answer
+	peerDelay     time.Duration // extra time that peers take to answer
 	peerAsks      int           // how often the peers were asked
+	keptEnds      []string      // completed jobs whose ends the peers that answer keep
 	alone         bool          // as in the newest heartbeat
 	claimDelay    time.Duration // extra duration of a claim
 	claims        int           // how often the daemon has claimed
@@ -266,6 +268,8 @@
 		for range w.peerAnswers {
 			w.postAfter(callTime, sched.PeerAnswered{AskedAt: w.now, Reply: &wire.SightReply{}})
 		}
+	case sched.AskEnds:
+		w.askEnds(a)
 	case sched.Claim:
 		w.claim()
 	case sched.Probe:
@@ -335,6 +339,21 @@
 	w.postAfter(span, done)
 }
 
+// fourMembers are the local daemon and three peers.
+func fourMembers() sched.Members {
+	return sched.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}}
+}
+
+// askEnds has the peers that answer keep ends, and tell those that they keep.
+func (w *world) askEnds(a sched.AskEnds) {
+	if w.peerAnswers > 0 {
+		w.keptEnds = append(w.keptEnds, a.Ask.Jobs...)
+	}
+	for range w.peerAnswers {
+		w.postAfter(callTime+w.peerDelay, sched.EndsAnswered{Round: a.Round, Reply: &wire.EndsReply{Kept: true, Jobs: slices.Clone(w.keptEnds)}})
+	}
+}
+
 func (w *world) worker(p fleet.Endpoint) *worker { return w.workers[p.Host] }
 
 func (w *world) claim() {
