--- a/fleet/assign/assign.go
+++ b/fleet/assign/assign.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -23,6 +24,7 @@
 	Isolation   Isolation                  // from other jobs
 	LastAttempt bool                       // its next failure fails its job, so that only proven workers may run it
 	Avoid       map[fleet.HostID]time.Time // workers that failed it: not eligible until the given time, and the last choice after it
+	OneDomain   bool                       // it is kept within one failure domain if there is room on workers as fast
 	Slack       float64                    // logarithm of the slowdown of a worker with which the unit would just end when its job is due
 	Urgent      bool                       // it takes the fastest workers; other work leaves them free if it is in time on slower ones
 }
@@ -203,6 +205,8 @@
 
 func (s candidate) rack() string { return s.worker.Rack }
 
+func (s candidate) domain() string { return string(s.worker.Domain) }
+
 // candidates returns the eligible workers with room for at least one task of the
 // unit.
 func (s *Site) candidates(u Unit) []candidate {
@@ -257,6 +261,8 @@
 	oneRack := u.Step.Spec.Tight || u.Step.Spec.Rack != ""
 	if oneRack && !u.AnyRack {
 		cands = s.bestRack(u, cands)
+	} else if u.OneDomain {
+		cands = s.bestDomain(u, cands)
 	}
 	placements := s.placeTasks(u, cands)
 	if len(placements) < len(u.Indexes) {
@@ -285,6 +291,27 @@
 	return best
 }
 
+// bestDomain returns the candidates of the best failure domain with room for the gang, or all
+// if no domain has room on workers that are as fast. Load pattern: failure domains are cut off one
+// by one. A gang that spans several is broken by a cut of any of them, and the work of all its
+// members is lost.
+func (s *Site) bestDomain(u Unit, cands []candidate) []candidate {
+	if totalCount(cands) < len(u.Indexes) {
+		return cands
+	}
+	best, bestScore := cands, s.scoreRack(u, cands)
+	bestScore.left = math.MaxInt64
+	for _, group := range byRack(cands, candidate.domain) {
+		if totalCount(group) < len(u.Indexes) {
+			continue
+		}
+		if score := s.scoreRack(u, group); score.less(bestScore) {
+			best, bestScore = group, score
+		}
+	}
+	return best
+}
+
 // worstRank returns the rank of the last candidate that the gang would need.
 func worstRank(u Unit, group []candidate) rank {
 	var counts [lastRank + 1]int
--- a/fleet/assign/assign_test.go
+++ b/fleet/assign/assign_test.go
@@ -166,3 +166,35 @@
 	s.OutOfService = map[fleet.DomainID]bool{"d1": true}
 	qt.Assert(t, s.Place(unit(step(1, 1))), qt.HasLen, 0)
 }
+
+// A gang that is kept within one failure domain gets one with room, but no slow worker for it.
+func TestGangStaysWithinAFailureDomain(t *testing.T) {
+	domains := func(u assign.Unit, s *assign.Site) map[fleet.DomainID]bool {
+		out := map[fleet.DomainID]bool{}
+		for _, pl := range s.Place(u) {
+			out[pl.Worker.Domain] = true
+		}
+		return out
+	}
+	s, all := site(2, 2)
+	for _, w := range all {
+		w.Domain = fleet.DomainID("d-" + w.Rack)
+	}
+	busy(all[0], 6) // the fullest worker; its domain lacks room for the whole gang
+	gang := step(3, 4)
+	gang.Gang = true
+	u := unit(gang)
+	qt.Check(t, domains(u, s), qt.HasLen, 2)
+	u.OneDomain = true
+	qt.Check(t, domains(u, s), qt.DeepEquals, map[fleet.DomainID]bool{"d-r1": true})
+
+	s, all = site(2, 2)
+	for _, w := range all {
+		w.Domain = fleet.DomainID("d-" + w.Rack)
+	}
+	all[0].Observe(math.Log(4), 0.01, now)
+	all[2].Observe(math.Log(4), 0.01, now)
+	u = unit(&wire.Step{Count: 2, Each: &wire.Res{Cores: 1000, Accels: 8}, Gang: true})
+	u.OneDomain = true
+	qt.Check(t, domains(u, s), qt.HasLen, 2)
+}
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -214,6 +214,7 @@
 	}
 	u.due = due.Add(sc.objective(j))
 	u.Slack, u.Urgent = sc.slack(u), u.priority == 0
+	u.OneDomain = sc.expectedRunTime(j, s) > sc.limits.Lease
 	return u
 }
 
