--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -18,7 +18,7 @@
 	ResponsiveTimeout = 400 * time.Millisecond // a lead that was not heard for this long gets no further calls; two heartbeats may be lost
 	LeadTimeout       = 600 * time.Millisecond // without a heartbeat, the lead counts as silent; four heartbeats, as single datagrams get lost and a majority must miss the lead
 	ColdStartTimeout  = 400 * time.Millisecond // a daemon that has just started hears a running lead within this
-	BlindLeadDelay    = 500 * time.Millisecond // a lead that the store has not answered for this long may be replaced
+	BlindLeadDelay    = 100 * time.Millisecond // a lead that says for this long that the store does not answer it may be replaced; it tells its recovery at once
 	StoreProbeTime    = 300 * time.Millisecond // the store must answer a daemon for this long before it replaces a blind lead
 	WeakLeadDelay     = 3 * time.Second        // before a much more powerful daemon replaces a weak lead
 	AskTimeout        = 300 * time.Millisecond // for peers to answer whether they hear the lead
@@ -253,7 +253,17 @@
 		e.storeSince = now
 	}
 	e.asked = time.Time{}
-	e.waitUntil = now.Add(ClaimRetry / 2)
+	e.waitUntil = now.Add(e.probeWait(now))
+}
+
+// probeWait returns the time until the next look at the store, or until a claim if the store
+// answers until then.
+func (e *Elector) probeWait(now time.Time) time.Duration {
+	wait := ClaimRetry / 2
+	if e.storeSince.IsZero() {
+		return wait
+	}
+	return min(wait, max(StoreProbeTime-now.Sub(e.storeSince), 0))
 }
 
 // Step is what a daemon is to do next.
--- a/fleet/elect/elect_test.go
+++ b/fleet/elect/elect_test.go
@@ -141,6 +141,28 @@
 	}
 }
 
+// Load pattern: the store turns the lead away and serves the others. The first of them claims the
+// lead within half a second of the lead's word, once the store has answered it for 0.3 s.
+func TestBlindLeadIsReplacedSoon(t *testing.T) {
+	s := newSite("b", 800)
+	b := lead("a", 800)
+	b.Blind = true
+	begin, answered := s.now, time.Time{}
+	for s.now.Sub(begin) < 500*time.Millisecond {
+		switch step, _ := s.until(10*time.Millisecond, func() { s.beat(b) }); step {
+		case elect.Probe:
+			s.NoteProbe(true, s.now)
+			if answered.IsZero() {
+				answered = s.now
+			}
+		case elect.Claim:
+			qt.Assert(t, s.now.Sub(answered) >= elect.StoreProbeTime, qt.IsTrue)
+			return
+		}
+	}
+	t.Fatal("no claim within 0.5 s")
+}
+
 func TestWeakLeadGivesWayToAStrongDaemonOnly(t *testing.T) {
 	strong, weak := newSite("b", 800), newSite("d", 190)
 	step, after := strong.until(10*time.Second, func() { strong.beat(lead("c", 190)) })
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -58,6 +58,7 @@
 	firstTry  time.Time // when it was first sent
 	retryAt   time.Time // earliest time of the next attempt; zero while an attempt is in flight
 	uncertain bool      // the store is being read to see whether it took effect
+	failures  int       // attempts and reads that failed
 	doubtful  bool      // an attempt got no answer, so it may have taken effect, or may still do so
 	checkedAt time.Time // when that read was last sent
 	accepted  []*job
@@ -72,6 +73,20 @@
 	return b.inFlight != nil && now.Sub(b.inFlight.firstTry) > b.appendTimeout(minStuckAfter)
 }
 
+// When calls to the store that fail, rather than remain without an answer, show that the store
+// is unavailable to this daemon.
+const (
+	failingAfter = 250 * time.Millisecond // longer than a moment of overload
+	minFailures  = 2                      // a single call may fail with its connection
+)
+
+// blind reports whether the store seems to be unavailable to this daemon: it does not answer, or
+// calls to it fail again and again.
+func (b *outbox) blind(now time.Time) bool {
+	s := b.inFlight
+	return b.stuck(now) || s != nil && s.failures >= minFailures && now.Sub(s.firstTry) >= failingAfter
+}
+
 // healthyAppend is how long an append to a healthy store takes at most.
 const healthyAppend = 50 * time.Millisecond
 
@@ -232,11 +247,11 @@
 	case fleet.OutcomeUnknown:
 		// A read is more conclusive than another append, whose answer may be lost
 		// too.
-		sc.logRetry("append", e.Err)
+		sc.noteFailure("append", e.Err)
 		b.inFlight.doubtful = true
 		sc.checkBatch(b.inFlight)
 	default:
-		sc.logRetry("append", e.Err)
+		sc.noteFailure("append", e.Err)
 		sc.retryUndone(b.inFlight)
 	}
 }
@@ -266,8 +281,10 @@
 	})
 }
 
-func (sc *Scheduler) logRetry(op string, err error) {
+// noteFailure counts and logs a call for the batch in flight that failed.
+func (sc *Scheduler) noteFailure(op string, err error) {
 	s := sc.outbox.inFlight
+	s.failures++
 	sc.logf(event.StoreFailed, string(sc.self.Host), "%s at=%d since=%s: %v", op, s.offset, sc.now.Sub(s.firstTry), err)
 }
 
@@ -284,7 +301,7 @@
 		return
 	}
 	if e.Err != nil {
-		sc.logRetry("check", e.Err)
+		sc.noteFailure("check", e.Err)
 		return
 	}
 	switch end := b.inFlight.offset + fleet.Offset(len(b.inFlight.records)); {
--- a/fleet/sched/store_test.go
+++ b/fleet/sched/store_test.go
@@ -315,3 +315,23 @@
 		qt.Check(t, w.stage(f), qt.Equals, want, qt.Commentf("%d of 3 peers answer", answers))
 	}
 }
+
+// Load pattern: the store turns the lead away and serves the others while jobs arrive. Its peers
+// hear of it within 0.35 s, and of its recovery at once, so that they replace it soon, but not after
+// an outage for all.
+func TestLeadThatIsTurnedAwaySaysSoSoon(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.post(fourMembers())
+	w.becomeLead()
+	w.run(time.Second)
+	w.store.rejects = true
+	w.submit(newFlow("turned-away", "bulk", taskStep(1, 1, time.Minute)))
+	w.run(100 * time.Millisecond)
+	qt.Assert(t, w.blind, qt.IsFalse, qt.Commentf("a moment of overload is no outage"))
+	w.run(250 * time.Millisecond)
+	qt.Assert(t, w.blind, qt.IsTrue)
+	w.store.rejects = false
+	w.runUntil(200*time.Millisecond, "append", func() bool { return len(w.store.records) > 1 })
+	w.run(2 * w.tick)
+	qt.Assert(t, w.blind, qt.IsFalse)
+}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -66,7 +66,7 @@
 	peerDelay     time.Duration // extra time that peers take to answer
 	peerAsks      int           // how often the peers were asked
 	keptEnds      []string      // completed jobs whose ends the peers that answer keep
-	alone         bool          // as in the newest heartbeat
+	alone, blind  bool          // as in the newest heartbeat
 	claimDelay    time.Duration // extra duration of a claim
 	claims        int           // how often the daemon has claimed
 }
@@ -262,7 +262,7 @@
 		if a.Beat.Leaving {
 			w.leavingBeats++
 		}
-		w.alone = a.Beat.Alone
+		w.alone, w.blind = a.Beat.Alone, a.Beat.Blind
 	case sched.AskPeers:
 		w.peerAsks++
 		for range w.peerAnswers {
