--- a/fleet/sched/copies.go
+++ b/fleet/sched/copies.go
@@ -61,15 +61,18 @@
 	return out
 }
 
-// KeepEnds keeps the ends that a lead asks this daemon to keep, and returns all that it keeps.
-// Those of a lead that has been replaced are not kept, as the next one may have begun without them.
+// KeepEnds keeps the ends that a lead asks this daemon to keep, and returns all that it keeps to a
+// daemon that asks for them. Those of a lead that has been replaced are not kept, as the next one may
+// have begun without them.
 func (sc *Scheduler) KeepEnds(ask *wire.EndsAsk) *wire.EndsReply {
 	known := sc.Elect.Lead().Term
 	r := &wire.EndsReply{Term: int64(known)}
-	if fleet.Term(ask.Term) >= known || ask.Term == 0 {
+	switch {
+	case ask.Term == 0:
+		r.Jobs = sc.kept.ids()
+	case fleet.Term(ask.Term) >= known:
 		r.Kept = sc.kept.keep(ask.Jobs, sc.limits.Status, sc.now)
 	}
-	r.Jobs = sc.kept.ids()
 	return r
 }
 
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -96,14 +96,6 @@
 	return s == nil || !s.doubtful && !s.uncertain && s.retryAt.IsZero() && now.Sub(s.firstTry) < healthyAppend
 }
 
-// stuckFor returns for how long the store has seemed to be unavailable.
-func (b *outbox) stuckFor(now time.Time) time.Duration {
-	if !b.stuck(now) {
-		return 0
-	}
-	return now.Sub(b.inFlight.firstTry)
-}
-
 // appendTimeout returns how long an append may take: least, or longer while the
 // store is slow. A store that is a hundred times slower than usual but still accepts
 // every append must not count as unavailable.
