--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -187,7 +187,7 @@
 
 // askEnds asks other daemons to keep the ends of jobs, and for those that they keep.
 func (d *dispatcher) askEnds(a sched.AskEnds) {
-	d.eachPeer(a.All, "ask to keep the ends of jobs", func(ctx context.Context, peer wire.Site) error {
+	d.eachPeer(a.Round != 0, "ask to keep the ends of jobs", func(ctx context.Context, peer wire.Site) error {
 		r, err := peer.Ends(ctx, a.Ask)
 		if err == nil {
 			d.site.loop.Post(sched.EndsAnswered{Round: a.Round, Reply: r})
--- a/deckd/site/peer.go
+++ b/deckd/site/peer.go
@@ -46,36 +46,29 @@
 	return s.site.backlogLocally(ask, deadlineIn(queryTimeout.Milliseconds())), nil
 }
 
-func (s siteServer) Spaces(_ context.Context, ask *wire.SpaceUseAsk) (*wire.SpaceUseReply, error) {
-	var r *wire.SpaceUseReply
-	if !s.site.runOnLoop(deadlineIn(queryTimeout.Milliseconds()), func(sc *sched.Scheduler) { r = sc.SpaceUse(fleet.SpaceID(ask.Name)) }) {
+// onLoop returns what a function returns that runs on the control loop.
+func onLoop[T any](s *Site, limit time.Duration, f func(*sched.Scheduler) *T) (*T, error) {
+	var r *T
+	if !s.runOnLoop(deadlineIn(limit.Milliseconds()), func(sc *sched.Scheduler) { r = f(sc) }) {
 		return nil, errLoopBusy
 	}
 	return r, nil
 }
 
+func (s siteServer) Spaces(_ context.Context, ask *wire.SpaceUseAsk) (*wire.SpaceUseReply, error) {
+	return onLoop(s.site, queryTimeout, func(sc *sched.Scheduler) *wire.SpaceUseReply { return sc.SpaceUse(fleet.SpaceID(ask.Name)) })
+}
+
 func (s siteServer) Workers(_ context.Context, ask *wire.WorkerSpeedAsk) (*wire.WorkerSpeedReply, error) {
-	var r *wire.WorkerSpeedReply
-	if !s.site.runOnLoop(deadlineIn(queryTimeout.Milliseconds()), func(sc *sched.Scheduler) { r = sc.WorkerSpeeds(fleet.DomainID(ask.Domain)) }) {
-		return nil, errLoopBusy
-	}
-	return r, nil
+	return onLoop(s.site, queryTimeout, func(sc *sched.Scheduler) *wire.WorkerSpeedReply { return sc.WorkerSpeeds(fleet.DomainID(ask.Domain)) })
 }
 
 func (s siteServer) Sight(context.Context, *wire.SightAsk) (*wire.SightReply, error) {
-	var r *wire.SightReply
-	if !s.site.runOnLoop(deadlineIn(peerTimeout.Milliseconds()), func(sc *sched.Scheduler) { r = sc.Sight(time.Now()) }) {
-		return nil, errLoopBusy
-	}
-	return r, nil
+	return onLoop(s.site, peerTimeout, func(sc *sched.Scheduler) *wire.SightReply { return sc.Sight(time.Now()) })
 }
 
 func (s siteServer) Ends(_ context.Context, ask *wire.EndsAsk) (*wire.EndsReply, error) {
-	var r *wire.EndsReply
-	if !s.site.runOnLoop(deadlineIn(peerTimeout.Milliseconds()), func(sc *sched.Scheduler) { r = sc.KeepEnds(ask) }) {
-		return nil, errLoopBusy
-	}
-	return r, nil
+	return onLoop(s.site, peerTimeout, func(sc *sched.Scheduler) *wire.EndsReply { return sc.KeepEnds(ask) })
 }
 
 func (s siteServer) Orders(_ context.Context, ask *wire.OrdersAsk) (*wire.OrdersReply, error) {
--- a/fleet/assign/assign.go
+++ b/fleet/assign/assign.go
@@ -275,20 +275,27 @@
 // with the fastest workers for it, and among equals the fullest. Where workers differ, it
 // is the one that suits the gang's slack.
 func (s *Site) bestRack(u Unit, cands []candidate) []candidate {
+	if rack := u.Step.Spec.Rack; rack != "" {
+		cands = onRack(cands, rack)
+	}
+	best, _ := s.bestGroup(u, byRack(cands, candidate.rack))
+	return best
+}
+
+// bestGroup returns the best of the groups of candidates that have room for the gang, and its
+// score. It returns none if no group has room.
+func (s *Site) bestGroup(u Unit, groups [][]candidate) ([]candidate, rackScore) {
 	var best []candidate
 	var bestScore rackScore
-	for _, group := range byRack(cands, candidate.rack) {
+	for _, group := range groups {
 		if totalCount(group) < len(u.Indexes) {
 			continue
 		}
-		if rack := u.Step.Spec.Rack; rack != "" && group[0].worker.Rack != rack {
-			continue
-		}
 		if score := s.scoreRack(u, group); best == nil || score.less(bestScore) {
 			best, bestScore = group, score
 		}
 	}
-	return best
+	return best, bestScore
 }
 
 // bestDomain returns the candidates of the best failure domain with room for the gang, or all
@@ -296,18 +303,14 @@
 // by one. A gang that spans several is broken by a cut of any of them, and the work of all its
 // members is lost.
 func (s *Site) bestDomain(u Unit, cands []candidate) []candidate {
-	if totalCount(cands) < len(u.Indexes) {
+	best, score := s.bestGroup(u, byRack(cands, candidate.domain))
+	if best == nil {
 		return cands
 	}
-	best, bestScore := cands, s.scoreRack(u, cands)
-	bestScore.left = math.MaxInt64
-	for _, group := range byRack(cands, candidate.domain) {
-		if totalCount(group) < len(u.Indexes) {
-			continue
-		}
-		if score := s.scoreRack(u, group); score.less(bestScore) {
-			best, bestScore = group, score
-		}
+	all := s.scoreRack(u, cands)
+	all.left = math.MaxInt64
+	if !score.less(all) {
+		return cands
 	}
 	return best
 }
@@ -331,7 +334,7 @@
 // to normal ones: avoiding them would split up workers that are still empty.
 func (s *Site) pace(w *pool.Worker) pool.Pace { return max(w.Pace(s.Now), pool.Slower) }
 
-// byRack groups items by the rack of their workers, in the order of the rack names.
+// byRack groups items by the rack or the failure domain of their workers, in the order of its names.
 func byRack[T any](items []T, rack func(T) string) [][]T {
 	racks := map[string][]T{}
 	for _, item := range items {
--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -320,7 +320,7 @@
 		e.asked, e.hearing, e.missing = now, 0, 0
 		return Ask
 	}
-	if now.Sub(e.asked) < AskTimeout && e.hearing+e.missing < e.askedCount()-1 && !e.majorityMisses() {
+	if now.Sub(e.asked) < AskTimeout && !e.AllAsked(e.hearing+e.missing) && !e.majorityMisses() {
 		return Wait
 	}
 	e.isolated = !e.majority()
--- a/fleet/sched/copies.go
+++ b/fleet/sched/copies.go
@@ -101,7 +101,7 @@
 	}
 	c.round++
 	c.sentAt, c.jobs, c.answers = sc.now, due, 0
-	sc.emit(AskEnds{Round: c.round, Ask: &wire.EndsAsk{Term: int64(sc.term), Jobs: jobIDs(due)}, All: true})
+	sc.emit(AskEnds{Round: c.round, Ask: &wire.EndsAsk{Term: int64(sc.term), Jobs: jobIDs(due)}})
 }
 
 func (sc *Scheduler) copyDue(j *job) bool {
--- a/fleet/sched/copies_test.go
+++ b/fleet/sched/copies_test.go
@@ -15,10 +15,7 @@
 // An end is told while the store is away for all daemons. Then the lead and the worker are both
 // lost before it is stored. The task must not run again.
 func TestToldEndSurvivesTheLossOfLeadAndWorker(t *testing.T) {
-	w := newWorld(t, 1, 1)
-	w.peerAnswers = 3
-	w.post(fourMembers())
-	w.becomeLead()
+	w := newLeadOfFour(t, 1, 1)
 	runTimes["told"] = time.Second
 	f := newFlow("told", "urgent", taskStep(1, 2, time.Second))
 	w.submitAccepted(f)
@@ -48,10 +45,7 @@
 // 471532680459).
 func TestEndIsToldOnceAllDaemonsKeepIt(t *testing.T) {
 	for answers := range 4 {
-		w := newWorld(t, 1, 2)
-		w.peerAnswers = 3
-		w.post(fourMembers())
-		w.becomeLead()
+		w := newLeadOfFour(t, 1, 2)
 		id := fleet.JobID(fmt.Sprint("unstored", answers))
 		runTimes[id] = time.Second
 		f := newFlow(string(id), "urgent", gangStep(2, 2, time.Second))
@@ -79,10 +73,7 @@
 // Load pattern: the store is silent for seconds while urgent jobs with little slack end. Their
 // callers learn of each end within 0.4 s.
 func TestEndsAreToldInAnOutageOfTheStore(t *testing.T) {
-	w := newWorld(t, 2, 8)
-	w.peerAnswers = 3
-	w.post(fourMembers())
-	w.becomeLead()
+	w := newLeadOfFour(t, 2, 8)
 	var flows []*wire.Flow
 	var due []time.Time
 	for i := range 12 {
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -140,12 +140,11 @@
 	// AskPeers asks peers whether they hear the lead: all of them, or at most
 	// elect.MaxAsked.
 	AskPeers struct{ All bool }
-	// AskEnds asks peers to keep ends of jobs, and for those that they keep: all of them, or
-	// at most elect.MaxAsked. Round 0 only asks for those that they keep.
+	// AskEnds asks all peers to keep ends of jobs, or in round 0 at most elect.MaxAsked peers for
+	// those that they keep.
 	AskEnds struct {
 		Round uint64
 		Ask   *wire.EndsAsk
-		All   bool
 	}
 	// Claim appends a claim to the lead, unless the store has a claim newer than the
 	// known term.
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -197,16 +197,16 @@
 
 // beat sends the heartbeats, and one at once when the store has become unavailable or answers again.
 func (sc *Scheduler) beat() {
-	if sc.now.Sub(sc.beatSentAt) >= elect.BeatInterval || sc.outbox.blind(sc.now) != sc.saidBlind {
+	if sc.now.Sub(sc.beatSentAt) >= elect.BeatInterval || sc.outbox.blind(sc.now) == sc.Elect.Lead().Blind.IsZero() {
 		sc.sendBeat()
 	}
 }
 
 func (sc *Scheduler) sendBeat() {
-	sc.beatSentAt, sc.saidBlind = sc.now, sc.outbox.blind(sc.now)
+	sc.beatSentAt = sc.now
 	b := &wire.Beat{
 		Host: string(sc.self.Host), Addr: sc.self.Addr, Term: int64(sc.term),
-		Orders: int64(sc.configEnd), Blind: sc.saidBlind, Leaving: sc.leaving, Power: int64(sc.self.Power),
+		Orders: int64(sc.configEnd), Blind: sc.outbox.blind(sc.now), Leaving: sc.leaving, Power: int64(sc.self.Power),
 		Inc: int64(sc.self.Inc), Alone: sc.quorum.alone,
 	}
 	sc.Elect.NoteBeat(b, sc.now)
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -87,7 +87,6 @@
 	speeds            speeds
 	goneSpeeds        []fleet.HostID // workers that are forgotten and whose speed may be stored
 	beatSentAt        time.Time
-	saidBlind         bool // the newest heartbeat says that the store does not answer
 	plannedAt         time.Time
 	placedAt          time.Time // when something was last placed or waited for capacity
 	domainsCheckedAt  time.Time // when the workers were last checked for overdue answers
--- a/fleet/sched/silence_test.go
+++ b/fleet/sched/silence_test.go
@@ -82,10 +82,7 @@
 // been replaced. It must not report an end that it learns of then by answers from before the
 // freeze (issue 25).
 func TestEndIsNotToldByAnswersFromBeforeAFreeze(t *testing.T) {
-	w := newWorld(t, 1, 2)
-	w.peerAnswers = 3
-	w.post(fourMembers())
-	w.becomeLead()
+	w := newLeadOfFour(t, 1, 2)
 	runTimes["froze"], runTimes["ended-before"] = 4*time.Second, time.Second
 	f, before := newFlow("froze", "urgent", gangStep(2, 2, 4*time.Second)), newFlow("ended-before", "urgent", gangStep(2, 2, time.Second))
 	w.submitAccepted(f)
@@ -105,10 +102,7 @@
 // Answers of a round that arrive in the next one say nothing about the present: two late
 // ones and one of now are not three peers that answer (issue 25).
 func TestAnswersOfAnEarlierRoundAreNotCounted(t *testing.T) {
-	w := newWorld(t, 1, 1)
-	w.peerAnswers = 3
-	w.post(fourMembers())
-	w.becomeLead()
+	w := newLeadOfFour(t, 1, 1)
 	w.peerAnswers, w.store.down = 1, true
 	w.submit(newFlow("rounds", "bulk", taskStep(1, 1, time.Second)))
 	rounds := w.peerAsks
@@ -142,10 +136,7 @@
 // A task ends behind a cut, and nothing was being stored when the cut began. Its end must not be
 // told while the first append behind the cut is new, as it will be lost (issue 25).
 func TestEndIsNotToldByANewAppendInACut(t *testing.T) {
-	w := newWorld(t, 1, 2)
-	w.peerAnswers = 3
-	w.post(fourMembers())
-	w.becomeLead()
+	w := newLeadOfFour(t, 1, 2)
 	runTimes["window"] = time.Second
 	f := newFlow("window", "urgent", gangStep(2, 2, time.Second))
 	w.submitAccepted(f)
--- a/fleet/sched/store_test.go
+++ b/fleet/sched/store_test.go
@@ -216,10 +216,7 @@
 // it still leads. It asked all peers three times a second, which on a site of a hundred
 // daemons was most of what an idle lead did.
 func TestIdleLeadAsksOnlyTheStore(t *testing.T) {
-	w := newWorld(t, 1, 1)
-	w.peerAnswers = 3
-	w.post(fourMembers())
-	w.becomeLead()
+	w := newLeadOfFour(t, 1, 1)
 	w.peerAsks = 0
 	w.run(10 * time.Second)
 	qt.Assert(t, w.peerAsks, qt.Equals, 0)
@@ -297,10 +294,7 @@
 // (issue 25, seed 40119 of its day).
 func TestEndIsNotToldByALeadInACut(t *testing.T) {
 	for answers, told := range []bool{false, false, false, true} {
-		w := newWorld(t, 1, 2)
-		w.peerAnswers = 3
-		w.post(fourMembers())
-		w.becomeLead()
+		w := newLeadOfFour(t, 1, 2)
 		id := fmt.Sprint("cut", answers)
 		runTimes[fleet.JobID(id)] = time.Second
 		f := newFlow(id, "urgent", gangStep(2, 2, time.Second))
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -344,6 +344,15 @@
 	return sched.Members{All: []elect.Member{{Host: "e1"}, {Host: "e2"}, {Host: "e3"}, {Host: "e4"}}}
 }
 
+// newLeadOfFour returns a world whose daemon leads a site of four, of which all peers answer.
+func newLeadOfFour(t *testing.T, racks, perRack int) *world {
+	w := newWorld(t, racks, perRack)
+	w.peerAnswers = 3
+	w.post(fourMembers())
+	w.becomeLead()
+	return w
+}
+
 // askEnds has the peers that answer keep ends, and tell those that they keep.
 func (w *world) askEnds(a sched.AskEnds) {
 	if w.peerAnswers > 0 {
