Review cases 1 and 3: two leads act in a split network; wrong kind of runner

Cause: case 1: a lead cut off from the store counts as confirmed by its peers although a daemon without a majority may claim after 6 s. Case 3: when a worker's process is replaced, the labels of the former one still count.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -16,7 +16,9 @@
 
 var cases = map[string]func(rec *record, deckd []string, trouble bool) int{
 	"evacuation": evacuation,
+	"kind":       kind,
 	"large-job":  largeJob,
+	"partition":  partition,
 }
 
 // main runs: reviewrig CASE RECORD DECKD...
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -45,9 +45,23 @@
 
 // record is the record of a case: what was sent, answered and run, and when.
 type record struct {
-	mu    sync.Mutex
-	out   io.Writer
-	begun time.Time
+	mu     sync.Mutex
+	out    io.Writer
+	begun  time.Time
+	starts int
+}
+
+// maxStartsLogged bounds the lines about starts.
+const maxStartsLogged = 200
+
+func (r *record) logStart(format string, args ...any) {
+	r.mu.Lock()
+	r.starts++
+	logged := r.starts <= maxStartsLogged
+	r.mu.Unlock()
+	if logged {
+		r.logf(format, args...)
+	}
 }
 
 func (r *record) logf(format string, args ...any) {
@@ -128,6 +142,84 @@
 type runner struct {
 	*engine.Engine
 	id, addr string
+	rec      *record
+
+	mu     sync.Mutex
+	heldBy int64     // token of the newest call that extended the lease
+	heldAt time.Time // when it came
+	kind   string    // its first label; "a" if empty
+	down   bool      // its process is gone
+	mute   time.Time // until then, its new process has not written its entry
+	starts []string  // tasks that it began, each with the kind that it was of then
+}
+
+// entry returns the runner's entry in the store.
+func (r *runner) entry() engine.Entry {
+	e := r.Entry(service, r.addr)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.kind != "" {
+		e["labels"] = []string{r.kind, e["labels"].([]string)[1]}
+	}
+	return e
+}
+
+// reborn ends the runner's process for a while; it starts again under its id as another kind, and
+// writes its entry a heartbeat later. Until then the store keeps the former one.
+func (r *runner) reborn(after time.Duration, kind string) {
+	r.mu.Lock()
+	r.down = true
+	r.mu.Unlock()
+	r.Crash()
+	time.Sleep(after)
+	r.Crash() // it begins now
+	r.mu.Lock()
+	r.down, r.kind, r.mute = false, kind, time.Now().Add(heartbeat)
+	r.mu.Unlock()
+}
+
+func (r *runner) isDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down
+}
+
+// publishes reports whether the runner writes its entry now.
+func (r *runner) publishes() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.down && !time.Now().Before(r.mute)
+}
+
+// handle serves one call, and notes starts and leases.
+func (r *runner) handle(ctx *fasthttp.RequestCtx) {
+	var o struct {
+		Task         string
+		Run          int64
+		UntilMs      int64
+		FencingToken int64
+	}
+	_ = json.Unmarshal(ctx.PostBody(), &o)
+	if r.isDown() {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+		return
+	}
+	r.Handle(ctx)
+	if ctx.Response.StatusCode() != fasthttp.StatusOK {
+		return
+	}
+	if string(ctx.Path()) == "/run-start" {
+		r.mu.Lock()
+		r.starts = append(r.starts, o.Task+" "+r.kind)
+		r.mu.Unlock()
+		r.rec.logStart("runner %s starts %s run %d by token %d", r.id, o.Task, o.Run, o.FencingToken)
+	}
+	if o.UntilMs > 0 {
+		r.mu.Lock()
+		r.heldBy, r.heldAt = o.FencingToken, time.Now()
+		r.mu.Unlock()
+	}
 }
 
 // daemon is one process of the system.
@@ -174,44 +266,90 @@
 // Printf does nothing.
 func (quiet) Printf(string, ...any) {}
 
-// newSite starts the store, the runners and the daemons.
-func newSite(rec *record, deckd []string, daemons, runners int) (*site, error) {
-	dir, err := os.MkdirTemp("", "review")
+// newSite starts the store, the runners and the daemons, which are spread over three zones. The
+// first runners are of the given kinds.
+func newSite(rec *record, deckd []string, daemons, runners int, kinds ...string) (*site, error) {
+	s, err := newPlatform(rec)
 	if err != nil {
 		return nil, err
 	}
-	s := &site{
-		rec: rec, store: &limitedStore{Store: store.New(), rec: rec}, auditor: engine.NewAuditor(), dir: dir,
-		stop: make(chan struct{}), client: &http.Client{Timeout: 3 * time.Second},
-	}
 	storeAddr := net.JoinHostPort(host(0), "8524")
 	if err := serve(storeAddr, s.store.handle); err != nil {
 		return nil, err
 	}
-	if err := s.configure(1); err != nil {
+	if err := s.addRunners(runners); err != nil {
 		return nil, err
 	}
-	for i := range runners {
+	for i, k := range kinds {
+		s.runners[i].kind = k
+	}
+	go s.publish()
+	for i := range daemons {
+		if err := s.addDaemon(i, zoneName(i), storeAddr, deckd); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// newSplitSite does the same on a network that can be cut, with a daemon in each of the given zones.
+func newSplitSite(rec *record, deckd []string, p *split, zones []string, runners int) (*site, error) {
+	s, err := newPlatform(rec)
+	if err != nil {
+		return nil, err
+	}
+	p.store = s.store
+	addrs := map[side]string{}
+	for _, of := range []side{storeSide, otherSide} {
+		addrs[of] = net.JoinHostPort(host(int(of)*90), "8524")
+		if err := serve(addrs[of], p.handler(of)); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.addRunners(runners); err != nil {
+		return nil, err
+	}
+	go s.publishSplit(p)
+	for i, zone := range zones {
+		if err := s.addDaemon(i, zone, addrs[sideOf(zone)], deckd); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func newPlatform(rec *record) (*site, error) {
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return nil, err
+	}
+	s := &site{
+		rec: rec, store: &limitedStore{Store: store.New(), rec: rec}, auditor: engine.NewAuditor(), dir: dir,
+		stop: make(chan struct{}), client: &http.Client{Timeout: 3 * time.Second},
+	}
+	return s, s.configure(1)
+}
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%c", 'a'+i%3) }
+
+// addRunners starts runners, in the three zones in turn.
+func (s *site) addRunners(n int) error {
+	for i := range n {
 		id := fmt.Sprintf("i-%010d", i)
 		addr := net.JoinHostPort(host(100+i), "8067")
 		e := engine.New(engine.Options{
-			ID: id, Zone: fmt.Sprintf("zone-%c", 'a'+i%3), Rack: fmt.Sprintf("r%d-%d", i%3, i/8),
+			ID: id, Zone: zoneName(i), Rack: fmt.Sprintf("r%d-%d", i%3, i/8),
 			Room: engine.Room{Cores: 32000, Mem: 65536, Accels: 8}, MaxLease: lease, StopTime: 200 * time.Millisecond,
 			GangTimeout: 3 * time.Second, DrainTime: drainTime, ShrinkTime: 5 * time.Second, Auditor: s.auditor,
 		})
-		if err := serve(addr, e.Handle); err != nil {
-			return nil, err
+		r := &runner{Engine: e, id: id, addr: addr, rec: s.rec}
+		if err := serve(addr, r.handle); err != nil {
+			return err
 		}
-		s.runners = append(s.runners, &runner{e, id, addr})
+		s.runners = append(s.runners, r)
 	}
-	go s.publish()
 	go s.tick()
-	for i := range daemons {
-		if err := s.addDaemon(i, storeAddr, deckd); err != nil {
-			return nil, err
-		}
-	}
-	return s, nil
+	return nil
 }
 
 // configure stores the manifest.
@@ -232,7 +370,9 @@
 func (s *site) publish() {
 	for {
 		for _, r := range s.runners {
-			_ = s.store.Put(topicWorkers, r.id, r.Entry(service, r.addr))
+			if r.publishes() {
+				_ = s.store.Put(topicWorkers, r.id, r.entry())
+			}
 		}
 		select {
 		case <-s.stop:
@@ -256,14 +396,13 @@
 	}
 }
 
-func (s *site) addDaemon(i int, storeAddr string, deckd []string) error {
+func (s *site) addDaemon(i int, zone, storeAddr string, deckd []string) error {
 	ip := host(1 + i)
 	d := &daemon{
 		name: fmt.Sprintf("edge-%d", i+1), front: net.JoinHostPort(ip, "8521"), ready: net.JoinHostPort(ip, "8523"),
 		args: deckd,
 	}
 	d.settings = filepath.Join(s.dir, d.name+".conf")
-	zone := fmt.Sprintf("zone-%c", 'a'+i%3)
 	lines := []string{
 		"nodeName=" + d.name, "role=deckd", "machineClass=edge", "serves=edge", "ip=" + ip, "zone=" + zone, "region=r",
 		"listen.frontend=" + d.front, "listen.ready=" + d.ready, "portRange=7000,7015", "bootstrap=true",
