Show on a site which failure domains are out of service, and when history is gone

The logs could not tell why: nothing said which failure domains a daemon holds for out of service, nor that it had read the newest records because older ones were gone. Hypotheses that looked alike:

1. the daemons keep the order to take the domain out, whose removal they never saw; 2. the lead lost the domain's workers from its list, which goes at the same moment; 3. a peer's answer brought an old order back; 4. the store still holds the order.

Every daemon now logs 403 and 404 with the offset and the source of the records, and 520 when it reads a topic anew; the metrics page has deckd_orders_end and deckd_domain_out.

The second 403 is at end=5, past the removal, and its set still holds recife-a, as no 404 came with it: the daemons keep the order (1). No line has another source than the store (3).

--- a/deckd/site/dispatch_test.go
+++ b/deckd/site/dispatch_test.go
@@ -13,18 +13,23 @@
 	"github.com/valyala/fasthttp"
 )
 
-// newDispatcher returns a dispatcher that uses a stand-in for the store.
-func newDispatcher(t *testing.T, host fleet.HostID) (*dispatcher, *store.Store) {
+// newStandinStore returns a stand-in for the store and a client of it.
+func newStandinStore(t *testing.T) (*store.Store, fleet.Store) {
+	t.Helper()
 	standin := store.New()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	server := &fasthttp.Server{Handler: standin.Handle}
 	go func() { _ = server.Serve(ln) }()
 	t.Cleanup(func() { _ = ln.Close() })
-	s := &Site{
-		self: sched.Identity{Host: host, Addr: "127.0.0.1:7000", Inc: 1},
-		deps: Dependencies{Store: platform.NewStore(ln.Addr().String())},
-	}
+	return standin, platform.NewStore(ln.Addr().String())
+}
+
+// newDispatcher returns a dispatcher that uses a stand-in for the store.
+func newDispatcher(t *testing.T, host fleet.HostID) (*dispatcher, *store.Store) {
+	t.Helper()
+	standin, client := newStandinStore(t)
+	s := &Site{self: sched.Identity{Host: host, Addr: "127.0.0.1:7000", Inc: 1}, deps: Dependencies{Store: client}}
 	return &dispatcher{ctx: context.Background(), site: s}, standin
 }
 
--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -167,6 +167,7 @@
 	r, err := f.attempt(ctx, read)
 	if loaded && fleet.KindOf(err) == fleet.Forgotten && err != nil {
 		f.loaded = false
+		f.site.log(event.RecordsGone, string(f.topic), "next=%d", f.next)
 		return nil
 	}
 	if err != nil {
--- a/deckd/site/metrics.go
+++ b/deckd/site/metrics.go
@@ -23,6 +23,7 @@
 	if v.leading && !v.listReadAt.IsZero() {
 		fmt.Fprintf(&w, "deckd_workers_list_age_seconds %.3f\n", time.Since(v.listReadAt).Seconds())
 	}
+	s.operator.writeMetrics(&w)
 	s.writeLeadMetrics(&w)
 	metrics.WritePrometheus(&w, true)
 	return http.StatusOK, w.String()
--- a/deckd/site/operator.go
+++ b/deckd/site/operator.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -31,8 +33,9 @@
 	mu          sync.Mutex
 	records     map[string]fleet.Record
 	end         fleet.Offset
-	leadEnd     fleet.Offset // how far the lead has read, as its heartbeats say
-	behindSince time.Time    // since when the lead has read more than this daemon
+	leadEnd     fleet.Offset            // how far the lead has read, as its heartbeats say
+	behindSince time.Time               // since when the lead has read more than this daemon
+	out         map[fleet.DomainID]bool // failure domains that are out of service by the records
 
 	config atomic.Pointer[queue.Config]
 }
@@ -43,10 +46,12 @@
 
 // follow reads the operator's records from the store until the context ends, and
 // asks a peer after each failed read.
-func (o *operatorRecords) follow(ctx context.Context) {
+func (o *operatorRecords) follow(ctx context.Context) { o.newFollower(ctx).run(ctx) }
+
+func (o *operatorRecords) newFollower(ctx context.Context) *follower {
 	topic, _ := o.site.deps.Reader.Topics()
-	f := follower{site: o.site, topic: topic, wait: readWait, apply: o.apply, onFailure: func() { o.askPeer(ctx) }}
-	f.run(ctx)
+	apply := func(records []fleet.Record, end fleet.Offset) { o.apply(records, end, "the store") }
+	return &follower{site: o.site, topic: topic, wait: readWait, apply: apply, onFailure: func() { o.askPeer(ctx) }}
 }
 
 // catchUp asks a peer for the records when this daemon has lagged behind the lead
@@ -75,8 +80,9 @@
 	o.leadEnd = max(o.leadEnd, end)
 }
 
-// apply merges newer records and puts the resulting configuration into effect.
-func (o *operatorRecords) apply(records []fleet.Record, end fleet.Offset) {
+// apply merges newer records and puts the resulting configuration into effect. The
+// source is named in log lines.
+func (o *operatorRecords) apply(records []fleet.Record, end fleet.Offset, source string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, r := range records {
@@ -97,9 +103,25 @@
 			o.config.Store(orders.Config)
 		}
 	}
+	o.noteOut(orders.OutOfService, source)
 	o.site.loop.Post(sched.ConfigChanged{Config: orders.Config, OutOfService: orders.OutOfService, End: end})
 }
 
+// noteOut logs which failure domains go out of service and come back.
+func (o *operatorRecords) noteOut(out map[fleet.DomainID]bool, source string) {
+	for _, id := range slices.Sorted(maps.Keys(out)) {
+		if !o.out[id] {
+			o.site.log(event.DomainOut, string(id), "end=%d from=%s", o.end, source)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.out)) {
+		if !out[id] {
+			o.site.log(event.DomainBack, string(id), "end=%d from=%s", o.end, source)
+		}
+	}
+	o.out = out
+}
+
 // askPeer fetches the operator's records from the lead or from another daemon,
 // one of the two at random; from another daemon if no lead is known.
 func (o *operatorRecords) askPeer(ctx context.Context) {
@@ -121,7 +143,7 @@
 	for _, record := range r.Records {
 		records = append(records, fleet.Record{Key: record.Key, Value: record.Value, Offset: fleet.Offset(record.Offset)})
 	}
-	o.apply(records, fleet.Offset(r.End))
+	o.apply(records, fleet.Offset(r.End), addr)
 }
 
 func (o *operatorRecords) endOffset() fleet.Offset {
@@ -142,3 +164,14 @@
 	}
 	return r
 }
+
+// writeMetrics writes how far the records are known, and which failure domains are out of
+// service by them.
+func (o *operatorRecords) writeMetrics(w io.Writer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	fmt.Fprintf(w, "deckd_orders_end %d\n", o.end)
+	for _, id := range slices.Sorted(maps.Keys(o.out)) {
+		fmt.Fprintf(w, "deckd_domain_out{domain=%q} 1\n", id)
+	}
+}
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -74,6 +74,7 @@
 	StoreFailed     Code = 517
 	RecordBad       Code = 518
 	CallFailed      Code = 519
+	RecordsGone     Code = 520
 	WorkerLost      Code = 601
 	WorkerBack      Code = 602
 	WorkerAside     Code = 603
@@ -170,6 +171,7 @@
 	{StoreFailed, "store-failed", Warn, "a call to the store failed and is retried", "check the store"},
 	{RecordBad, "record-bad", Warn, "a record of the store cannot be decoded and is ignored", "find out who wrote it"},
 	{CallFailed, "call-failed", Warn, "a call to another daemon failed", "check the link between the two"},
+	{RecordsGone, "records-gone", Info, "the store no longer holds the records of a topic that a daemon would read next, so the daemon reads the newest record of each key", "nothing"},
 	{WorkerLost, "worker-lost", Warn, "the lease of a worker expired; its gangs are requeued", "nothing; the platform replaces it"},
 	{WorkerBack, "worker-back", Info, "a worker answers again", "nothing"},
 	{WorkerAside, "worker-aside", Warn, "a worker failed several jobs in a row and is quarantined until it is probed", "check the worker named"},
