Failure domains that are taken back while the store forgets its history are used again

What callers saw: after a failure domain had been taken out of service and back while the store forgot its history, its workers were never used again. After the second one a third of the site was left; jobs that did not fit there waited for good and new ones were refused, with most workers idle, until all daemons were started anew.

Cause: a daemon that finds the records gone which it would read next reads the newest record of each key instead, and added these to what it held, as it does with records that follow. The record that removes a key is not among the newest records, as the key is gone. So the order to take the domain out stayed in the daemon's copy.

Fix: package mirror holds a copy of a topic and the one rule for updating it. A listing replaces the copy, unless the copy is newer already; records from before the end of the copy are ignored, so that a late answer can't bring back a key whose removal has left no record. It is enough, since the store keeps the newest record of each key for good: what a listing lacks has been removed. The list of workers, which was emptied in the same situation by a test beside the read, now goes by the same mark of a listing.

Tests: TestDomainTakenBackWhileTheHistoryGoesIsUsedAgain failed before ([d1 d2] out of service instead of [d2], and d1 for good). TestKeyThatIsNotListedIsRemoved and TestCopyIsLikeTheTopic, a random comparison with a topic that keeps every record, fail if a listing is merged.

--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -8,6 +8,7 @@
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/mirror"
 	"dragonflydeck.example/fleet/sched"
 	"dragonflydeck.example/fleet/wire"
 	"google.golang.org/protobuf/proto"
@@ -89,8 +90,10 @@
 	f.run(ctx)
 }
 
-func (s *Site) applyMembers(records []fleet.Record, _ fleet.Offset) {
-	for _, r := range records {
+// applyMembers adds the members whose entries were read. No entry is ever removed from the
+// topic, so a listing lacks none that is known.
+func (s *Site) applyMembers(u mirror.Update) {
+	for _, r := range u.Records {
 		m := &wire.Member{}
 		if err := proto.Unmarshal(r.Value, m); err != nil || m.Host == "" || m.Addr == "" {
 			s.log(event.RecordBad, r.Key, "topic=%s offset=%d: %v", topicHosts, r.Offset, err)
@@ -108,7 +111,7 @@
 	topic     fleet.Topic
 	wait      time.Duration // how long a read waits for a new record; 0 returns at once
 	hedges    bool          // a read without an outcome is sent again after hedgeDelay
-	apply     func(records []fleet.Record, end fleet.Offset)
+	apply     func(mirror.Update)
 	onFailure func() // optional, called after each failed read
 
 	next   fleet.Offset
@@ -131,10 +134,9 @@
 
 // reading is what a read of a topic returned.
 type reading struct {
-	records []fleet.Record
-	next    fleet.Offset // to read from next
-	whole   bool         // the records reach the end of the topic
-	sentAt  time.Time
+	mirror.Update
+	atEnd  bool // the records reach the end of the topic
+	sentAt time.Time
 }
 
 // read reads the newest record of each key, or the records from an offset on.
@@ -142,12 +144,12 @@
 	r := reading{sentAt: time.Now()}
 	var err error
 	if !loaded {
-		r.whole = true
-		r.records, r.next, err = readNewest(ctx, f.site.deps.Store, f.topic)
+		r.Whole, r.atEnd = true, true
+		r.Records, r.End, err = readNewest(ctx, f.site.deps.Store, f.topic)
 		return r, err
 	}
 	b, err := f.site.deps.Store.Read(ctx, f.topic, from, f.wait)
-	r.records, r.next, r.whole = b.Records, b.Next, b.Next >= b.End
+	r.Records, r.End, r.atEnd = b.Records, b.Next, b.Next >= b.End
 	return r, err
 }
 
@@ -173,12 +175,12 @@
 	if err != nil {
 		return err
 	}
-	if r.whole {
+	if r.atEnd {
 		f.readAt = r.sentAt
 	}
-	if !loaded || r.next > from {
-		f.loaded, f.next = true, r.next
-		f.apply(r.records, r.next)
+	if r.Whole || r.End > from {
+		f.loaded, f.next = true, r.End
+		f.apply(r.Update)
 	}
 	return nil
 }
--- a/deckd/site/members_test.go
+++ b/deckd/site/members_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/mirror"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -28,7 +29,7 @@
 	applied := fleet.Offset(0)
 	f := follower{
 		site: &Site{deps: Dependencies{Store: store}}, loaded: true,
-		apply: func(_ []fleet.Record, end fleet.Offset) { applied = end },
+		apply: func(u mirror.Update) { applied = u.End },
 	}
 	qt.Assert(t, f.step(t.Context()), qt.IsNil)
 	qt.Check(t, applied, qt.Equals, fleet.Offset(3))
--- a/deckd/site/operator.go
+++ b/deckd/site/operator.go
@@ -13,6 +13,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/mirror"
 	"dragonflydeck.example/fleet/queue"
 	"dragonflydeck.example/fleet/sched"
 	"dragonflydeck.example/fleet/wire"
@@ -24,15 +25,13 @@
 	peerTimeout  = 500 * time.Millisecond // for a peer to send its records
 )
 
-// operatorRecords keeps the operator's newest records. They come from the store,
-// or from a peer while only the peer can read the store. A record is never
-// replaced by an older one.
+// operatorRecords keeps a copy of the operator's records. They come from the store,
+// or from a peer while only the peer can read the store.
 type operatorRecords struct {
 	site *Site
 
 	mu          sync.Mutex
-	records     map[string]fleet.Record
-	end         fleet.Offset
+	copy        *mirror.Mirror
 	leadEnd     fleet.Offset            // how far the lead has read, as its heartbeats say
 	behindSince time.Time               // since when the lead has read more than this daemon
 	out         map[fleet.DomainID]bool // failure domains that are out of service by the records
@@ -41,7 +40,7 @@
 }
 
 func newOperatorRecords(s *Site) *operatorRecords {
-	return &operatorRecords{site: s, records: map[string]fleet.Record{}}
+	return &operatorRecords{site: s, copy: mirror.New()}
 }
 
 // follow reads the operator's records from the store until the context ends, and
@@ -50,7 +49,7 @@
 
 func (o *operatorRecords) newFollower(ctx context.Context) *follower {
 	topic, _ := o.site.deps.Reader.Topics()
-	apply := func(records []fleet.Record, end fleet.Offset) { o.apply(records, end, "the store") }
+	apply := func(u mirror.Update) { o.apply(u, "the store") }
 	return &follower{site: o.site, topic: topic, wait: readWait, apply: apply, onFailure: func() { o.askPeer(ctx) }}
 }
 
@@ -59,7 +58,7 @@
 func (o *operatorRecords) catchUp(ctx context.Context) {
 	for now := range o.site.timer.Every(lagTolerance) {
 		o.mu.Lock()
-		behind := o.leadEnd > o.end && now.Sub(o.behindSince) >= lagTolerance
+		behind := o.leadEnd > o.copy.End() && now.Sub(o.behindSince) >= lagTolerance
 		o.mu.Unlock()
 		if behind {
 			o.askPeer(ctx)
@@ -74,29 +73,23 @@
 func (o *operatorRecords) noteLeadEnd(end fleet.Offset) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.leadEnd <= o.end {
+	if o.leadEnd <= o.copy.End() {
 		o.behindSince = time.Now()
 	}
 	o.leadEnd = max(o.leadEnd, end)
 }
 
-// apply merges newer records and puts the resulting configuration into effect. The
-// source is named in log lines.
-func (o *operatorRecords) apply(records []fleet.Record, end fleet.Offset, source string) {
+// apply brings the copy of the records up to date and puts the resulting configuration
+// into effect. The source is named in log lines.
+func (o *operatorRecords) apply(u mirror.Update, source string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, r := range records {
-		if before, ok := o.records[r.Key]; !ok || r.Offset > before.Offset {
-			o.records[r.Key] = r
-		}
-	}
-	if end <= o.end {
+	if !o.copy.Apply(u) {
 		return
 	}
-	o.end = end
-	orders, errs := o.site.deps.Reader.Orders(o.records)
+	orders, errs := o.site.deps.Reader.Orders(o.copy.Records())
 	for _, err := range errs {
-		o.site.log(event.ConfigBad, "config", "end=%d: %v", end, err)
+		o.site.log(event.ConfigBad, "config", "end=%d: %v", o.copy.End(), err)
 	}
 	if orders.Config != nil {
 		if current := o.config.Load(); current == nil || orders.Config.Version > current.Version {
@@ -104,19 +97,19 @@
 		}
 	}
 	o.noteOut(orders.OutOfService, source)
-	o.site.loop.Post(sched.ConfigChanged{Config: orders.Config, OutOfService: orders.OutOfService, End: end})
+	o.site.loop.Post(sched.ConfigChanged{Config: orders.Config, OutOfService: orders.OutOfService, End: o.copy.End()})
 }
 
 // noteOut logs which failure domains go out of service and come back.
 func (o *operatorRecords) noteOut(out map[fleet.DomainID]bool, source string) {
 	for _, id := range slices.Sorted(maps.Keys(out)) {
 		if !o.out[id] {
-			o.site.log(event.DomainOut, string(id), "end=%d from=%s", o.end, source)
+			o.site.log(event.DomainOut, string(id), "end=%d from=%s", o.copy.End(), source)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(o.out)) {
 		if !out[id] {
-			o.site.log(event.DomainBack, string(id), "end=%d from=%s", o.end, source)
+			o.site.log(event.DomainBack, string(id), "end=%d from=%s", o.copy.End(), source)
 		}
 	}
 	o.out = out
@@ -139,26 +132,27 @@
 		o.site.logCallFailure("fetch the operator's records", addr, err)
 		return
 	}
-	var records []fleet.Record
+	u := mirror.Update{End: fleet.Offset(r.End)}
 	for _, record := range r.Records {
-		records = append(records, fleet.Record{Key: record.Key, Value: record.Value, Offset: fleet.Offset(record.Offset)})
+		u.Records = append(u.Records, fleet.Record{Key: record.Key, Value: record.Value, Offset: fleet.Offset(record.Offset)})
 	}
-	o.apply(records, fleet.Offset(r.End), addr)
+	o.apply(u, addr)
 }
 
 func (o *operatorRecords) endOffset() fleet.Offset {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.end
+	return o.copy.End()
 }
 
 // reply returns the records from an offset on, for a peer.
 func (o *operatorRecords) reply(since fleet.Offset) *wire.OrdersReply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	r := &wire.OrdersReply{End: int64(o.end)}
-	for _, key := range slices.Sorted(maps.Keys(o.records)) {
-		if record := o.records[key]; record.Offset >= since {
+	r := &wire.OrdersReply{End: int64(o.copy.End())}
+	records := o.copy.Records()
+	for _, key := range slices.Sorted(maps.Keys(records)) {
+		if record := records[key]; record.Offset >= since {
 			r.Records = append(r.Records, &wire.OrderRecord{Key: record.Key, Value: record.Value, Offset: int64(record.Offset)})
 		}
 	}
@@ -170,7 +164,7 @@
 func (o *operatorRecords) writeMetrics(w io.Writer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	fmt.Fprintf(w, "deckd_orders_end %d\n", o.end)
+	fmt.Fprintf(w, "deckd_orders_end %d\n", o.copy.End())
 	for _, id := range slices.Sorted(maps.Keys(o.out)) {
 		fmt.Fprintf(w, "deckd_domain_out{domain=%q} 1\n", id)
 	}
--- a/deckd/site/operator_test.go
+++ b/deckd/site/operator_test.go
@@ -118,3 +118,22 @@
 	r.read(1)
 	qt.Check(t, r.outOfService(), qt.DeepEquals, []fleet.DomainID{"d1", "d2"})
 }
+
+// Guards against review/2: the order to take a failure domain out of service was kept for
+// good when the record of its removal expired before this daemon had read it.
+func TestDomainTakenBackWhileTheHistoryGoesIsUsedAgain(t *testing.T) {
+	r := newOperatorRig(t)
+	r.put("config", map[string]any{"version": 1})
+	r.put(outOfD1, map[string]any{})
+	r.put(outOfD2, map[string]any{})
+	r.read(1)
+	qt.Assert(t, r.outOfService(), qt.DeepEquals, []fleet.DomainID{"d1", "d2"})
+	r.put(outOfD1, nil)
+	r.store.Compact(operatorTopic)
+	r.read(2) // one that finds the records gone, and the listing
+	qt.Check(t, r.outOfService(), qt.DeepEquals, []fleet.DomainID{"d2"})
+	qt.Check(t, r.config.Load().Version, qt.Equals, int64(1))
+	r.put(outOfD2, nil)
+	r.read(1)
+	qt.Check(t, r.outOfService(), qt.HasLen, 0)
+}
--- a/deckd/site/workers.go
+++ b/deckd/site/workers.go
@@ -7,6 +7,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/mirror"
 	"dragonflydeck.example/fleet/sched"
 )
 
@@ -32,9 +33,6 @@
 			w.awaitLead(ctx)
 			continue
 		}
-		if !f.loaded {
-			w.entries = map[fleet.HostID]fleet.WorkerEntry{}
-		}
 		sentAt := time.Now()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -64,10 +62,13 @@
 	}
 }
 
-// apply updates the entries from newer records. A worker whose entry cannot be decoded
-// counts as not listed.
-func (w *workerFollower) apply(records []fleet.Record, _ fleet.Offset) {
-	for _, r := range records {
+// apply updates the entries, or replaces them if the update is whole. A worker whose entry
+// cannot be decoded counts as not listed.
+func (w *workerFollower) apply(u mirror.Update) {
+	if u.Whole {
+		w.entries = map[fleet.HostID]fleet.WorkerEntry{}
+	}
+	for _, r := range u.Records {
 		id := fleet.HostID(r.Key)
 		if len(r.Value) == 0 {
 			delete(w.entries, id)
--- /dev/null
+++ b/fleet/mirror/mirror_test.go
@@ -0,0 +1,215 @@
+package mirror_test
+
+import (
+	"maps"
+	"testing"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/mirror"
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// Guards against review/2: a removal whose record has expired is only told by the key's
+// absence from a listing.
+func TestKeyThatIsNotListedIsRemoved(t *testing.T) {
+	m := mirror.New()
+	m.Apply(mirror.Update{End: 2, Records: []fleet.Record{{Key: "out/a", Value: []byte("x"), Offset: 0}, {Key: "out/b", Value: []byte("x"), Offset: 1}}})
+	qt.Assert(t, m.Apply(mirror.Update{End: 3, Whole: true, Records: []fleet.Record{{Key: "out/b", Value: []byte("x"), Offset: 1}}}), qt.IsTrue)
+	qt.Check(t, live(m), qt.DeepEquals, map[string]string{"out/b": "x"})
+}
+
+// A listing that was on its way while newer records came must not undo them.
+func TestOlderListingChangesNothing(t *testing.T) {
+	m := mirror.New()
+	m.Apply(mirror.Update{End: 3, Records: []fleet.Record{{Key: "a", Value: []byte("2"), Offset: 2}}})
+	qt.Check(t, m.Apply(mirror.Update{End: 2, Whole: true}), qt.IsFalse)
+	qt.Check(t, live(m), qt.DeepEquals, map[string]string{"a": "2"})
+}
+
+// A record that was on its way while a listing came must not bring back a removed key.
+func TestRecordFromBeforeTheListingChangesNothing(t *testing.T) {
+	m := mirror.New()
+	m.Apply(mirror.Update{End: 5, Whole: true})
+	qt.Check(t, m.Apply(mirror.Update{End: 6, Records: []fleet.Record{{Key: "a", Value: []byte("1"), Offset: 3}}}), qt.IsTrue)
+	qt.Check(t, live(m), qt.HasLen, 0)
+}
+
+// live returns the values of the keys that a copy holds.
+func live(m *mirror.Mirror) map[string]string {
+	out := map[string]string{}
+	for key, r := range m.Records() {
+		if len(r.Value) > 0 {
+			out[key] = string(r.Value)
+		}
+	}
+	return out
+}
+
+// topic is a naive topic: every record is kept, and each question is answered from all of them.
+type topic struct {
+	records []fleet.Record
+	first   fleet.Offset // records before it have expired
+}
+
+func (p *topic) end() fleet.Offset { return fleet.Offset(len(p.records)) }
+
+func (p *topic) put(key, value string) {
+	p.records = append(p.records, fleet.Record{Key: key, Value: []byte(value), Offset: p.end()})
+}
+
+// at returns the newest record of each key with a value, as of an offset.
+func (p *topic) at(end fleet.Offset) map[string]fleet.Record {
+	out := map[string]fleet.Record{}
+	for _, r := range p.records[:end] {
+		out[r.Key] = r
+		if len(r.Value) == 0 {
+			delete(out, r.Key)
+		}
+	}
+	return out
+}
+
+// history is a random history of a topic and of the daemons that follow it.
+type history struct {
+	t       *rapid.T
+	topic   topic
+	daemons []*daemon
+}
+
+// daemon follows the topic. Its answers arrive in any order.
+type daemon struct {
+	copy    *mirror.Mirror
+	next    fleet.Offset // to read from next; negative before a listing
+	answers []mirror.Update
+	listing *listing // its pages are read one by one
+}
+
+// listing is a listing whose pages are not from one moment.
+type listing struct {
+	update mirror.Update
+	after  string
+}
+
+var keys = []string{"a", "b", "c", "d"}
+
+func newHistory(t *rapid.T) *history {
+	h := &history{t: t}
+	for range 3 {
+		h.daemons = append(h.daemons, &daemon{copy: mirror.New(), next: -1})
+	}
+	return h
+}
+
+func (h *history) pick() *daemon { return rapid.SampledFrom(h.daemons).Draw(h.t, "daemon") }
+
+func (h *history) write() {
+	value := rapid.SampledFrom([]string{"", "1", "2", "3"}).Draw(h.t, "value")
+	h.topic.put(rapid.SampledFrom(keys).Draw(h.t, "key"), value)
+}
+
+func (h *history) expire() {
+	h.topic.first = fleet.Offset(rapid.IntRange(int(h.topic.first), len(h.topic.records)).Draw(h.t, "first"))
+}
+
+func (h *history) restart() { *h.pick() = daemon{copy: mirror.New(), next: -1} }
+
+func (h *history) read() { h.readBy(h.pick()) }
+
+// readBy makes one read of a daemon: of the next page of a listing, or of what follows.
+func (h *history) readBy(d *daemon) {
+	if d.next >= 0 && d.next < h.topic.first {
+		d.next = -1
+	}
+	if d.next >= 0 {
+		d.answers = append(d.answers, mirror.Update{Records: h.topic.records[d.next:], End: h.topic.end()})
+		d.next = h.topic.end()
+		return
+	}
+	if d.listing == nil {
+		d.listing = &listing{update: mirror.Update{Whole: true, End: h.topic.end()}}
+	}
+	h.readPage(d)
+}
+
+// readPage reads the next key of a listing, and ends the listing if there is none.
+func (h *history) readPage(d *daemon) {
+	l, now := d.listing, h.topic.at(h.topic.end())
+	for _, key := range keys {
+		if r, ok := now[key]; ok && key > l.after {
+			l.update.Records, l.after = append(l.update.Records, r), key
+			return
+		}
+	}
+	d.answers = append(d.answers, l.update)
+	d.next, d.listing = l.update.End, nil
+}
+
+// arrive applies an answer of the store. Those to one daemon arrive in order.
+func (h *history) arrive() {
+	d := h.pick()
+	if len(d.answers) == 0 {
+		return
+	}
+	d.copy.Apply(d.answers[0])
+	d.answers = d.answers[1:]
+}
+
+// check compares each copy with the whole history: for each key, it holds what the topic
+// held at some offset that is not before the end of the copy.
+func (h *history) check(*rapid.T) {
+	for _, d := range h.daemons {
+		have := live(d.copy)
+		for _, key := range keys {
+			if !h.heldSince(d.copy.End(), key, have[key]) {
+				h.t.Fatalf("the copy up to %d of %d has %q for %q", d.copy.End(), h.topic.end(), have[key], key)
+			}
+		}
+	}
+}
+
+func (h *history) heldSince(from fleet.Offset, key, value string) bool {
+	for end := from; end <= h.topic.end(); end++ {
+		if string(h.topic.at(end)[key].Value) == value {
+			return true
+		}
+	}
+	return false
+}
+
+// settle reads until each daemon has reached the end, and compares the copies with the topic.
+func (h *history) settle() {
+	want := map[string]string{}
+	for key, r := range h.topic.at(h.topic.end()) {
+		want[key] = string(r.Value)
+	}
+	for _, d := range h.daemons {
+		for d.next < h.topic.end() || d.next < 0 {
+			h.readBy(d)
+		}
+		for _, u := range d.answers {
+			d.copy.Apply(u)
+		}
+		if got := live(d.copy); !maps.Equal(got, want) {
+			h.t.Fatalf("at the end the copy is %v, the topic %v", got, want)
+		}
+	}
+}
+
+// Differential test against a topic that keeps every record: whatever expires, whoever
+// restarts, and whatever is written between the pages of a listing, a copy is never older
+// than its end says, and ends like the topic.
+func TestCopyIsLikeTheTopic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHistory(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"write":   func(*rapid.T) { h.write() },
+			"expire":  func(*rapid.T) { h.expire() },
+			"read":    func(*rapid.T) { h.read() },
+			"arrive":  func(*rapid.T) { h.arrive() },
+			"restart": func(*rapid.T) { h.restart() },
+			"":        h.check,
+		})
+		h.settle()
+	})
+}
