Daemons learn from their peers which of the operator's records were removed

Cause: a daemon that can't read the store asks a peer for the operator's records from its own end on. The peer answered with the newest records it holds. One that had started, or listed the topic, after a key was removed has no record of the removal, so its answer left it out, and the asker took the peer's end for its own.

Evidence: TestRemovalIsLearnedFromAPeerThatNeverKnewTheOrder fails on and on ([d1] out of service instead of none).

Fix: an answer says its extent. If the asker's end is before the newest listing that the peer's copy is based on, the answer is whole and replaces the asker's records; else it holds the records since then, those that remove keys among them.

--- a/deckd/site/operator.go
+++ b/deckd/site/operator.go
@@ -132,7 +132,17 @@
 		o.site.logCallFailure("fetch the operator's records", addr, err)
 		return
 	}
-	u := mirror.Update{End: fleet.Offset(r.End)}
+	o.applyReply(r, addr)
+}
+
+// applyReply applies the answer of a peer. One of an older version is left out: it may
+// lack removals, which could not be told from an answer that knows of none.
+func (o *operatorRecords) applyReply(r *wire.OrdersReply, addr string) {
+	if r.Extent == wire.Extent_EXTENT_UNSET {
+		o.site.log(event.CallFailed, addr, "fetch the operator's records: the daemon is of an older version, whose answers may lack removals")
+		return
+	}
+	u := mirror.Update{End: fleet.Offset(r.End), Whole: r.Extent == wire.Extent_WHOLE}
 	for _, record := range r.Records {
 		u.Records = append(u.Records, fleet.Record{Key: record.Key, Value: record.Value, Offset: fleet.Offset(record.Offset)})
 	}
@@ -145,16 +155,17 @@
 	return o.copy.End()
 }
 
-// reply returns the records from an offset on, for a peer.
+// reply returns what a peer lacks that knows the records up to an offset.
 func (o *operatorRecords) reply(since fleet.Offset) *wire.OrdersReply {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	r := &wire.OrdersReply{End: int64(o.copy.End())}
-	records := o.copy.Records()
-	for _, key := range slices.Sorted(maps.Keys(records)) {
-		if record := records[key]; record.Offset >= since {
-			r.Records = append(r.Records, &wire.OrderRecord{Key: record.Key, Value: record.Value, Offset: int64(record.Offset)})
-		}
+	u := o.copy.Since(since)
+	r := &wire.OrdersReply{End: int64(u.End), Extent: wire.Extent_SINCE}
+	if u.Whole {
+		r.Extent = wire.Extent_WHOLE
+	}
+	for _, record := range u.Records {
+		r.Records = append(r.Records, &wire.OrderRecord{Key: record.Key, Value: record.Value, Offset: int64(record.Offset)})
 	}
 	return r
 }
--- a/deckd/site/operator_test.go
+++ b/deckd/site/operator_test.go
@@ -11,6 +11,7 @@
 	"dragonflydeck.example/fleet/logger"
 	"dragonflydeck.example/fleet/loop"
 	"dragonflydeck.example/fleet/sched"
+	"dragonflydeck.example/fleet/wire"
 	"dragonflydeck.example/platform"
 	"dragonflydeck.example/standin/store"
 	qt "github.com/frankban/quicktest"
@@ -137,3 +138,69 @@
 	r.read(1)
 	qt.Check(t, r.outOfService(), qt.HasLen, 0)
 }
+
+// askPeerOf applies the answer of another daemon to this one.
+func (r *operatorRig) askPeerOf(peer *operatorRig) {
+	r.applyReply(peer.reply(r.endOffset()), "e-b-1")
+}
+
+// Guards against the cause of review/2 in answers of peers: a daemon that the store turns
+// away kept an order for good if its peer had started after the order was removed, and
+// ignored the store's own answer later, as its end was known already.
+func TestRemovalIsLearnedFromAPeerThatNeverKnewTheOrder(t *testing.T) {
+	r := newOperatorRig(t)
+	r.put("config", map[string]any{"version": 1})
+	r.put(outOfD1, map[string]any{})
+	r.read(1)
+	r.put(outOfD1, nil)
+	peer := newOperatorRigOn(t, r.store, r.site.deps.Store)
+	peer.read(1)
+	r.askPeerOf(peer)
+	qt.Check(t, r.outOfService(), qt.HasLen, 0)
+	qt.Check(t, r.config.Load().Version, qt.Equals, int64(1))
+}
+
+// A peer that read the removal from the store tells of it.
+func TestRemovalIsLearnedFromAPeerThatReadIt(t *testing.T) {
+	r := newOperatorRig(t)
+	peer := newOperatorRigOn(t, r.store, r.site.deps.Store)
+	r.put(outOfD1, map[string]any{})
+	r.read(1)
+	peer.read(1)
+	r.put(outOfD1, nil)
+	peer.read(1)
+	r.askPeerOf(peer)
+	qt.Check(t, r.outOfService(), qt.HasLen, 0)
+}
+
+// The answer of a peer that was on its way while the history went must not bring an
+// order back that was removed meanwhile.
+func TestLateAnswerOfAPeerBringsNoOrderBack(t *testing.T) {
+	r := newOperatorRig(t)
+	peer := newOperatorRigOn(t, r.store, r.site.deps.Store)
+	r.put("config", map[string]any{"version": 1})
+	r.read(1)
+	r.put(outOfD1, map[string]any{})
+	peer.read(1)
+	late := peer.reply(r.endOffset())
+	r.put(outOfD1, nil)
+	r.store.Compact(operatorTopic)
+	r.read(2)
+	r.applyReply(late, "e-b-1")
+	r.put("config", map[string]any{"version": 2})
+	r.read(1)
+	qt.Check(t, r.outOfService(), qt.HasLen, 0)
+}
+
+// While daemons are upgraded, the answer of an older one is left out and the store's own
+// answer, which follows, counts.
+func TestAnswerOfAnOlderDaemonIsLeftOut(t *testing.T) {
+	r := newOperatorRig(t)
+	r.put(outOfD1, map[string]any{})
+	r.read(1)
+	r.put(outOfD1, nil)
+	r.applyReply(&wire.OrdersReply{End: 2}, "e-b-1")
+	qt.Check(t, r.log.String(), qt.Contains, "the daemon is of an older version")
+	r.read(1)
+	qt.Check(t, r.outOfService(), qt.HasLen, 0)
+}
