A held order ends when an image of the state shows that it is stored

What operators would see: a failure domain that was cut off while it held an operator's order to go out of service, and was brought back meanwhile, never starts a task again. Its gate stays closed (504, "kept out of service by an operator's order that the log has not recorded yet"), and `deck` shows it as held, until its daemons are started anew.

Cause: an order that is held while the log is away ended only when its own record was read. A daemon that comes back after the log has dropped that record loads an image of the state instead, from the log or from a peer, and never reads it. The image tells that the order was applied, and the outbox goes by that; the held orders did not.

Fix: the held orders are dropped by the same rule as the entries of the outbox, once the state knows their outcome. An order whose outcome the state no longer remembers is still in the outbox; it is appended again, conflicts with the newer revision, and ends with its record as before.

--- a/deckd/daemon/outage_test.go
+++ b/deckd/daemon/outage_test.go
@@ -109,6 +109,66 @@
 	})
 }
 
+// Guards against the cause of review/2 in orders that are held while the log is away: a
+// failure domain is cut off with such an order, which is stored and revoked meanwhile, and
+// the log drops both records. Its daemons then load an image, and must not hold the order.
+func TestHeldOrderEndsWithAnImageOfTheStateAfterIt(t *testing.T) {
+	p := small
+	p.log.Keep = 25
+	withSite(t, p, func(s *site) {
+		s.setSpace("e21", "orders")
+		time.Sleep(2 * time.Second)
+		s.log.On(ledger.Down, 0)
+		time.Sleep(5 * time.Second)
+		reply, err := s.turnDomain("e31", "d1", true, 0)
+		qt.Assert(s.t, err, qt.IsNil)
+		qt.Assert(s.t, reply.Held, qt.IsTrue)
+		heldBy := func(id string) (held bool) {
+			s.inspect(id, func(c *core.Core) { held = c.Board.HeldOut("d1") != nil })
+			return held
+		}
+		s.until(10*time.Second, "the order to reach its failure domain", func() bool { return heldBy("e11") && heldBy("e12") })
+		for _, other := range []string{"e2", "e3", "log", "list"} {
+			s.partition("e1", other, true)
+		}
+		s.log.Off(ledger.Down)
+		s.until(15*time.Second, "the record", func() (read bool) {
+			s.inspect("e21", func(c *core.Core) { read = !c.Board.Log.Down && c.Board.HeldOut("d1") == nil })
+			return read
+		})
+		var rev int64
+		s.inspect("e21", func(c *core.Core) { rev = c.Board.State.Domains["d1"].GetRev() })
+		_, err = s.turnDomain("e21", "d1", false, rev)
+		qt.Assert(s.t, err, qt.IsNil)
+		rev = 0
+		for i := range 40 {
+			turned, err := s.turnDomain("e21", "d3", i%2 == 0, rev)
+			qt.Assert(s.t, err, qt.IsNil)
+			rev = turned.Domain.Rev
+			time.Sleep(2 * time.Second) // for images to be appended
+		}
+		others := []string{"e21", "e22", "e31", "e32"}
+		for _, id := range others { // so that nobody remembers the records
+			s.kill(id)
+		}
+		for _, id := range others {
+			s.start(id, s.domain[id], 2)
+		}
+		s.until(30*time.Second, "the state", func() (loaded bool) {
+			s.inspect("e21", func(c *core.Core) { loaded = c.Board.Log.Loaded })
+			return loaded
+		})
+		s.healLinks()
+		s.until(30*time.Second, "the gate of the failure domain to open", func() bool {
+			open := true
+			for _, id := range []string{"e11", "e12"} {
+				s.inspect(id, func(c *core.Core) { open = open && c.Board.Gate.Open })
+			}
+			return open
+		})
+	})
+}
+
 func TestAnswersLostChangesApplyOnce(t *testing.T) {
 	withSite(t, small, func(s *site) {
 		s.log.On(ledger.Lost, 0)
--- a/fleet/replay/replay.go
+++ b/fleet/replay/replay.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -44,10 +45,7 @@
 			c.handleRead(b, r)
 		}
 	}
-	b.Outbox.Prune(func(id fleet.EntryID) bool {
-		found, _ := b.State.Outcome(id)
-		return found
-	})
+	pruneKnown(b)
 	if c.inFlight || b.Now.Before(c.notBefore) {
 		return
 	}
@@ -58,6 +56,17 @@
 	b.Do(board.ReadLog{From: c.readFrom(b), Wait: c.readWait})
 }
 
+// pruneKnown drops the entries to be appended, and the held orders, that the state knows:
+// after loading an image it knows entries whose records were never read.
+func pruneKnown(b *board.Board) {
+	known := func(id fleet.EntryID) bool {
+		found, _ := b.State.Outcome(id)
+		return found
+	}
+	b.Outbox.Prune(known)
+	maps.DeleteFunc(b.Holds, func(id fleet.EntryID, _ *wire.Entry) bool { return known(id) })
+}
+
 func (c *Controller) readFrom(b *board.Board) fleet.Offset {
 	if c.searchFrom > 0 {
 		return c.searchFrom
