--- a/deckd/site/operator.go
+++ b/deckd/site/operator.go
@@ -47,6 +47,7 @@
 // asks a peer after each failed read.
 func (o *operatorRecords) follow(ctx context.Context) { o.newFollower(ctx).run(ctx) }
 
+// newFollower returns the follower of the operator's records.
 func (o *operatorRecords) newFollower(ctx context.Context) *follower {
 	topic, _ := o.site.deps.Reader.Topics()
 	apply := func(u mirror.Update) { o.apply(u, "the store") }
@@ -135,8 +136,8 @@
 	o.applyReply(r, addr)
 }
 
-// applyReply applies the answer of a peer. One of an older version is left out: it may
-// lack removals, which could not be told from an answer that knows of none.
+// applyReply applies the answer of a peer. An answer of an older version is left out, as
+// it may lack removals.
 func (o *operatorRecords) applyReply(r *wire.OrdersReply, addr string) {
 	if r.Extent == wire.Extent_EXTENT_UNSET {
 		o.site.log(event.CallFailed, addr, "fetch the operator's records: the daemon is of an older version, whose answers may lack removals")
--- a/deckd/site/operator_test.go
+++ b/deckd/site/operator_test.go
@@ -17,7 +17,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// operatorTopic and the keys in it are the platform's.
+// The platform's names.
 const (
 	operatorTopic = "keyed.op"
 	outOfD1       = "evacuate/d1"
@@ -25,7 +25,7 @@
 )
 
 // operatorRig is the part of a daemon that follows the operator's records, with a
-// stand-in for the store. Its control loop is not running: events stays in its queue.
+// stand-in for the store. Its control loop is not running, so that events stay in its queue.
 type operatorRig struct {
 	*operatorRecords
 	t        *testing.T
