--- a/deckd/daemon/failures_test.go
+++ b/deckd/daemon/failures_test.go
@@ -160,12 +160,7 @@
 			s.noRevisionFell()
 		}
 		ids := []string{"e11", "e12", "e21", "e22", "e31", "e32"}
-		for _, id := range ids { // from here on only the log holds the state
-			s.kill(id)
-		}
-		for _, id := range ids {
-			s.start(id, s.domain[id], 2)
-		}
+		s.restart(ids...) // from here on only the log holds the state
 		s.until(10*time.Second, "the new daemon's state", func() bool {
 			ok := false
 			s.inspect("e12", func(c *core.Core) {
--- a/deckd/daemon/outage_test.go
+++ b/deckd/daemon/outage_test.go
@@ -147,13 +147,7 @@
 			rev = turned.Domain.Rev
 			time.Sleep(2 * time.Second) // for images to be appended
 		}
-		others := []string{"e21", "e22", "e31", "e32"}
-		for _, id := range others { // so that nobody remembers the records
-			s.kill(id)
-		}
-		for _, id := range others {
-			s.start(id, s.domain[id], 2)
-		}
+		s.restart("e21", "e22", "e31", "e32") // from here on nobody remembers the records
 		s.until(30*time.Second, "the state", func() (loaded bool) {
 			s.inspect("e21", func(c *core.Core) { loaded = c.Board.Log.Loaded })
 			return loaded
--- a/deckd/daemon/site_test.go
+++ b/deckd/daemon/site_test.go
@@ -133,6 +133,16 @@
 	d.Close(nil)
 }
 
+// restart kills daemons, and starts them once all of them are gone.
+func (s *site) restart(ids ...string) {
+	for _, id := range ids {
+		s.kill(id)
+	}
+	for _, id := range ids {
+		s.start(id, s.domain[id], 2)
+	}
+}
+
 func (s *site) closeAll() {
 	s.mu.Lock()
 	ids := []string{}
