--- a/deckd/soak/evacuate_test.go
+++ b/deckd/soak/evacuate_test.go
@@ -11,8 +11,10 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// domains are the failure domains of the workers.
+var domains = []string{"d0", "d1"}
+
 const (
-	outOfD0    = "evacuate/d0"
 	orderTime  = 5 * time.Second // for an order of the operator to be in force everywhere
 	readerTime = 3 * time.Second // longer than a read of the store takes until it gives up
 )
@@ -24,6 +26,16 @@
 	return strings.Contains(page, `deckd_domain_out{domain="`+domain+`"} 1`), page != ""
 }
 
+// turn takes a failure domain out of service, or back.
+func (r *rig) turn(domain string, out bool) {
+	r.t.Helper()
+	var order any // nil removes the key
+	if out {
+		order = map[string]any{}
+	}
+	qt.Check(r.t, r.store.Put(topicOperator, "evacuate/"+domain, order), qt.IsNil)
+}
+
 // awaitOut waits until every daemon shows a failure domain as out of service, or none does.
 func (r *rig) awaitOut(domain string, want bool) {
 	r.t.Helper()
@@ -43,11 +55,11 @@
 func TestDomainTakenBackWhileTheHistoryGoesServesJobs(t *testing.T) {
 	r := newRig(t)
 	waitFor(t, 10*time.Second, "lead", func() bool { return r.otherLead(nil) != nil })
-	qt.Assert(t, r.store.Put(topicOperator, outOfD0, map[string]any{}), qt.IsNil)
+	r.turn("d0", true)
 	r.awaitOut("d0", true)
 	r.store.SetMode(store.Silent)
 	time.Sleep(readerTime)
-	qt.Assert(t, r.store.Put(topicOperator, outOfD0, nil), qt.IsNil)
+	r.turn("d0", false)
 	r.store.Compact(topicOperator)
 	turnedAway, started := r.daemons[0], r.daemons[1]
 	turnedAway.storeRelay.SetMode(relay.Reset)
--- a/deckd/soak/rig_test.go
+++ b/deckd/soak/rig_test.go
@@ -260,7 +260,7 @@
 func (r *rig) addWorker(i int) {
 	at := addrs(r.t, 2)
 	e := engine.New(engine.Options{
-		ID: fmt.Sprint("w", i), Zone: fmt.Sprint("d", i%2), Rack: fmt.Sprint("r", i/4), Room: fullRoom, Speed: speeds[i%len(speeds)],
+		ID: fmt.Sprint("w", i), Zone: domains[i%len(domains)], Rack: fmt.Sprint("r", i/4), Room: fullRoom, Speed: speeds[i%len(speeds)],
 		MaxLease: leaseDuration, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, DrainTime: drainTime, ShrinkTime: shrinkTime, Auditor: r.auditor,
 	})
 	r.serve(at[0], e.Handle)
--- a/deckd/soak/soak_test.go
+++ b/deckd/soak/soak_test.go
@@ -44,6 +44,7 @@
 	secondFaults = 17
 	thirdFaults  = 20
 	fourthFaults = 21
+	fifthFaults  = 22
 )
 
 // regressions lists seeds that once failed, each with the cause.
@@ -60,6 +61,7 @@
 	{12926456547503137442, secondFaults}, // no fault in the daemon: a cancellation without an answer had taken effect
 	{258, fourthFaults},                  // nothing enforced caps: one is removed, then set again; later a daemon is killed
 	{417, fourthFaults},                  // nothing enforced caps: one is raised and lowered, then all daemons are killed
+	{902, fifthFaults},                   // a failure domain that was taken back as the history went stayed out of service
 }
 
 // fault is a kind of fault. The function inject starts it and returns the function
@@ -201,6 +203,14 @@
 		r.changeCap(pick(rng, smallCaps), capTime)
 		return func() {}
 	}},
+	{"failure domain returns as the history goes", func(r *rig, rng *rand.Rand) func() {
+		domain := pick(rng, domains)
+		r.turn(domain, true)
+		return func() {
+			r.turn(domain, false)
+			r.store.Compact(topicOperator)
+		}
+	}},
 }
 
 // disturbRelay puts a relay into a random failure mode.
@@ -246,6 +256,9 @@
 	waitForJobs(t, l)
 	checkDeadly(t, r, l)
 	checkGuarantees(t, r, l)
+	for _, domain := range domains {
+		r.awaitOut(domain, false)
+	}
 }
 
 // injectFaults injects random faults, up to three at a time, and finally ends them
