Reading the change: held orders end where an image is loaded; one loop logs domains

The held orders were pruned in each step, beside the removal in Apply. Load is where the records are skipped, so it ends them there; the gate sees it in the same step, as before.

No behaviour or assertion changes.

--- a/deckd/site/operator.go
+++ b/deckd/site/operator.go
@@ -103,17 +103,18 @@
 
 // noteOut logs which failure domains go out of service and come back.
 func (o *operatorRecords) noteOut(out map[fleet.DomainID]bool, source string) {
-	for _, id := range slices.Sorted(maps.Keys(out)) {
-		if !o.out[id] {
-			o.site.log(event.DomainOut, string(id), "end=%d from=%s", o.copy.End(), source)
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(o.out)) {
-		if !out[id] {
-			o.site.log(event.DomainBack, string(id), "end=%d from=%s", o.copy.End(), source)
+	o.logMissing(event.DomainOut, out, o.out, source)
+	o.logMissing(event.DomainBack, o.out, out, source)
+	o.out = out
+}
+
+// logMissing logs an event for each failure domain that is in one set and not in the other.
+func (o *operatorRecords) logMissing(code event.Code, in, other map[fleet.DomainID]bool, source string) {
+	for _, id := range slices.Sorted(maps.Keys(in)) {
+		if !other[id] {
+			o.site.log(code, string(id), "end=%d from=%s", o.copy.End(), source)
 		}
 	}
-	o.out = out
 }
 
 // askPeer fetches the operator's records from the lead or from another daemon,
--- a/deckd/soak/evacuate_test.go
+++ b/deckd/soak/evacuate_test.go
@@ -11,9 +11,6 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// domains are the failure domains of the workers.
-var domains = []string{"d0", "d1"}
-
 const (
 	orderTime  = 5 * time.Second // for an order of the operator to be in force everywhere
 	readerTime = 3 * time.Second // longer than a read of the store takes until it gives up
--- a/deckd/soak/leave_test.go
+++ b/deckd/soak/leave_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"net"
 	"strings"
 	"syscall"
 	"testing"
@@ -12,16 +11,6 @@
 	"github.com/valyala/fasthttp"
 )
 
-// metricsPage returns the metrics page of a daemon; empty if there is no answer.
-func (d *daemon) metricsPage() string {
-	ip, _, _ := net.SplitHostPort(d.peer)
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+net.JoinHostPort(ip, d.metrics)+"/metrics", 300*time.Millisecond)
-	if err != nil || status != fasthttp.StatusOK {
-		return ""
-	}
-	return string(body)
-}
-
 // leads reports whether a daemon says that it is the lead.
 func (d *daemon) leads() bool { return strings.Contains(d.metricsPage(), "deckd_lead 1\n") }
 
--- a/deckd/soak/rig_test.go
+++ b/deckd/soak/rig_test.go
@@ -43,6 +43,9 @@
 	capTime       = 3*time.Second + leaseDuration // a cap that was lowered counts from then on: it is read, and the starts sent before can no longer arrive
 )
 
+// domains are the failure domains of the workers.
+var domains = []string{"d0", "d1"}
+
 // fullRoom is the capacity of a worker that has not shrunk.
 var fullRoom = engine.Room{Cores: 64000, Mem: 131072, Accels: 8}
 
@@ -170,6 +173,16 @@
 	}
 }
 
+// metricsPage returns the metrics page of a daemon; empty if there is no answer.
+func (d *daemon) metricsPage() string {
+	ip, _, _ := net.SplitHostPort(d.peer)
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+net.JoinHostPort(ip, d.metrics)+"/metrics", 300*time.Millisecond)
+	if err != nil || status != fasthttp.StatusOK {
+		return ""
+	}
+	return string(body)
+}
+
 // worker is a simulated worker, an engine, behind a relay.
 type worker struct {
 	*engine.Engine
--- a/fleet/replay/replay.go
+++ b/fleet/replay/replay.go
@@ -45,7 +45,7 @@
 			c.handleRead(b, r)
 		}
 	}
-	pruneKnown(b)
+	b.Outbox.Prune(func(id fleet.EntryID) bool { return isKnown(b, id) })
 	if c.inFlight || b.Now.Before(c.notBefore) {
 		return
 	}
@@ -56,15 +56,10 @@
 	b.Do(board.ReadLog{From: c.readFrom(b), Wait: c.readWait})
 }
 
-// pruneKnown drops the entries to be appended, and the held orders, that the state knows:
-// after loading an image it knows entries whose records were never read.
-func pruneKnown(b *board.Board) {
-	known := func(id fleet.EntryID) bool {
-		found, _ := b.State.Outcome(id)
-		return found
-	}
-	b.Outbox.Prune(known)
-	maps.DeleteFunc(b.Holds, func(id fleet.EntryID, _ *wire.Entry) bool { return known(id) })
+// isKnown reports whether the state knows the outcome of an entry.
+func isKnown(b *board.Board, id fleet.EntryID) bool {
+	found, _ := b.State.Outcome(id)
+	return found
 }
 
 func (c *Controller) readFrom(b *board.Board) fleet.Offset {
@@ -171,13 +166,15 @@
 }
 
 // Load replaces the state by that of an image and reports whether it did. An
-// image that is not newer than the state is ignored.
+// image that is not newer than the state is ignored. Held orders that the image covers
+// end, as their records may never be read.
 func Load(b *board.Board, pieces []*wire.Image) bool {
 	s, err := state.Load(pieces)
 	if err != nil || s.Next <= b.State.Next {
 		return false
 	}
 	b.State = s
+	maps.DeleteFunc(b.Holds, func(id fleet.EntryID, _ *wire.Entry) bool { return isKnown(b, id) })
 	b.Recent.DropRecords()
 	for id := range s.Jobs {
 		b.Changed = append(b.Changed, id)
