Log when the status of an ended job is no longer kept

From the logs it could not be told whether the new lead had forgotten the job, had never loaded it, or had lost its record: nothing was logged when a status ends.

--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -182,7 +182,8 @@
 	}
 	sc.outbox.cancels = sc.expireCancels(sc.outbox.cancels)
 	for id, j := range sc.jobs {
-		if j.HasEnded() && sc.now.Sub(j.Ended) > sc.limits.Status {
+		if age := sc.now.Sub(j.Ended); j.HasEnded() && age > sc.limits.Status {
+			sc.logf(event.JobForgotten, string(id), "queue=%s stage=%s age=%s stored=%t restored=%t", j.Spec.Queue, j.Stage(), age, !sc.unstored(j), j.restored)
 			delete(sc.jobs, id)
 			sc.forgetStepMeans(j)
 			sc.outbox.deletes = append(sc.outbox.deletes, id)
