Keep the status of an ended job by a clock that the leads of a site share

Cause: the record of an end held the time of day of the lead that saw it, and the next lead subtracted it from its own. So the record was there, and the age was wrong by the step; that rules out a lost record and a job that was never loaded. A clock that was ahead kept statuses for as much longer.

Package clock measures time across leads: it runs on the steady clock of the lead and continues from the newest reading in the store. Each record of progress holds the reading of when it was made, and a status ends by the age of the record that holds the job's end. An end that is not stored has no such record yet, so its status does not run out. Records of earlier versions have no reading; their statuses start anew with the lead that loads them. Considered: to start anew with each lead. Where leads are replaced more often than statuses run out, none would ever be forgotten.

Restoring is split into reading the records and building the jobs, as the clock has to be known before.

--- a/fleet/assign/assign_test.go
+++ b/fleet/assign/assign_test.go
@@ -35,7 +35,7 @@
 
 // unit returns a unit of all tasks of a job that has only the given step.
 func unit(step *wire.Step) assign.Unit {
-	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step}})
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step}}, now)
 	u := assign.Unit{Job: j, Step: j.Rounds[0].Steps[0], Service: "desk"}
 	for i := range u.Step.Tasks {
 		u.Indexes = append(u.Indexes, i)
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -143,7 +143,7 @@
 	{JobCapped, "job-capped", Info, "a job waits because its workspace has all running that its cap allows; the line holds what the job needs, what the workspace uses and the cap", "raise the cap if the workspace is meant to have more"},
 	{EndsCopied, "ends-copied", Info, "the store does not hold the ends of some jobs yet, so every other daemon keeps them for the next lead, and their callers are told; the line lists the jobs", "check the store"},
 	{EndsAdopted, "ends-adopted", Info, "a new lead learned from the other daemons that a job has completed, of which the store holds no end", "nothing"},
-	{JobForgotten, "job-forgotten", Info, "the status of a job that ended is no longer kept, and its record is deleted; the line says how long it was kept, and whether a former lead had stored its end", "nothing"},
+	{JobForgotten, "job-forgotten", Info, "the status of a job that ended is no longer kept, and its record is deleted; the line says how long it was kept, and whether a former lead accepted the job", "nothing"},
 	{SpaceSet, "space-set", Info, "a workspace was created or changed", "nothing"},
 	{SpaceDropped, "space-dropped", Info, "a workspace was removed", "nothing"},
 	{DomainOut, "domain-out", Warn, "a failure domain was taken out of service", "nothing"},
--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -16,6 +16,7 @@
 	Rounds    []*Round
 	Cancelled bool
 	Failed    bool
+	Accepted  time.Time
 	Ended     time.Time // zero until it has ended
 
 	unfinished int  // number of tasks of all rounds that have not succeeded
@@ -24,7 +25,7 @@
 
 // Round is one execution of all steps of a job; a recurring job has several.
 type Round struct {
-	Due   time.Time // wall clock time at which it may start
+	Due   time.Time // when it may start; a time of day if the job repeats
 	Steps []*Step
 }
 
@@ -57,8 +58,8 @@
 }
 
 // New returns a job of which nothing has started.
-func New(spec *wire.Flow) *Job {
-	j := &Job{ID: fleet.JobID(spec.Id), Spec: spec}
+func New(spec *wire.Flow, accepted time.Time) *Job {
+	j := &Job{ID: fleet.JobID(spec.Id), Spec: spec, Accepted: accepted}
 	rounds := 1
 	if r := spec.GetRepeat(); r.GetCount() > 0 {
 		rounds = int(r.Count)
@@ -70,7 +71,7 @@
 }
 
 func (j *Job) round(k int) *Round {
-	r := &Round{Due: time.UnixMilli(j.Spec.At)}
+	r := &Round{Due: j.Accepted}
 	if p := j.Spec.GetRepeat(); p.GetCount() > 0 {
 		r.Due = time.UnixMilli(p.First + int64(k)*p.Every)
 	}
--- a/fleet/flow/flow_test.go
+++ b/fleet/flow/flow_test.go
@@ -28,13 +28,13 @@
 }
 
 func ExampleJob_CriticalPath() {
-	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(4), step(1), step(2, 0, 1), step(1)}})
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(4), step(1), step(2, 0, 1), step(1)}}, now)
 	fmt.Println(j.CriticalPath())
 	// Output: 2s
 }
 
 func TestStepsOpenInOrder(t *testing.T) {
-	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(2), step(1, 0), step(1)}})
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(2), step(1, 0), step(1)}}, now)
 	qt.Assert(t, open(j, now), qt.DeepEquals, []string{"0.0", "0.2"})
 	j.Done(task(0, 0, 0), now)
 	qt.Assert(t, open(j, now), qt.DeepEquals, []string{"0.0", "0.2"})
@@ -46,7 +46,7 @@
 }
 
 func TestRoundsOpenAtTheirTimesAndOverlap(t *testing.T) {
-	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(1)}, Repeat: &wire.Repeat{Count: 3, First: now.UnixMilli(), Every: 2000}})
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(1)}, Repeat: &wire.Repeat{Count: 3, First: now.UnixMilli(), Every: 2000}}, now)
 	qt.Assert(t, open(j, now.Add(-time.Millisecond)), qt.HasLen, 0)
 	qt.Assert(t, open(j, now), qt.DeepEquals, []string{"0.0"})
 	qt.Assert(t, open(j, now.Add(2*time.Second)), qt.DeepEquals, []string{"0.0", "1.0"})
@@ -57,7 +57,7 @@
 func TestLastingTasksNeitherEndNorFailTheirJob(t *testing.T) {
 	s := step(1)
 	s.Lasting = true
-	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{s}})
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{s}}, now)
 	for run := range 20 {
 		j.Start(task(0, 0, 0), fleet.Run(run+1), "w", 7)
 		j.ClearRun(task(0, 0, 0), fleet.Run(run+1), now)
@@ -71,7 +71,7 @@
 func TestGangEndsTogetherAndFailsOnceARun(t *testing.T) {
 	s := step(3)
 	s.Gang = true
-	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{s}})
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{s}}, now)
 	for i := range 3 {
 		j.Start(task(0, 0, i), 1, "w", 7)
 	}
@@ -82,13 +82,13 @@
 	j.Fail(task(0, 0, 0), 2, 2, now)
 	qt.Assert(t, j.Failed, qt.IsTrue)
 
-	k := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{s}})
+	k := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{s}}, now)
 	qt.Assert(t, k.Done(task(0, 0, 1), now), qt.IsTrue)
 	qt.Assert(t, k.HasEnded(), qt.IsTrue)
 }
 
 func TestTasksThatAJobDoesNotHaveAreIgnored(t *testing.T) {
-	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(1)}})
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(1)}}, now)
 	for _, unknown := range []fleet.Task{task(1, 0, 0), task(0, 1, 0), task(0, 0, 1), task(0, 0, -1), task(-1, 0, 0)} {
 		qt.Check(t, j.Step(unknown), qt.IsNil)
 		qt.Check(t, j.Done(unknown, now), qt.IsFalse)
@@ -106,7 +106,7 @@
 	gang := step(2, 0)
 	gang.Gang, gang.Saves = true, true
 	spec := &wire.Flow{Id: "j", Steps: []*wire.Step{step(3), gang}}
-	j := flow.New(spec)
+	j := flow.New(spec, now)
 	j.Start(task(0, 0, 0), 1, "w1", 7)
 	j.Start(task(0, 0, 1), 1, "w2", 7)
 	j.Start(task(0, 0, 2), 1, "w2", 7)
@@ -117,9 +117,9 @@
 	j.Save(task(0, 0, 1), "five")
 	j.Accuse(task(0, 0, 2), flow.Likely, now)
 	j.Save(task(0, 1, 1), "gang")
-	k := flow.New(spec)
-	k.Resume(j.Track(false))
-	qt.Assert(t, k.Track(false).String(), qt.Equals, j.Track(false).String())
+	k := flow.New(spec, now)
+	k.Resume(j.Track(false, 0), now)
+	qt.Assert(t, k.Track(false, 0).String(), qt.Equals, j.Track(false, 0).String())
 	qt.Assert(t, k.Rounds[0].Steps[0].Unfinished(), qt.Equals, 2)
 	qt.Assert(t, k.Rounds[0].Steps[0].CheckpointOf(1), qt.Equals, "five")
 	qt.Assert(t, k.Rounds[0].Steps[1].CheckpointOf(0), qt.Equals, "gang")
@@ -128,8 +128,8 @@
 	qt.Assert(t, k.Rounds[0].Steps[0].Tasks[2].Inc, qt.Equals, fleet.Incarnation(7))
 
 	j.Cancel(now)
-	k = flow.New(spec)
-	k.Resume(j.Track(false))
+	k = flow.New(spec, now)
+	k.Resume(j.Track(false, 0), now)
 	qt.Assert(t, k.Stage(), qt.Equals, wire.Stage_WITHDRAWN)
 }
 
@@ -137,7 +137,7 @@
 // that was acquitted begins anew.
 func TestJobFailsWithTooMuchBlameOfOneTask(t *testing.T) {
 	for blame, crashes := range map[flow.Blame]int{flow.Likely: 3, flow.Possible: 5, flow.Late: 5} {
-		j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(2)}})
+		j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(2)}}, now)
 		for range crashes - 1 {
 			j.Accuse(task(0, 0, 0), blame, now)
 			j.Accuse(task(0, 0, 1), blame, now)
@@ -157,7 +157,7 @@
 func TestPathAfterAStepThatTakesNoTime(t *testing.T) {
 	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{
 		{Count: 1, Span: 1000}, {Count: 1, After: []int32{0}}, {Count: 1, Span: 5000, After: []int32{1}}, {Count: 1, Span: 9000},
-	}})
+	}}, now)
 	qt.Assert(t, j.PathAfter(0), qt.Equals, 5*time.Second)
 	qt.Assert(t, j.PathAfter(2), qt.Equals, time.Duration(0))
 }
--- a/fleet/flow/track.go
+++ b/fleet/flow/track.go
@@ -4,14 +4,15 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/clock"
 	"dragonflydeck.example/fleet/wire"
 )
 
-// Track returns the job's progress in its stored form. Of a job that has ended,
-// only how and when it ended is stored, and with keepRuns also its runs that may not
-// have ended yet.
-func (j *Job) Track(keepRuns bool) *wire.Track {
-	t := &wire.Track{Id: string(j.ID), Cancelled: j.Cancelled, Failed: j.Failed}
+// Track returns the job's progress in its stored form, made at the given reading of the site's
+// clock. Of a job that has ended, only how and when it ended is stored, and with keepRuns also
+// its runs that may not have ended yet.
+func (j *Job) Track(keepRuns bool, made clock.Reading) *wire.Track {
+	t := &wire.Track{Id: string(j.ID), Cancelled: j.Cancelled, Failed: j.Failed, Stamp: int64(made)}
 	if j.HasEnded() {
 		t.Ended = j.Ended.UnixMilli()
 	}
@@ -48,9 +49,9 @@
 	return out
 }
 
-// Resume restores a new job's progress from its stored form. Pieces that match no
-// task of the job are ignored.
-func (j *Job) Resume(t *wire.Track) {
+// Resume restores a new job's progress from its stored form, which was made at the given time.
+// Pieces that match no task of the job are ignored.
+func (j *Job) Resume(t *wire.Track, made time.Time) {
 	for _, p := range t.Pieces {
 		task := fleet.Task{Job: j.ID, Round: int(p.Round), Step: int(p.Step), Index: int(p.Index)}
 		s := j.Step(task)
@@ -65,7 +66,7 @@
 	}
 	j.Cancelled, j.Failed = t.Cancelled, t.Failed
 	if t.Ended > 0 {
-		j.Ended = time.UnixMilli(t.Ended)
+		j.Ended = made
 	}
 }
 
--- /dev/null
+++ b/fleet/sched/clock_test.go
@@ -0,0 +1,96 @@
+package sched_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+// clockErrors are how far the time of day of a new lead may be ahead of its predecessor's.
+var clockErrors = []time.Duration{-time.Hour, -2 * time.Second, 0, 2 * time.Second, time.Hour}
+
+// replaceLead lets a daemon take the lead whose time of day is ahead of the world's.
+func (w *world) replaceLead(ahead time.Duration) {
+	w.t.Helper()
+	w.ahead = ahead
+	w.restartDaemon()
+	w.becomeLead()
+}
+
+// knows reports whether the lead knows a job.
+func (w *world) knows(f *wire.Flow) bool {
+	r := w.scheduler.Status(&wire.FlowAsk{Id: f.Id, Queue: f.Queue, Space: f.Space})
+	return r.Verdict == wire.Verdict_OK
+}
+
+// runKnown runs until a time, and fails the test if the lead stops to know a job before.
+func (w *world) runKnown(until time.Time, f *wire.Flow) {
+	w.t.Helper()
+	for w.now.Before(until) {
+		qt.Assert(w.t, w.knows(f), qt.IsTrue, qt.Commentf("%s is not known %s before its time", f.Id, until.Sub(w.now)))
+		w.run(100 * time.Millisecond)
+	}
+}
+
+// runCompleted submits a job of one task, runs it and returns when its end was told.
+func (w *world) runCompleted(id fleet.JobID) (*wire.Flow, time.Time) {
+	w.t.Helper()
+	runTimes[id] = time.Second
+	f := newFlow(string(id), "urgent", taskStep(1, 1, time.Second))
+	w.submitAccepted(f)
+	w.awaitCompleted(f, 3*time.Second)
+	return f, w.now
+}
+
+// Guards against 410 for a job whose end was told less than the status limit ago, when the time
+// of day of the lead that stored the end was behind that of the next one (review/4), and against
+// statuses that are kept for an hour when it was ahead.
+func TestStatusIsKeptForItsTimeWhateverTheNextLeadsTimeOfDay(t *testing.T) {
+	for _, ahead := range clockErrors {
+		t.Run(ahead.String(), func(t *testing.T) {
+			w := newWorld(t, 1, 1)
+			w.becomeLead()
+			f, told := w.runCompleted(fleet.JobID(fmt.Sprint("kept", ahead)))
+			w.run(10 * time.Second)
+			w.replaceLead(ahead)
+			w.runKnown(told.Add(limits.Status), f)
+			w.runUntil(30*time.Second, "end of the status of "+f.Id, func() bool { return !w.knows(f) })
+			w.run(time.Second)
+			qt.Assert(t, w.eventCount(event.JobForgotten), qt.Equals, 1)
+			for _, r := range w.store.newest() {
+				qt.Check(t, strings.Contains(r.Key, f.Id), qt.IsFalse, qt.Commentf("%s is still stored", r.Key))
+			}
+		})
+	}
+}
+
+// Guards against statuses that are never forgotten: no lead lives as long as a status is kept.
+func TestStatusesEndUnderLeadsThatAreReplacedOften(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	first, told := w.runCompleted("often0")
+	for i := 1; w.knows(first); i++ {
+		qt.Assert(t, w.now.Sub(told) < 2*limits.Status, qt.IsTrue, qt.Commentf("still known after %d leads", i))
+		w.run(20 * time.Second)
+		w.runCompleted(fleet.JobID(fmt.Sprint("often", i)))
+		w.replaceLead(clockErrors[i%len(clockErrors)])
+	}
+	qt.Assert(t, w.now.Sub(told) >= limits.Status, qt.IsTrue, qt.Commentf("forgotten after %s", w.now.Sub(told)))
+}
+
+// The status of a job that ran for longer than statuses are kept is kept as long as any other.
+func TestStatusOfALongJobIsKept(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	runTimes["long"] = 2 * limits.Status
+	f := newFlow("long", "long", taskStep(1, 1, 2*limits.Status))
+	w.submitAccepted(f)
+	w.awaitCompleted(f, 3*limits.Status)
+	w.runKnown(w.now.Add(limits.Status), f)
+}
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/clock"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/flow"
 	"dragonflydeck.example/fleet/wire"
@@ -20,6 +21,7 @@
 	stored         bool // the job itself is stored, and thereby accepted
 	restored       bool // a former lead accepted it
 	dirty          bool
+	madeAt         clock.Reading // when the record of its newest progress was made
 	copiedAt       time.Time // when all other daemons kept its end
 	lastBatch      uint64    // number of the batch with its newest progress
 	waiters        []submitter
@@ -75,7 +77,7 @@
 		return
 	}
 	e.Flow.At = sc.now.UnixMilli()
-	j := newJob(flow.New(e.Flow))
+	j := newJob(flow.New(e.Flow, sc.now))
 	if retry, why := sc.admit(j); why != "" {
 		sc.refuse(e, retry, why)
 		return
@@ -167,7 +169,7 @@
 	return r
 }
 
-// expire answers callers whose time limit has passed, and forgets jobs that ended
+// expire answers callers whose time limit has passed, and forgets jobs whose ends were stored
 // longer ago than the status limit.
 func (sc *Scheduler) expire() {
 	stuck := sc.outbox.stuck(sc.now)
@@ -182,8 +184,8 @@
 	}
 	sc.outbox.cancels = sc.expireCancels(sc.outbox.cancels)
 	for id, j := range sc.jobs {
-		if age := sc.now.Sub(j.Ended); j.HasEnded() && age > sc.limits.Status {
-			sc.logf(event.JobForgotten, string(id), "queue=%s stage=%s age=%s stored=%t restored=%t", j.Spec.Queue, j.Stage(), age, !sc.unstored(j), j.restored)
+		if age := sc.statusAge(j); j.HasEnded() && !sc.unstored(j) && age > sc.limits.Status {
+			sc.logf(event.JobForgotten, string(id), "queue=%s stage=%s age=%s restored=%t", j.Spec.Queue, j.Stage(), age, j.restored)
 			delete(sc.jobs, id)
 			sc.forgetStepMeans(j)
 			sc.outbox.deletes = append(sc.outbox.deletes, id)
@@ -191,6 +193,9 @@
 	}
 }
 
+// statusAge returns how long ago the record of a job's end was made.
+func (sc *Scheduler) statusAge(j *job) time.Duration { return sc.now.Sub(sc.clock.Time(j.madeAt)) }
+
 // refuseUnsent refuses the jobs queued behind an append without an answer, as none
 // of them has been sent to the store.
 func (sc *Scheduler) refuseUnsent() {
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/clock"
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/flow"
@@ -78,41 +79,63 @@
 	sc.logf(event.LeadReady, string(sc.self.Host), "term=%d jobs=%d workers=%d", sc.term, len(sc.jobs), len(sc.pool.Workers))
 }
 
-// restore rebuilds the jobs from their records. A recorded run keeps its capacity
-// until its worker has answered or the worker's lease has expired.
+// restore rebuilds the jobs from their records, and continues the site's clock. A recorded run
+// keeps its capacity until its worker has answered or the worker's lease has expired.
 func (sc *Scheduler) restore(records []fleet.Record) {
+	flows, tracks := sc.decode(records)
+	newest := clock.Reading(0)
+	for _, t := range tracks {
+		newest = max(newest, clock.Reading(t.Stamp))
+	}
+	sc.clock = clock.Continue(newest, sc.now)
+	for _, f := range flows {
+		j := newJob(flow.New(f, time.UnixMilli(f.At)))
+		j.stored, j.restored = true, true
+		sc.jobs[j.ID] = j
+		sc.noteLimit(j)
+	}
+	for id, t := range tracks {
+		j, ok := sc.jobs[id]
+		if !ok {
+			continue
+		}
+		j.madeAt = clock.Reading(t.Stamp)
+		j.Resume(t, sc.clock.Time(j.madeAt))
+		sc.adopt(j)
+	}
+}
+
+// decode returns the jobs and their progress from their records, and restores the speeds of
+// workers.
+func (sc *Scheduler) decode(records []fleet.Record) ([]*wire.Flow, map[fleet.JobID]*wire.Track) {
+	var flows []*wire.Flow
 	tracks := map[fleet.JobID]*wire.Track{}
 	for _, r := range records {
 		switch {
 		case strings.HasPrefix(r.Key, SpeedKey):
 			sc.restoreSpeed(r)
-		case len(r.Key) > len(flowKey) && r.Key[:len(flowKey)] == flowKey:
+		case len(r.Key) > len(flowKey) && strings.HasPrefix(r.Key, flowKey):
 			f := &wire.Flow{}
-			if err := proto.Unmarshal(r.Value, f); err != nil {
-				sc.logf(event.RecordBad, r.Key, "offset=%d: %v", r.Offset, err)
-				continue
+			if sc.unmarshal(r, f) {
+				flows = append(flows, f)
 			}
-			j := newJob(flow.New(f))
-			j.stored, j.restored = true, true
-			sc.jobs[j.ID] = j
-			sc.noteLimit(j)
-		case len(r.Key) > len(trackKey) && r.Key[:len(trackKey)] == trackKey:
+		case len(r.Key) > len(trackKey) && strings.HasPrefix(r.Key, trackKey):
 			t := &wire.Track{}
-			if err := proto.Unmarshal(r.Value, t); err != nil {
-				sc.logf(event.RecordBad, r.Key, "offset=%d: %v", r.Offset, err)
-				continue
+			if sc.unmarshal(r, t) {
+				tracks[fleet.JobID(t.Id)] = t
 			}
-			tracks[fleet.JobID(t.Id)] = t
 		}
 	}
-	for id, t := range tracks {
-		j, ok := sc.jobs[id]
-		if !ok {
-			continue
-		}
-		j.Resume(t)
-		sc.adopt(j)
+	return flows, tracks
+}
+
+// unmarshal decodes a record. One that cannot be read is logged.
+func (sc *Scheduler) unmarshal(r fleet.Record, to proto.Message) bool {
+	err := proto.Unmarshal(r.Value, to)
+	if err != nil {
+		sc.logf(event.RecordBad, r.Key, "offset=%d: %v", r.Offset, err)
 	}
+	return err == nil
 }
 
 // adopt adds the runs in a job's record to their workers. Those of a job that was cancelled or has
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -185,8 +185,8 @@
 		case slices.Contains(b.accepted, j):
 			later = append(later, j) // its progress must not be stored before the job itself
 		default:
-			j.dirty, j.lastBatch = false, b.batchNo
-			s.addRecord(trackKey+string(j.ID), j.Track(sc.limited()))
+			j.dirty, j.lastBatch, j.madeAt = false, b.batchNo, sc.clock.Read(sc.now)
+			s.addRecord(trackKey+string(j.ID), j.Track(sc.limited(), j.madeAt))
 		}
 	}
 	for _, id := range b.deletes {
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/clock"
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/flow"
@@ -68,7 +69,8 @@
 	term    fleet.Term
 	epoch   int64
 
-	leadingSince time.Time // when this daemon became the lead
+	leadingSince time.Time   // when this daemon became the lead
+	clock        clock.Clock // of the site, since then
 
 	leftTerm     fleet.Term // in which this daemon led until it began to shut down
 	leavingUntil time.Time  // when it stops announcing that it shuts down
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -34,6 +34,7 @@
 type world struct {
 	t             *testing.T
 	now           time.Time
+	ahead         time.Duration // of the daemon's time of day before that of the world
 	tick          time.Duration // by which a step advances the time
 	scheduler     *sched.Scheduler
 	inc           fleet.Incarnation
@@ -146,12 +147,15 @@
 func (w *world) restartDaemon() {
 	w.inc++
 	w.events, w.later = nil, nil
-	w.scheduler = sched.New(sched.Identity{Host: "e1", Addr: "e1:7000", Domain: "d1", Inc: w.inc}, limits, w.now)
+	w.scheduler = sched.New(sched.Identity{Host: "e1", Addr: "e1:7000", Domain: "d1", Inc: w.inc}, limits, w.local())
 	w.post(sched.Members{All: []elect.Member{{Host: "e1"}}})
 	w.postConfig()
 	w.postWorkers()
 }
 
+// local returns the time of day of the daemon.
+func (w *world) local() time.Time { return w.now.Add(w.ahead) }
+
 // postConfig delivers the operator's records.
 func (w *world) postConfig() {
 	w.configEnd++
@@ -173,7 +177,7 @@
 // finds no change.
 func (w *world) repeatWorkers() {
 	w.listedAt = w.now
-	w.post(sched.WorkersListed{Entries: maps.Clone(w.listed), ReadAt: w.now})
+	w.post(sched.WorkersListed{Entries: maps.Clone(w.listed), ReadAt: w.local()})
 }
 
 // listInterval is the time between two reads of the list of workers.
@@ -235,7 +239,7 @@
 	events := w.events
 	w.events = nil
 	var actions []sched.Action
-	w.stepTime += usage.Of(func() { actions = w.scheduler.Step(w.now, events) })
+	w.stepTime += usage.Of(func() { actions = w.scheduler.Step(w.local(), events) })
 	for _, a := range actions {
 		w.execute(a)
 	}
@@ -266,7 +270,7 @@
 	case sched.AskPeers:
 		w.peerAsks++
 		for range w.peerAnswers {
-			w.postAfter(callTime, sched.PeerAnswered{AskedAt: w.now, Reply: &wire.SightReply{}})
+			w.postAfter(callTime, sched.PeerAnswered{AskedAt: w.local(), Reply: &wire.SightReply{}})
 		}
 	case sched.AskEnds:
 		w.askEnds(a)
@@ -292,7 +296,7 @@
 		if fleet.KindOf(err) == fleet.OutcomeUnknown && err != nil {
 			span = a.Timeout
 		}
-		w.postAfter(span, sched.Appended{Batch: a.Batch, End: end, SentAt: w.now, Err: err})
+		w.postAfter(span, sched.Appended{Batch: a.Batch, End: end, SentAt: w.local(), Err: err})
 	case sched.Check:
 		if w.store.rejects {
 			w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Err: &fleet.Error{Op: "check", Kind: fleet.NotApplied}})
@@ -302,7 +306,7 @@
 			w.postAfter(time.Second, sched.Checked{Batch: a.Batch, Err: &fleet.Error{Op: "check", Kind: fleet.OutcomeUnknown}})
 			return
 		}
-		w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Records: w.store.records[a.At:], End: fleet.Offset(len(w.store.records)), SentAt: w.now})
+		w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Records: w.store.records[a.At:], End: fleet.Offset(len(w.store.records)), SentAt: w.local()})
 	case sched.Start:
 		clock, span, err := w.worker(a.Endpoint).start(w.now, a.Order)
 		w.postAfter(span, sched.Started{Host: a.Endpoint.Host, Key: a.Key, Clock: clock, Err: err})
@@ -325,7 +329,7 @@
 
 func (w *world) poll(a sched.Poll) {
 	one := w.worker(a.Endpoint)
-	done := sched.Polled{Host: a.Endpoint.Host, Term: a.Order.Term, Acked: a.Order.Acked, At: w.now, Wait: a.Order.Wait}
+	done := sched.Polled{Host: a.Endpoint.Host, Term: a.Order.Term, Acked: a.Order.Acked, At: w.local(), Wait: a.Order.Wait}
 	report, span, err := one.poll(w.now, a.Order)
 	if err == nil && a.Order.Wait > 0 {
 		one.longPolls = append(one.longPolls, longPoll{
@@ -374,9 +378,9 @@
 	end, records := fleet.Offset(len(w.store.records)), w.store.newest()
 	after, err := w.store.append(end, []fleet.Record{{Key: sched.LeadKey, Value: []byte{byte(w.inc)}}})
 	w.claims++
-	w.postAfter(storeCallTime+w.claimDelay, sched.Claimed{Lead: lead, Term: fleet.Term(after), End: after, Records: records, SentAt: w.now, Err: err})
+	w.postAfter(storeCallTime+w.claimDelay, sched.Claimed{Lead: lead, Term: fleet.Term(after), End: after, Records: records, SentAt: w.local(), Err: err})
 	if !w.listHangs {
-		w.postAfter(2*storeCallTime, sched.WorkersListed{Entries: maps.Clone(w.listed), ReadAt: w.now.Add(storeCallTime)}) // a new lead reads the list at once
+		w.postAfter(2*storeCallTime, sched.WorkersListed{Entries: maps.Clone(w.listed), ReadAt: w.local().Add(storeCallTime)}) // a new lead reads the list at once
 	}
 }
 
@@ -418,7 +422,7 @@
 // submit submits a job and returns its waiter.
 func (w *world) submit(f *wire.Flow) sched.Waiter {
 	w.waiters++
-	w.post(sched.JobSubmitted{Waiter: w.waiters, Flow: f, Deadline: w.now.Add(3 * time.Second)})
+	w.post(sched.JobSubmitted{Waiter: w.waiters, Flow: f, Deadline: w.local().Add(3 * time.Second)})
 	return w.waiters
 }
 
