--- a/fleet/sched/clock_test.go
+++ b/fleet/sched/clock_test.go
@@ -94,3 +94,21 @@
 	w.awaitCompleted(f, 3*limits.Status)
 	w.runKnown(w.now.Add(limits.Status), f)
 }
+
+// Guards against guarantees that are served late, as a job seemed to have waited for less than no
+// time under a lead whose time of day was behind that of the lead that accepted it.
+func TestGuaranteeIsServedWhateverTheNextLeadsTimeOfDay(t *testing.T) {
+	for _, ahead := range clockErrors {
+		t.Run(ahead.String(), func(t *testing.T) {
+			w := newWorld(t, 1, 2)
+			w.becomeLead()
+			other := newFlow("other", "bulk", taskStep(2, 8, time.Minute))
+			other.Space, runTimes["other"] = "b", time.Minute
+			w.submitAccepted(other)
+			w.run(10 * time.Second)
+			w.submitAccepted(newFlow("urgent", "urgent", gangStep(2, 8, time.Second)))
+			w.replaceLead(ahead)
+			w.runUntil(2700*time.Millisecond, "start of the urgent gang", func() bool { return w.startCount("urgent") == 2 })
+		})
+	}
+}
--- a/fleet/sched/ends.go
+++ b/fleet/sched/ends.go
@@ -51,7 +51,7 @@
 		sc.speeds.finish(j.Spec.Queue, s)
 	}
 	if j.HasEnded() {
-		sc.logf(event.JobDone, string(j.ID), "queue=%s after=%s", j.Spec.Queue, sc.now.Sub(time.UnixMilli(j.Spec.At)))
+		sc.logf(event.JobDone, string(j.ID), "queue=%s after=%s", j.Spec.Queue, sc.now.Sub(j.Accepted))
 		sc.noteCompleted(j)
 	}
 }
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -22,8 +22,8 @@
 	restored       bool // a former lead accepted it
 	dirty          bool
 	madeAt         clock.Reading // when the record of its newest progress was made
-	copiedAt       time.Time // when all other daemons kept its end
-	lastBatch      uint64    // number of the batch with its newest progress
+	copiedAt       time.Time     // when all other daemons kept its end
+	lastBatch      uint64        // number of the batch with its newest progress
 	waiters        []submitter
 	preemptedAt    time.Time                  // when runs were last preempted for it
 	preemptTriedAt time.Time                  // when runs to preempt for it were last searched for
@@ -76,7 +76,7 @@
 		sc.refuse(e, storeDownRetry, storeDownReason)
 		return
 	}
-	e.Flow.At = sc.now.UnixMilli()
+	e.Flow.At, e.Flow.Stamp = sc.now.UnixMilli(), int64(sc.clock.Read(sc.now))
 	j := newJob(flow.New(e.Flow, sc.now))
 	if retry, why := sc.admit(j); why != "" {
 		sc.refuse(e, retry, why)
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -87,9 +87,12 @@
 	for _, t := range tracks {
 		newest = max(newest, clock.Reading(t.Stamp))
 	}
+	for _, f := range flows {
+		newest = max(newest, clock.Reading(f.Stamp))
+	}
 	sc.clock = clock.Continue(newest, sc.now)
 	for _, f := range flows {
-		j := newJob(flow.New(f, time.UnixMilli(f.At)))
+		j := newJob(flow.New(f, sc.clock.Time(clock.Reading(f.Stamp))))
 		j.stored, j.restored = true, true
 		sc.jobs[j.ID] = j
 		sc.noteLimit(j)
