Choose the newest recorded cap by the site's clock

Where the later lead's was behind, the older cap counted: jobs of a workspace that had been lowered to 8 accelerators took 40.

The readings of the site's clock in the records decide now. Jobs of a lead of an earlier version have none and count as older than all others.

--- a/fleet/sched/caps.go
+++ b/fleet/sched/caps.go
@@ -7,6 +7,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/assign"
+	"dragonflydeck.example/fleet/clock"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/flow"
 	"dragonflydeck.example/fleet/pool"
@@ -18,7 +19,7 @@
 // recordedLimit is the limit of a workspace that a job's record holds.
 type recordedLimit struct {
 	limit quota.Limit
-	at    int64 // when the job was accepted
+	at    clock.Reading // when the job was accepted
 }
 
 // noteLimit keeps the limit in a job's record. The newest one counts for a workspace that
@@ -28,11 +29,11 @@
 	if j.Spec.Cap == nil {
 		return
 	}
-	space := fleet.SpaceID(j.Spec.Space)
-	if known, ok := sc.recordedLimits[space]; ok && known.at > j.Spec.At {
+	space, at := fleet.SpaceID(j.Spec.Space), clock.Reading(j.Spec.Stamp)
+	if known, ok := sc.recordedLimits[space]; ok && known.at > at {
 		return
 	}
-	sc.recordedLimits[space] = recordedLimit{quota.Limit{Cap: fleet.ResOf(j.Spec.Cap), Weight: j.Spec.Weight}, j.Spec.At}
+	sc.recordedLimits[space] = recordedLimit{quota.Limit{Cap: fleet.ResOf(j.Spec.Cap), Weight: j.Spec.Weight}, at}
 }
 
 // limitOf returns the limit of a workspace: that of the configuration, or the newest one
--- a/fleet/sched/caps_test.go
+++ b/fleet/sched/caps_test.go
@@ -38,6 +38,13 @@
 	w.postConfig()
 }
 
+// dropWorkspaceA makes a configuration without workspace a, which is yet to be posted.
+func (w *world) dropWorkspaceA() {
+	c := *w.config
+	c.Version, c.Spaces = c.Version+1, []queue.Space{{Name: "b", Limit: accelCap(8)}}
+	w.config = queue.New(c)
+}
+
 // flowOf returns a job of a workspace.
 func flowOf(space, id, queueName string, step *wire.Step) *wire.Flow {
 	runTimes[fleet.JobID(id)] = time.Duration(step.Span) * time.Millisecond
@@ -184,9 +191,7 @@
 	f := flowOf("a", "gone", "bulk", taskStep(4, 8, time.Second))
 	f.Cap, f.Weight = (fleet.Res{Accels: 8}).Wire(), 1
 	w.submitAccepted(f)
-	c := *w.config
-	c.Version, c.Spaces = c.Version+1, []queue.Space{{Name: "b", Limit: accelCap(8)}}
-	w.config = queue.New(c)
+	w.dropWorkspaceA()
 	w.postConfig()
 	w.runWithin(1500*time.Millisecond, "gone", 8)
 	w.restartDaemon()
@@ -404,9 +409,7 @@
 		f.Cap = fleet.Res{Accels: accels}.Wire()
 		w.submitAccepted(f)
 	}
-	c := *w.config
-	c.Version, c.Spaces = c.Version+1, []queue.Space{{Name: "b", Limit: accelCap(8)}}
-	w.config = queue.New(c)
+	w.dropWorkspaceA()
 	for range 4 { // the order of the records is random
 		w.restartDaemon()
 		w.becomeLead()
@@ -535,9 +538,7 @@
 	f := flowOf("a", "kept", "bulk", taskStep(4, 8, time.Second))
 	f.Cap = (fleet.Res{Accels: 8}).Wire()
 	w.submitAccepted(f)
-	c := *w.config
-	c.Version, c.Spaces = c.Version+1, []queue.Space{{Name: "b", Limit: accelCap(8)}}
-	w.config = queue.New(c)
+	w.dropWorkspaceA()
 	w.postConfig()
 	w.submitAccepted(flowOf("a", "kept2", "bulk", taskStep(4, 8, time.Second)))
 	w.runWithin(9*time.Second, "kept", 8)
--- a/fleet/sched/clock_test.go
+++ b/fleet/sched/clock_test.go
@@ -8,6 +8,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/quota"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
 )
@@ -112,3 +113,26 @@
 		})
 	}
 }
+
+// Guards against a cap of before: two jobs recorded different caps of their workspace, which is no
+// longer configured, and the lead that accepted the second had its time of day behind.
+func TestNewestRecordedCapCountsWhateverTheLeadsTimesOfDay(t *testing.T) {
+	for _, ahead := range clockErrors {
+		t.Run(ahead.String(), func(t *testing.T) {
+			w := newCappedWorld(t, accelCap(64), quota.Limit{})
+			former := flowOf("a", "capped1", "bulk", taskStep(4, 8, time.Minute))
+			former.Cap = (fleet.Res{Accels: 64}).Wire()
+			w.submitAccepted(former)
+			w.run(5 * time.Second)
+			w.replaceLead(ahead)
+			newest := flowOf("a", "capped2", "bulk", taskStep(4, 8, time.Minute))
+			newest.Cap = (fleet.Res{Accels: 8}).Wire()
+			w.submitAccepted(newest)
+			w.dropWorkspaceA()
+			w.replaceLead(0)
+			w.runWithin(5*time.Second, "capped2", 0)
+			w.run(time.Minute)
+			w.runWithin(time.Minute, "capped", 8)
+		})
+	}
+}
