Keep the statuses of jobs that end in a long outage of the store

A status runs from when its record was made, and a record that waited for the store for longer than an append takes is made anew once it is stored, so that the next lead counts from then, too. What the store holds of an end is noted with the job (endStored) and no longer derived from the batches in flight: a job whose end is stored is not shown as running while its record is renewed.

--- a/fleet/sched/clock_test.go
+++ b/fleet/sched/clock_test.go
@@ -136,3 +136,29 @@
 		})
 	}
 }
+
+// Guards against 410 for a job that ended while the store was away for longer than a status is
+// kept: its end had not been told to anyone before. It must not help that the lead is lost next.
+func TestStatusIsKeptAfterALongOutageOfTheStore(t *testing.T) {
+	for _, leadLost := range []bool{false, true} {
+		w := newLeadOfFour(t, 1, 1)
+		id := fleet.JobID(fmt.Sprint("outage", leadLost))
+		runTimes[id] = time.Second
+		f := newFlow(string(id), "urgent", taskStep(1, 1, time.Second))
+		w.submitAccepted(f)
+		w.run(500 * time.Millisecond)
+		w.store.down = true
+		w.runKnown(w.now.Add(limits.Status+20*time.Second), f)
+		w.store.down = false
+		w.awaitCompleted(f, 5*time.Second)
+		back := w.now
+		w.run(2 * time.Second)
+		if leadLost {
+			w.restartDaemon()
+			w.post(fourMembers())
+			w.becomeLead()
+		}
+		w.runKnown(back.Add(limits.Status), f)
+		w.runUntil(20*time.Second, "end of the status", func() bool { return !w.knows(f) })
+	}
+}
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -22,8 +22,9 @@
 	restored       bool // a former lead accepted it
 	dirty          bool
 	madeAt         clock.Reading // when the record of its newest progress was made
-	copiedAt       time.Time     // when all other daemons kept its end
-	lastBatch      uint64        // number of the batch with its newest progress
+	endStored      bool
+	copiedAt       time.Time // when all other daemons kept its end
+	lastBatch      uint64    // number of the batch with its newest progress
 	waiters        []submitter
 	preemptedAt    time.Time                  // when runs were last preempted for it
 	preemptTriedAt time.Time                  // when runs to preempt for it were last searched for
@@ -125,7 +126,7 @@
 	if j.Cancel(sc.now) {
 		sc.logf(event.JobCancelled, string(j.ID), "term=%d", sc.term)
 		sc.changed = true
-	} else if !sc.unstored(j) {
+	} else if j.endStored {
 		sc.emit(AnswerCancel{e.Waiter, &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: j.Stage()}})
 		return
 	}
@@ -184,7 +185,7 @@
 	}
 	sc.outbox.cancels = sc.expireCancels(sc.outbox.cancels)
 	for id, j := range sc.jobs {
-		if age := sc.statusAge(j); j.HasEnded() && !sc.unstored(j) && age > sc.limits.Status {
+		if age := sc.statusAge(j); j.HasEnded() && !sc.unstored(j) && age > sc.limits.Status+statusMargin {
 			sc.logf(event.JobForgotten, string(id), "queue=%s stage=%s age=%s restored=%t", j.Spec.Queue, j.Stage(), age, j.restored)
 			delete(sc.jobs, id)
 			sc.forgetStepMeans(j)
@@ -193,6 +194,11 @@
 	}
 }
 
+// statusMargin is how much longer than the limit a status is kept. Its age is known from when its
+// record was made, and a record that takes longer to be stored is made anew: longer than an append takes
+// while the store answers.
+const statusMargin = 5 * time.Second
+
 // statusAge returns how long ago the record of a job's end was made.
 func (sc *Scheduler) statusAge(j *job) time.Duration { return sc.now.Sub(sc.clock.Time(j.madeAt)) }
 
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -104,6 +104,7 @@
 		}
 		j.madeAt = clock.Reading(t.Stamp)
 		j.Resume(t, sc.clock.Time(j.madeAt))
+		j.endStored = j.HasEnded()
 		sc.adopt(j)
 	}
 }
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -63,6 +63,7 @@
 	checkedAt time.Time // when that read was last sent
 	accepted  []*job
 	cancels   []pendingCancel
+	ended     []*job // whose ends it holds
 	starts    []pendingStart
 	speeds    []*wire.Speed
 	ends      map[fleet.HostID]fleet.EndNo // newest run end of each worker that may be acknowledged once the batch is stored
@@ -187,6 +188,9 @@
 		default:
 			j.dirty, j.lastBatch, j.madeAt = false, b.batchNo, sc.clock.Read(sc.now)
 			s.addRecord(trackKey+string(j.ID), j.Track(sc.limited(), j.madeAt))
+			if j.HasEnded() {
+				s.ended = append(s.ended, j)
+			}
 		}
 	}
 	for _, id := range b.deletes {
@@ -321,6 +325,9 @@
 		sc.logf(event.JobAccepted, string(j.ID), "queue=%s space=%s steps=%d end=%d", j.Spec.Queue, j.Spec.Space, len(j.Spec.Steps), end)
 		sc.answerSubmit(j, &wire.HandReply{Verdict: wire.Verdict_OK})
 	}
+	for _, j := range s.ended {
+		sc.noteEndStored(j)
+	}
 	for _, d := range s.cancels {
 		sc.emit(AnswerCancel{d.waiter, &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: d.job.Stage()}})
 	}
@@ -333,6 +340,15 @@
 	b.stored = append(b.stored, s.starts...)
 }
 
+// noteEndStored notes that the store holds the end of a job. A record that was made long before,
+// as in an outage, is made anew: the next lead takes the age of the status from it.
+func (sc *Scheduler) noteEndStored(j *job) {
+	j.endStored = true
+	if sc.statusAge(j) > statusMargin {
+		sc.outbox.markDirty(j)
+	}
+}
+
 // dispatchStarts sends the starts whose placements are stored. Those whose workers or
 // workspaces take no more starts are withdrawn first, so that no member of their gangs starts either.
 // A start grants a lease, so that none is sent while the lead is not confirmed.
--- a/fleet/sched/status.go
+++ b/fleet/sched/status.go
@@ -74,7 +74,7 @@
 	switch {
 	case j == nil:
 		return &wire.FlowReply{Verdict: sc.absence()}
-	case !j.stored || j.Cancelled && sc.unstored(j) || j.HasEnded() && !sc.mayReportEnd(j):
+	case !j.stored || j.Cancelled && !j.endStored || j.HasEnded() && !sc.mayReportEnd(j):
 		return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: sc.stageBeforeEnd(j)}
 	}
 	return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: j.Stage()}
@@ -94,13 +94,16 @@
 // worker were lost. Silence does not tell that nobody else leads: behind a cut this lead may
 // have been replaced and cannot be told.
 func (sc *Scheduler) mayReportEnd(j *job) bool {
+	if j.endStored {
+		return true
+	}
 	if !sc.Elect.HasOthers() {
 		return !j.dirty || sc.outbox.stuck(sc.now)
 	}
 	if !j.dirty && sc.outbox.isHealthy(sc.now) && sc.now.Sub(sc.quorum.confirmedAt) < quorumAfter {
 		return true
 	}
-	return !sc.unstored(j) || !j.copiedAt.IsZero()
+	return !j.copiedAt.IsZero()
 }
 
 // stageBeforeEnd returns the stage to report for a job whose end is not stored yet.
