Time an append by the call that showed it to be stored

While the answers of appends were lost, each further append took 1.5 s to be found in the store instead of 0.5 s: jobs were accepted, started and ended that much later. The timeout of an append grows with the duration of the last one, so that a slow store is not taken for one that is away, and the time that it took to notice a lost answer, or an outage, counted as that duration.

The duration is now that of the one call whose answer showed that the batch is stored: the append, or the read after a lost answer. A slow store answers both slowly.

TestLostAnswersDoNotSlowDownFurtherAppends failed before: no answer to the second job within 2 s.

--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -17,7 +17,7 @@
 	appendRetry      = 100 * time.Millisecond  // delay before a failed append is sent again
 	minAppendTimeout = 500 * time.Millisecond  // without an answer by then, the store is read to see whether the append took effect
 	minStuckAfter    = 600 * time.Millisecond  // an append normally takes milliseconds; after this long the store counts as unavailable
-	slowStoreFactor  = 3                       // timeout relative to the duration of the last append, so that a slow store is not taken for an unavailable one
+	slowStoreFactor  = 3                       // timeout relative to the duration of the last call, so that a slow store is not taken for an unavailable one
 	maxAppendTimeout = 1500 * time.Millisecond // half of the callers' time limit
 	checkRetry       = 250 * time.Millisecond  // longer than a read of a slow store takes; a second read is then sent, as the first may hang on a dead connection
 )
@@ -26,16 +26,16 @@
 // flight; what arrives meanwhile goes into the next one, so that a burst needs few
 // appends.
 type outbox struct {
-	end        fleet.Offset
-	appendTook time.Duration // duration of the last append, until it was known to be stored
-	batchNo    uint64
-	inFlight   *batch
-	accepted   []*job
-	cancels    []pendingCancel
-	dirty      []*job
-	starts     []pendingStart
-	stored     []pendingStart // their placements are stored; sent once the list of workers is current
-	deletes    []fleet.JobID  // ended jobs whose records are to be deleted
+	end      fleet.Offset
+	callTook time.Duration // duration of the call that showed that the last batch is stored: its append, or a read
+	batchNo  uint64
+	inFlight *batch
+	accepted []*job
+	cancels  []pendingCancel
+	dirty    []*job
+	starts   []pendingStart
+	stored   []pendingStart // their placements are stored; sent once the list of workers is current
+	deletes  []fleet.JobID  // ended jobs whose records are to be deleted
 }
 
 // pendingCancel is a caller whose cancellation has not been stored yet.
@@ -101,7 +101,7 @@
 // store is slow. A store that is a hundred times slower than usual but still accepts
 // every append must not count as unavailable.
 func (b *outbox) appendTimeout(least time.Duration) time.Duration {
-	return max(least, min(slowStoreFactor*b.appendTook, maxAppendTimeout))
+	return max(least, min(slowStoreFactor*b.callTook, maxAppendTimeout))
 }
 
 // markDirty queues a job's progress for the next batch.
@@ -317,7 +317,7 @@
 func (sc *Scheduler) commit(end fleet.Offset, sentAt time.Time) {
 	b := &sc.outbox
 	s := b.inFlight
-	b.inFlight, b.end, b.appendTook = nil, end, sc.now.Sub(s.firstTry)
+	b.inFlight, b.end, b.callTook = nil, end, sc.now.Sub(sentAt)
 	sc.confirmLead(sentAt)
 	sc.changed = true
 	for _, j := range s.accepted {
--- a/fleet/sched/store_test.go
+++ b/fleet/sched/store_test.go
@@ -329,3 +329,19 @@
 	w.run(2 * w.tick)
 	qt.Assert(t, w.blind, qt.IsFalse)
 }
+
+// Load pattern: the answers of all appends are lost for seconds while jobs arrive, and the store
+// answers reads at once. Each append is found within the least timeout and a read: an answer that
+// is lost does not make the store slow.
+func TestLostAnswersDoNotSlowDownFurtherAppends(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.becomeLead()
+	w.store.lost = true
+	for i := range 6 {
+		f := newFlow(fmt.Sprint("lost-answer", i), "bulk", taskStep(1, 1, time.Minute))
+		id, sent := w.submit(f), w.now
+		w.runUntil(2*time.Second, "answer", func() bool { return w.submitReplies[id] != nil })
+		took := w.now.Sub(sent)
+		qt.Check(t, took < 1100*time.Millisecond, qt.IsTrue, qt.Commentf("job %d, behind at most one other append: %s", i, took))
+	}
+}
