Let a daemon's process be newer than its host's former ones

A daemon's incarnation is the time of day at which it started. If that was set back before a restart, peers kept the former entry as the newer one, and took the lead of the new process for that of a process that is gone: they replaced it at once, each time that it led.

A daemon reads its host's recorded entry before it registers and before it may claim, as before, and now raises its incarnation above the recorded one. It registers once that read has succeeded; it needs the store for both.

TestProcessIsNewerThanThoseBeforeWhateverTheTimeOfDay was written with the code, and fails without the raise: incarnation 5000 after 7000.

--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -135,7 +135,7 @@
 	if term > known {
 		return sched.Claimed{Lead: before, Term: term, End: end, Records: records, SentAt: sentAt}
 	}
-	mine := &wire.Lead{Host: string(self.Host), Addr: self.Addr, Inc: int64(self.Inc), Epoch: before.Epoch + 1}
+	mine := &wire.Lead{Host: string(self.Host), Addr: self.Addr, Inc: int64(d.site.incarnation()), Epoch: before.Epoch + 1}
 	value, err := proto.Marshal(mine)
 	if err != nil {
 		return sched.Claimed{Err: err}
--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -68,17 +68,18 @@
 // follows all of them until the context ends. The entries are read first, as after a
 // restart of all daemons the appends of their own take longer than an election.
 func (s *Site) register(ctx context.Context) {
-	own := &wire.Member{Host: string(s.self.Host), Addr: s.self.Addr, Domain: string(s.self.Domain), Inc: int64(s.self.Inc), Power: int64(s.self.Power)}
-	s.members.update(own)
+	f := follower{site: s, topic: topicHosts, wait: readWait, apply: s.applyMembers}
+	for err := f.step(ctx); err != nil && ctx.Err() == nil; err = f.step(ctx) {
+		f.noteFailure(err)
+		sleep(ctx, followRetryDelay)
+	}
+	f.noteSuccess()
+	own := s.ownEntry()
 	value, err := proto.Marshal(own)
 	if err != nil {
 		s.log(event.StoreFailed, string(topicHosts), "%v", err)
 		return
 	}
-	f := follower{site: s, topic: topicHosts, wait: readWait, apply: s.applyMembers}
-	if err := f.step(ctx); err != nil {
-		f.noteFailure(err)
-	}
 	for ctx.Err() == nil {
 		_, err := s.dispatcher.appendRecords(registerTimeout, topicHosts, -1, []fleet.Record{{Key: own.Host, Value: value}})
 		if err == nil {
@@ -90,6 +91,25 @@
 	f.run(ctx)
 }
 
+// incarnation returns the incarnation of this process. It starts as the time of day at which the
+// process started, and is raised above those of the host's former processes, as the time of day may
+// have been set back since.
+func (s *Site) incarnation() fleet.Incarnation {
+	return max(s.self.Inc, fleet.Incarnation(s.newerThan.Load()+1))
+}
+
+// ownEntry returns the entry of this daemon.
+func (s *Site) ownEntry() *wire.Member {
+	return &wire.Member{Host: string(s.self.Host), Addr: s.self.Addr, Domain: string(s.self.Domain), Inc: int64(s.incarnation()), Power: int64(s.self.Power)}
+}
+
+// noteOwn notes an entry of this host, which may be of a former process.
+func (s *Site) noteOwn(inc fleet.Incarnation) {
+	if inc != s.incarnation() {
+		s.newerThan.Store(max(s.newerThan.Load(), int64(inc)))
+	}
+}
+
 // applyMembers adds the members whose entries were read. No entry is ever removed from the
 // topic, so a listing lacks none that is known.
 func (s *Site) applyMembers(u mirror.Update) {
@@ -99,9 +119,14 @@
 			s.log(event.RecordBad, r.Key, "topic=%s offset=%d: %v", topicHosts, r.Offset, err)
 			continue
 		}
+		if fleet.HostID(m.Host) == s.self.Host {
+			s.noteOwn(fleet.Incarnation(m.Inc))
+			continue
+		}
 		s.members.update(m)
 	}
-	s.loop.Post(sched.Members{All: s.members.list()})
+	s.members.update(s.ownEntry())
+	s.loop.Post(sched.Members{All: s.members.list(), Inc: s.incarnation()})
 }
 
 // follower reads a topic: first the newest record of each key, then every record
--- a/deckd/site/members_test.go
+++ b/deckd/site/members_test.go
@@ -6,8 +6,11 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/mirror"
+	"dragonflydeck.example/fleet/sched"
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 )
 
 // batches answers reads of a topic one after the other.
@@ -39,3 +42,26 @@
 	qt.Check(t, applied, qt.Equals, fleet.Offset(5))
 	qt.Check(t, f.readAt.Before(begun), qt.IsFalse)
 }
+
+// Guards against a lead that is replaced for nothing: its host's time of day was set back before
+// its process started again, so that the process seemed older than the one before, and its peers
+// took its claim for that of a process that is gone.
+func TestProcessIsNewerThanThoseBeforeWhateverTheTimeOfDay(t *testing.T) {
+	standin, client := newStandinStore(t)
+	former, later := newOperatorRigOn(t, standin, client).site, newOperatorRigOn(t, standin, client)
+	former.self.Inc, later.site.self.Inc = 7000, 5000
+	value, err := proto.Marshal(former.ownEntry())
+	qt.Assert(t, err, qt.IsNil)
+	_, err = client.Append(t.Context(), topicHosts, -1, []fleet.Record{{Key: string(testSelf.Host), Value: value}})
+	qt.Assert(t, err, qt.IsNil)
+
+	f := follower{site: later.site, topic: topicHosts, apply: later.site.applyMembers}
+	qt.Assert(t, f.step(t.Context()), qt.IsNil)
+	e := (<-later.events).(sched.Members)
+	qt.Check(t, e.Inc > 7000, qt.IsTrue, qt.Commentf("incarnation %d", e.Inc))
+	qt.Check(t, e.All, qt.DeepEquals, []elect.Member{{Host: testSelf.Host, Inc: e.Inc}})
+	d := &dispatcher{ctx: t.Context(), site: later.site}
+	claimed := d.claim(0)
+	qt.Assert(t, claimed.Err, qt.IsNil)
+	qt.Check(t, claimed.Lead.Inc, qt.Equals, int64(e.Inc))
+}
--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -41,7 +41,7 @@
 type Site struct {
 	settings      fleet.SiteSettings
 	options       Options
-	self          sched.Identity
+	self          sched.Identity // its Inc is that of the start, see incarnation
 	deps          Dependencies
 	pool          *client.Pool
 	logger        *logger.Logger
@@ -60,6 +60,8 @@
 	leaving   atomic.Bool
 
 	leadGained chan struct{} // receives when this daemon becomes the lead
+
+	newerThan atomic.Int64 // newest recorded incarnation of this host's former processes
 }
 
 // Options holds the settings that come from flags and environment variables instead
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -25,8 +25,11 @@
 		AskedAt time.Time
 		Reply   *wire.SightReply
 	}
-	// Members are all daemons of the site, including this one.
-	Members struct{ All []elect.Member }
+	// Members are all daemons of the site, including this one, whose incarnation is Inc.
+	Members struct {
+		All []elect.Member
+		Inc fleet.Incarnation
+	}
 	// Probed is the outcome of a Probe; Err is nil if the store answered.
 	Probed struct{ Err error }
 	// Claimed is the outcome of a Claim: the newest claim in the store, the end of
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -180,6 +180,7 @@
 	case PeerAnswered:
 		sc.handlePeerAnswer(e)
 	case Members:
+		sc.self.Inc = max(sc.self.Inc, e.Inc)
 		sc.Elect.SetMembers(e.All)
 	case Claimed:
 		sc.handleClaimed(e)
