--- a/fleet/flow/apply.go
+++ b/fleet/flow/apply.go
@@ -74,17 +74,6 @@
 	return true
 }
 
-// Complete records that all tasks of the job have succeeded.
-func (j *Job) Complete(now time.Time) {
-	for _, r := range j.Rounds {
-		for _, s := range r.Steps {
-			for i := range s.Tasks {
-				j.finish(s, i, now)
-			}
-		}
-	}
-}
-
 // Fail records that a run of a task failed. A gang's run counts as one failure,
 // however many of its members failed. The job fails when one of its tasks or gangs
 // has failed the given number of times.
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -88,15 +88,6 @@
 	return b.stuck(now) || s != nil && s.failures >= minFailures && now.Sub(s.firstTry) >= failingAfter
 }
 
-// healthyAppend is how long an append to a healthy store takes at most.
-const healthyAppend = 50 * time.Millisecond
-
-// isHealthy reports whether no append is in flight that has failed or is late.
-func (b *outbox) isHealthy(now time.Time) bool {
-	s := b.inFlight
-	return s == nil || !s.doubtful && !s.uncertain && s.retryAt.IsZero() && now.Sub(s.firstTry) < healthyAppend
-}
-
 // appendTimeout returns how long an append may take: least, or longer while the
 // store is slow. A store that is a hundred times slower than usual but still accepts
 // every append must not count as unavailable.
