Expect a former lead's leases until half of the daemons know the new lead

A cut left the store with one daemon of six.

Cause: a new lead counted 1.25 s and one lease from its claim, the time in which a former lead notices that neither the store nor a majority confirms it. A daemon that claims without a majority cannot have told those that confirm the former lead.

The case's record shows that the former lead is confirmed all along, by daemons that hear neither the store nor the new lead; so it neither missed the cut, nor went on against its rule.

A new lead now asks all daemons whether they know it, at once and each 0.5 s. Once half do, the others are no majority, and no former lead is confirmed any more (event 521); it counts from then. Until then it assumes that leases are renewed on all workers that have not accepted its term, and serves those that it reaches.

Hosts that were replaced stayed members for good, so that half of the members might never answer. Heartbeats carry the clock's reading.

Answers of peers are counted by host, as two questions may be on their way at a time.

--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/clock"
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/sched"
 	"dragonflydeck.example/fleet/wire"
@@ -31,6 +32,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case sched.SendBeat:
+			d.site.members.noteReading(clock.Reading(a.Beat.Clock))
 			d.site.heartbeats.send(a.Beat)
 		case sched.AnswerSubmit:
 			d.site.submitWaiters.answer(a.Waiter, a.Reply)
@@ -185,7 +187,7 @@
 				d.site.logCallFailure("ask whether it hears the lead", m.Host, err)
 				return
 			}
-			d.site.loop.Post(sched.PeerAnswered{AskedAt: askedAt, Reply: r})
+			d.site.loop.Post(sched.PeerAnswered{Host: fleet.HostID(m.Host), AskedAt: askedAt, Reply: r})
 		})
 	}
 	group.Wait()
--- a/deckd/site/heartbeat.go
+++ b/deckd/site/heartbeat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/clock"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/sched"
 	"dragonflydeck.example/fleet/wire"
@@ -71,6 +72,7 @@
 			continue
 		}
 		h.site.operator.noteLeadEnd(fleet.Offset(b.Orders))
+		h.site.members.noteReading(clock.Reading(b.Clock))
 		h.site.loop.Post(sched.BeatReceived{Beat: b})
 	}
 }
--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/clock"
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/mirror"
@@ -24,10 +25,19 @@
 	registerTimeout  = 2 * time.Second        // for storing the own entry; all daemons of a site may do so at the same time
 )
 
-// members is the set of known daemons of the site.
+// How long a host that is gone for good counts for majorities. A daemon that is cut off must not
+// be counted out before the cut ends, as its part of the site may go on with a former lead.
+const (
+	renewInterval = 10 * time.Minute // between two renewals of a daemon's entry
+	memberTTL     = 24 * time.Hour   // after the newest renewal; regions lose each other for an hour now and then
+)
+
+// members is the set of known daemons of the site. Their entries are never removed; a host whose
+// entry was not renewed for memberTTL is left out.
 type members struct {
-	mu  sync.RWMutex
-	all map[fleet.HostID]*wire.Member
+	mu     sync.RWMutex
+	all    map[fleet.HostID]*wire.Member
+	newest clock.Reading // of the site's clock
 }
 
 func newMembers() *members { return &members{all: map[fleet.HostID]*wire.Member{}} }
@@ -38,27 +48,64 @@
 	defer m.mu.RUnlock()
 	var out []*wire.Member
 	for id, member := range m.all {
-		if id != self {
+		if id != self && !m.isGone(member) {
 			out = append(out, member)
 		}
 	}
 	return out
 }
 
-func (m *members) list() []elect.Member {
+// list returns every daemon.
+func (m *members) list(self fleet.HostID) []elect.Member {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	var out []elect.Member
 	for id, member := range m.all {
+		if id != self && m.isGone(member) {
+			continue
+		}
 		out = append(out, elect.Member{Host: id, Inc: fleet.Incarnation(member.Inc), Power: fleet.Millicores(member.Power), Domain: fleet.DomainID(member.Domain)})
 	}
 	return out
 }
 
+// isGone reports whether a host has not renewed its entry for long.
+func (m *members) isGone(member *wire.Member) bool {
+	return time.Duration(int64(m.newest)-member.Stamp)*time.Millisecond > memberTTL
+}
+
+// gone returns the hosts that are left out.
+func (m *members) gone(self fleet.HostID) []fleet.HostID {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []fleet.HostID
+	for id, member := range m.all {
+		if id != self && m.isGone(member) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// noteReading notes a reading of the site's clock.
+func (m *members) noteReading(r clock.Reading) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.newest = max(m.newest, r)
+}
+
+// reading returns the newest known reading of the site's clock.
+func (m *members) reading() clock.Reading {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.newest
+}
+
 // update adds a member, or replaces its entry unless the known one is newer.
 func (m *members) update(member *wire.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.newest = max(m.newest, clock.Reading(member.Stamp))
 	if before, ok := m.all[fleet.HostID(member.Host)]; !ok || member.Inc >= before.Inc {
 		m.all[fleet.HostID(member.Host)] = member
 	}
@@ -74,21 +121,36 @@
 		sleep(ctx, followRetryDelay)
 	}
 	f.noteSuccess()
-	own := s.ownEntry()
-	value, err := proto.Marshal(own)
-	if err != nil {
-		s.log(event.StoreFailed, string(topicHosts), "%v", err)
-		return
+	s.storeEntry(ctx)
+	f.run(ctx)
+}
+
+// renewEntry stores this daemon's entry again at each tick, until the context ends.
+func (s *Site) renewEntry(ctx context.Context, ticks <-chan time.Time) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+			s.storeEntry(ctx)
+		}
 	}
+}
+
+// storeEntry stores this daemon's entry, and tries until it succeeds or the context ends.
+func (s *Site) storeEntry(ctx context.Context) {
 	for ctx.Err() == nil {
-		_, err := s.dispatcher.appendRecords(registerTimeout, topicHosts, -1, []fleet.Record{{Key: own.Host, Value: value}})
+		own := s.ownEntry()
+		value, err := proto.Marshal(own)
 		if err == nil {
-			break
+			_, err = s.dispatcher.appendRecords(registerTimeout, topicHosts, -1, []fleet.Record{{Key: own.Host, Value: value}})
+		}
+		if err == nil {
+			return
 		}
 		s.log(event.StoreFailed, string(topicHosts), "register: %v", err)
 		sleep(ctx, followRetryDelay)
 	}
-	f.run(ctx)
 }
 
 // incarnation returns the incarnation of this process. It starts as the time of day at which the
@@ -100,7 +162,7 @@
 
 // ownEntry returns the entry of this daemon.
 func (s *Site) ownEntry() *wire.Member {
-	return &wire.Member{Host: string(s.self.Host), Addr: s.self.Addr, Domain: string(s.self.Domain), Inc: int64(s.incarnation()), Power: int64(s.self.Power)}
+	return &wire.Member{Host: string(s.self.Host), Addr: s.self.Addr, Domain: string(s.self.Domain), Inc: int64(s.incarnation()), Power: int64(s.self.Power), Stamp: int64(s.members.reading())}
 }
 
 // noteOwn notes an entry of this host, which may be of a former process.
@@ -126,7 +188,19 @@
 		s.members.update(m)
 	}
 	s.members.update(s.ownEntry())
-	s.loop.Post(sched.Members{All: s.members.list(), Inc: s.incarnation()})
+	s.logGone()
+	s.loop.Post(sched.Members{All: s.members.list(s.self.Host), Inc: s.incarnation()})
+}
+
+// logGone logs the hosts that are left out since the last call.
+func (s *Site) logGone() {
+	gone := map[fleet.HostID]bool{}
+	for _, id := range s.members.gone(s.self.Host) {
+		if gone[id] = true; !s.gone[id] {
+			s.log(event.HostGone, string(id), "not renewed for %s", memberTTL)
+		}
+	}
+	s.gone = gone
 }
 
 // follower reads a topic: first the newest record of each key, then every record
--- a/deckd/site/members_test.go
+++ b/deckd/site/members_test.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/clock"
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/mirror"
 	"dragonflydeck.example/fleet/sched"
+	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 )
@@ -65,3 +67,49 @@
 	qt.Assert(t, claimed.Err, qt.IsNil)
 	qt.Check(t, claimed.Lead.Inc, qt.Equals, int64(e.Inc))
 }
+
+// Hosts that are gone for good must not count for majorities for ever, and one that was cut off
+// for less than a day always counts.
+func TestHostThatIsGoneForADayLeavesTheMembers(t *testing.T) {
+	m := newMembers()
+	for _, id := range []string{"own", "gone", "lives"} {
+		m.update(&wire.Member{Host: id, Addr: id, Inc: 1, Stamp: 1000})
+	}
+	day := clock.Reading(memberTTL.Milliseconds())
+	m.noteReading(1000 + day)
+	qt.Check(t, m.list("own"), qt.HasLen, 3)
+	m.update(&wire.Member{Host: "lives", Addr: "lives", Inc: 1, Stamp: int64(1001 + day)})
+	qt.Check(t, m.list("own"), qt.HasLen, 2, qt.Commentf("the own entry always counts"))
+	qt.Check(t, m.others("own"), qt.HasLen, 1)
+	qt.Check(t, m.gone("own"), qt.DeepEquals, []fleet.HostID{"gone"})
+	m.update(&wire.Member{Host: "gone", Addr: "gone", Inc: 2, Stamp: int64(m.reading())})
+	qt.Check(t, m.list("own"), qt.HasLen, 3, qt.Commentf("it is back"))
+}
+
+// A daemon renews its entry at each tick, with the newest reading that it knows.
+func TestDaemonRenewsItsEntry(t *testing.T) {
+	standin, client := newStandinStore(t)
+	r := newOperatorRigOn(t, standin, client)
+	r.site.dispatcher = &dispatcher{ctx: t.Context(), site: r.site}
+	ticks, ended := make(chan time.Time), make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		defer close(ended)
+		r.site.renewEntry(ctx, ticks)
+	}()
+	for _, reading := range []clock.Reading{7, 9} {
+		r.site.members.noteReading(reading)
+		ticks <- time.Time{}
+	}
+	cancel()
+	<-ended
+	b, err := client.Read(t.Context(), topicHosts, 0, 0)
+	qt.Assert(t, err, qt.IsNil)
+	var stamps []int64
+	for _, record := range b.Records {
+		m := &wire.Member{}
+		qt.Assert(t, proto.Unmarshal(record.Value, m), qt.IsNil)
+		stamps = append(stamps, m.Stamp)
+	}
+	qt.Check(t, len(stamps) >= 1 && stamps[0] == 7, qt.IsTrue, qt.Commentf("stamps %v", stamps))
+}
--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -61,7 +61,8 @@
 
 	leadGained chan struct{} // receives when this daemon becomes the lead
 
-	newerThan atomic.Int64 // newest recorded incarnation of this host's former processes
+	newerThan atomic.Int64          // newest recorded incarnation of this host's former processes
+	gone      map[fleet.HostID]bool // hosts that are left out of the members, as logged
 }
 
 // Options holds the settings that come from flags and environment variables instead
@@ -172,7 +173,9 @@
 	s.loop = s.newLoop(sched.New(s.self, limitsOf(s.settings), time.Now()))
 	go s.loop.Run(ctx)
 	go s.heartbeats.run(ctx)
+	renewals := s.timer.Every(renewInterval)
 	s.dispatcher.group.Go(func() { s.register(ctx) })
+	s.dispatcher.group.Go(func() { s.renewEntry(ctx, renewals) })
 	s.dispatcher.group.Go(func() { s.operator.follow(ctx) })
 	s.dispatcher.group.Go(func() { s.operator.catchUp(ctx) })
 	s.dispatcher.group.Go(func() { (&workerFollower{site: s}).follow(ctx) })
--- a/fleet/clock/clock.go
+++ b/fleet/clock/clock.go
@@ -11,7 +11,8 @@
 // which have none, and above 0 elsewhere.
 type Reading int64
 
-// Clock is a site's clock as one lead continues it.
+// Clock is a site's clock as one lead continues it. The zero Clock is that of a lead that has not
+// read the store yet; it shows no reading.
 type Clock struct {
 	base  Reading
 	since time.Time // when the clock showed base
@@ -23,6 +24,9 @@
 
 // Read returns the reading at a time.
 func (c Clock) Read(at time.Time) Reading {
+	if c.since.IsZero() {
+		return 0
+	}
 	return c.base + Reading(at.Sub(c.since).Milliseconds())
 }
 
--- a/fleet/clock/clock_test.go
+++ b/fleet/clock/clock_test.go
@@ -61,3 +61,10 @@
 		}
 	})
 }
+
+// A lead sends its first heartbeat before it has read the store.
+func TestZeroClockShowsNoReading(t *testing.T) {
+	if r := (clock.Clock{}).Read(time.Now()); r != 0 {
+		t.Fatalf("the zero clock reads %d", r)
+	}
+}
--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -358,6 +358,10 @@
 // of all members.
 func (e *Elector) Majority(peers int) bool { return 2*(peers+1) > len(e.members) }
 
+// BlocksMajority reports whether the members that are neither this daemon nor among this
+// number of peers are no majority.
+func (e *Elector) BlocksMajority(peers int) bool { return 2*(len(e.members)-peers-1) <= len(e.members) }
+
 // AllAsked reports whether this number of peers are all that were asked.
 func (e *Elector) AllAsked(peers int) bool { return peers+1 >= e.askedCount() }
 
--- a/fleet/sched/clock_test.go
+++ b/fleet/sched/clock_test.go
@@ -162,3 +162,20 @@
 		w.runUntil(20*time.Second, "end of the status", func() bool { return !w.knows(f) })
 	}
 }
+
+// Guards against hosts that are counted out by a wrong reading of the site's clock: a new lead's first
+// heartbeat leaves before it has read the store.
+func TestHeartbeatsCarryNoReadingAheadOfTheSitesClock(t *testing.T) {
+	w := newLeadOfFour(t, 1, 1)
+	for _, ahead := range clockErrors {
+		w.run(time.Minute)
+		w.runCompleted(fleet.JobID(fmt.Sprint("beats", ahead)))
+		w.ahead = ahead
+		w.restartDaemon()
+		w.post(fourMembers())
+		w.becomeLead()
+	}
+	elapsed := w.now.Sub(startTime).Milliseconds()
+	qt.Check(t, int64(w.newestReading) <= elapsed, qt.IsTrue, qt.Commentf("%d ms in heartbeats after %d ms", w.newestReading, elapsed))
+	qt.Check(t, int64(w.newestReading) > elapsed/2, qt.IsTrue, qt.Commentf("%d ms in heartbeats after %d ms", w.newestReading, elapsed))
+}
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -20,8 +20,9 @@
 type (
 	// BeatReceived is a lead's heartbeat.
 	BeatReceived struct{ Beat *wire.Beat }
-	// PeerAnswered is a peer's answer to AskPeers. AskedAt is when the peers were asked.
+	// PeerAnswered is the answer of a host to AskPeers. AskedAt is when the peers were asked.
 	PeerAnswered struct {
+		Host    fleet.HostID
 		AskedAt time.Time
 		Reply   *wire.SightReply
 	}
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -21,6 +21,9 @@
 	trackKey = "track/"
 )
 
+// firstEpoch is that of a site's first lead.
+const firstEpoch = 1
+
 // runsPerEpoch separates the run numbers of successive leads, so that those of the
 // newer lead are always higher.
 const runsPerEpoch = 1 << 12
@@ -73,6 +76,11 @@
 	for _, w := range sc.pool.Sorted() {
 		w.ExpectForeignLeases(sc.now.Add(aloneDetection)) // a former lead may renew leases until it notices that it is cut off
 	}
+	if e.Lead.Epoch <= firstEpoch {
+		sc.succession.settled = true // there is no former lead
+	} else {
+		sc.settleSuccession()
+	}
 	sc.changed = true
 	sc.logf(event.LeadReady, string(sc.self.Host), "term=%d jobs=%d workers=%d", sc.term, len(sc.jobs), len(sc.pool.Workers))
 }
@@ -232,7 +240,7 @@
 	b := &wire.Beat{
 		Host: string(sc.self.Host), Addr: sc.self.Addr, Term: int64(sc.term),
 		Orders: int64(sc.configEnd), Blind: sc.outbox.blind(sc.now), Leaving: sc.leaving, Power: int64(sc.self.Power),
-		Inc: int64(sc.self.Inc), Alone: sc.quorum.alone,
+		Inc: int64(sc.self.Inc), Alone: sc.quorum.alone, Clock: int64(sc.clock.Read(sc.now)),
 	}
 	sc.Elect.NoteBeat(b, sc.now)
 	sc.emit(SendBeat{b})
--- a/fleet/sched/quorum.go
+++ b/fleet/sched/quorum.go
@@ -17,13 +17,16 @@
 	aloneDetection  = confirmationAge + elect.BeatInterval            // upper bound on how long a lead goes on after it was replaced; a peer hears a new lead with its first heartbeat
 )
 
+// hosts is a set of hosts.
+type hosts map[fleet.HostID]bool
+
 // quorum is what the lead knows about its connection to the store and its peers.
 type quorum struct {
 	confirmedAt time.Time // when the newest call was sent with which the store confirmed the lead
 	checkedAt   time.Time // when the store was last asked; zero while there is no need to ask
 	askedAt     time.Time // when the peers were last asked; zero while there is no need to ask
 	counted     bool      // the answers of the current round were counted
-	answers     int       // in the current round
+	answers     hosts     // peers that have answered in the current round
 	alone       bool      // neither the store nor a majority answers
 	majorityAt  time.Time // when the newest round was sent that a majority answered
 }
@@ -71,7 +74,7 @@
 	}
 	switch since := sc.now.Sub(q.askedAt); {
 	case q.askedAt.IsZero() || since >= quorumInterval:
-		q.askedAt, q.counted, q.answers = sc.now, false, 0
+		q.askedAt, q.counted, q.answers = sc.now, false, hosts{}
 		sc.emit(AskPeers{All: true})
 	case !q.counted && since >= elect.AskTimeout:
 		sc.countAnswers()
@@ -100,7 +103,7 @@
 func (sc *Scheduler) countAnswers() {
 	q := &sc.quorum
 	q.counted = true
-	alone := !sc.Elect.Majority(q.answers)
+	alone := !sc.Elect.Majority(len(q.answers))
 	if !alone {
 		q.majorityAt = q.askedAt
 	}
@@ -122,7 +125,10 @@
 		sc.stepDown("a peer hears a newer lead", fleet.Term(r.Term))
 		return
 	}
-	if !e.AskedAt.Before(sc.quorum.askedAt) {
-		sc.quorum.answers++
+	if !sc.quorum.askedAt.IsZero() && !e.AskedAt.Before(sc.quorum.askedAt) {
+		sc.quorum.answers[e.Host] = true
+	}
+	if r.Term == int64(sc.term) {
+		sc.noteFollower(e.Host)
 	}
 }
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -66,8 +66,10 @@
 	mode    mode
 	leaving bool
 	quorum  quorum
-	term    fleet.Term
-	epoch   int64
+
+	succession succession
+	term       fleet.Term
+	epoch      int64
 
 	leadingSince time.Time   // when this daemon became the lead
 	clock        clock.Clock // of the site, since then
@@ -118,7 +120,8 @@
 	sc.estimateErrors = map[string]*estimateError{}
 	sc.stepMeans = map[*flow.Step]*stepMean{}
 	sc.speeds, sc.goneSpeeds = newSpeeds(), nil
-	sc.quorum = quorum{confirmedAt: sc.now}
+	sc.clock = clock.Clock{}
+	sc.quorum, sc.succession = quorum{confirmedAt: sc.now}, succession{followers: hosts{}}
 	sc.unreachable, sc.domainPolledAt = nil, map[fleet.DomainID]time.Time{}
 }
 
@@ -135,6 +138,7 @@
 	if sc.mode == leading {
 		sc.dispatchStarts()
 		sc.checkQuorum()
+		sc.checkSuccession()
 		sc.beat()
 		if sc.now.Sub(sc.supervisedAt) >= superviseInterval {
 			sc.supervisedAt = sc.now
--- /dev/null
+++ b/fleet/sched/succession.go
@@ -0,0 +1,67 @@
+package sched
+
+import (
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/event"
+)
+
+// succession is what a lead knows about the end of its predecessors. One that hears neither the
+// store nor this lead goes on to renew leases for as long as a majority of the daemons confirms
+// it. None can be confirmed any more once so many daemons know this lead that the others are no
+// majority: a daemon never confirms a term that is older than one it knows.
+type succession struct {
+	followers hosts     // daemons that know this lead
+	askedAt   time.Time // when the peers were last asked
+	settled   bool      // no former lead can be confirmed any more
+	renewedAt time.Time // when foreign leases were last assumed to be renewed
+}
+
+// noteFollower records that a peer knows this lead.
+func (sc *Scheduler) noteFollower(host fleet.HostID) {
+	if !sc.succession.settled {
+		sc.succession.followers[host] = true
+		sc.settleSuccession()
+	}
+}
+
+// settleSuccession notes when enough daemons know this lead. From then on a former lead goes on
+// for as long as it takes to notice.
+func (sc *Scheduler) settleSuccession() {
+	s := &sc.succession
+	if !sc.Elect.BlocksMajority(len(s.followers)) {
+		return
+	}
+	s.settled = true
+	sc.assumeForeignLeases()
+	sc.logf(event.LeadSettled, string(sc.self.Host), "term=%d followers=%d after=%s", sc.term, len(s.followers), sc.now.Sub(sc.leadingSince))
+}
+
+// assumeForeignLeases assumes that a former lead renews the leases of all workers that have not
+// accepted this lead's term, until it notices that it was replaced.
+func (sc *Scheduler) assumeForeignLeases() {
+	sc.succession.renewedAt = sc.now
+	for _, w := range sc.pool.Workers {
+		if !w.Synced {
+			w.AssumeLease(sc.now.Add(aloneDetection))
+		}
+	}
+}
+
+// checkSuccession asks the peers whether they know this lead, until enough do. Load pattern: a
+// failure domain is cut off together with the store, and a daemon in it takes the lead, while
+// the former one goes on with the majority of the daemons. The tasks there must not start again.
+func (sc *Scheduler) checkSuccession() {
+	s := &sc.succession
+	if s.settled {
+		return
+	}
+	if sc.now.Sub(s.renewedAt) >= superviseInterval {
+		sc.assumeForeignLeases()
+	}
+	if s.askedAt.IsZero() || sc.now.Sub(s.askedAt) >= quorumInterval {
+		s.askedAt = sc.now
+		sc.emit(AskPeers{All: true})
+	}
+}
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/clock"
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/queue"
@@ -65,6 +66,8 @@
 	appendDelay   time.Duration // extra duration of appends
 	peerAnswers   int           // number of peers that answer
 	peerAsks      int           // how often the peers were asked
+	newestReading clock.Reading // of the site's clock, in heartbeats
+	beatsLost     bool          // peers that answer do not hear the daemon's heartbeats
 	alone, blind  bool          // as in the newest heartbeat
 	claimDelay    time.Duration // extra duration of a claim
 	claims        int           // how often the daemon has claimed
@@ -265,10 +268,15 @@
 			w.leavingBeats++
 		}
 		w.alone, w.blind = a.Beat.Alone, a.Beat.Blind
+		w.newestReading = max(w.newestReading, clock.Reading(a.Beat.Clock))
 	case sched.AskPeers:
 		w.peerAsks++
-		for range w.peerAnswers {
-			w.postAfter(callTime, sched.PeerAnswered{AskedAt: w.local(), Reply: &wire.SightReply{}})
+		reply := &wire.SightReply{}
+		if w.scheduler.Leads() && !w.beatsLost {
+			reply.Term = int64(w.scheduler.Elect.Lead().Term)
+		}
+		for i := range w.peerAnswers {
+			w.postAfter(callTime, sched.PeerAnswered{Host: fleet.HostID(fmt.Sprint("e", i+2)), AskedAt: w.local(), Reply: reply})
 		}
 	case sched.Claim:
 		w.claim()
