Reading the change: one split of the members, one place for a former lead's leases

The members were filtered in three loops; split gives those that count and those that are left out, and the rest is built from it. A new lead assumed the leases of its predecessor in a loop of its own, beside assumeForeignLeases; both now go through pool.ExpectForeignLeases. allAsked is used by its package alone since the copies of ends are gone. Two tests repeated replaceLead.

TestDaemonRenewsItsEntry now checks the second renewal as well; that the own entry is not left out is checked by the hosts that are.

--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -42,31 +42,20 @@
 
 func newMembers() *members { return &members{all: map[fleet.HostID]*wire.Member{}} }
 
-// others returns every daemon except self.
-func (m *members) others(self fleet.HostID) []*wire.Member {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	var out []*wire.Member
-	for id, member := range m.all {
-		if id != self && !m.isGone(member) {
-			out = append(out, member)
-		}
-	}
-	return out
-}
-
-// list returns every daemon.
-func (m *members) list(self fleet.HostID) []elect.Member {
+// split returns the daemons except self: those that count, and those that are left out.
+func (m *members) split(self fleet.HostID) (present, gone []*wire.Member) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	var out []elect.Member
 	for id, member := range m.all {
-		if id != self && m.isGone(member) {
-			continue
+		switch {
+		case id == self:
+		case m.isGone(member):
+			gone = append(gone, member)
+		default:
+			present = append(present, member)
 		}
-		out = append(out, elect.Member{Host: id, Inc: fleet.Incarnation(member.Inc), Power: fleet.Millicores(member.Power), Domain: fleet.DomainID(member.Domain)})
 	}
-	return out
+	return present, gone
 }
 
 // isGone reports whether a host has not renewed its entry for long.
@@ -74,15 +63,17 @@
 	return time.Duration(int64(m.newest)-member.Stamp)*time.Millisecond > memberTTL
 }
 
-// gone returns the hosts that are left out.
-func (m *members) gone(self fleet.HostID) []fleet.HostID {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	var out []fleet.HostID
-	for id, member := range m.all {
-		if id != self && m.isGone(member) {
-			out = append(out, id)
-		}
+// others returns every daemon that counts except self.
+func (m *members) others(self fleet.HostID) []*wire.Member {
+	present, _ := m.split(self)
+	return present
+}
+
+// electors converts entries to members of the election.
+func electors(entries []*wire.Member) []elect.Member {
+	var out []elect.Member
+	for _, e := range entries {
+		out = append(out, elect.Member{Host: fleet.HostID(e.Host), Inc: fleet.Incarnation(e.Inc), Power: fleet.Millicores(e.Power), Domain: fleet.DomainID(e.Domain)})
 	}
 	return out
 }
@@ -187,20 +178,23 @@
 		}
 		s.members.update(m)
 	}
-	s.members.update(s.ownEntry())
-	s.logGone()
-	s.loop.Post(sched.Members{All: s.members.list(s.self.Host), Inc: s.incarnation()})
+	own := s.ownEntry()
+	s.members.update(own)
+	present, gone := s.members.split(s.self.Host)
+	s.logGone(gone)
+	s.loop.Post(sched.Members{All: electors(append(present, own)), Inc: s.incarnation()})
 }
 
 // logGone logs the hosts that are left out since the last call.
-func (s *Site) logGone() {
-	gone := map[fleet.HostID]bool{}
-	for _, id := range s.members.gone(s.self.Host) {
-		if gone[id] = true; !s.gone[id] {
-			s.log(event.HostGone, string(id), "not renewed for %s", memberTTL)
+func (s *Site) logGone(gone []*wire.Member) {
+	logged := s.gone
+	s.gone = map[fleet.HostID]bool{}
+	for _, m := range gone {
+		id := fleet.HostID(m.Host)
+		if s.gone[id] = true; !logged[id] {
+			s.log(event.HostGone, m.Host, "not renewed for %s", memberTTL)
 		}
 	}
-	s.gone = gone
 }
 
 // follower reads a topic: first the newest record of each key, then every record
--- a/deckd/site/members_test.go
+++ b/deckd/site/members_test.go
@@ -77,13 +77,14 @@
 	}
 	day := clock.Reading(memberTTL.Milliseconds())
 	m.noteReading(1000 + day)
-	qt.Check(t, m.list("own"), qt.HasLen, 3)
+	qt.Check(t, m.others("own"), qt.HasLen, 2)
 	m.update(&wire.Member{Host: "lives", Addr: "lives", Inc: 1, Stamp: int64(1001 + day)})
-	qt.Check(t, m.list("own"), qt.HasLen, 2, qt.Commentf("the own entry always counts"))
 	qt.Check(t, m.others("own"), qt.HasLen, 1)
-	qt.Check(t, m.gone("own"), qt.DeepEquals, []fleet.HostID{"gone"})
+	_, gone := m.split("own")
+	qt.Assert(t, gone, qt.HasLen, 1)
+	qt.Check(t, gone[0].Host, qt.Equals, "gone")
 	m.update(&wire.Member{Host: "gone", Addr: "gone", Inc: 2, Stamp: int64(m.reading())})
-	qt.Check(t, m.list("own"), qt.HasLen, 3, qt.Commentf("it is back"))
+	qt.Check(t, m.others("own"), qt.HasLen, 2, qt.Commentf("it is back"))
 }
 
 // A daemon renews its entry at each tick, with the newest reading that it knows.
@@ -97,7 +98,7 @@
 		defer close(ended)
 		r.site.renewEntry(ctx, ticks)
 	}()
-	for _, reading := range []clock.Reading{7, 9} {
+	for _, reading := range []clock.Reading{7, 9, 11} { // a tick is taken once the entry before is stored
 		r.site.members.noteReading(reading)
 		ticks <- time.Time{}
 	}
@@ -111,5 +112,6 @@
 		qt.Assert(t, proto.Unmarshal(record.Value, m), qt.IsNil)
 		stamps = append(stamps, m.Stamp)
 	}
-	qt.Check(t, len(stamps) >= 1 && stamps[0] == 7, qt.IsTrue, qt.Commentf("stamps %v", stamps))
+	qt.Assert(t, len(stamps) >= 2, qt.IsTrue, qt.Commentf("stamps %v", stamps))
+	qt.Check(t, stamps[:2], qt.DeepEquals, []int64{7, 9})
 }
--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -317,7 +317,7 @@
 		e.asked, e.hearing, e.missing = now, 0, 0
 		return Ask
 	}
-	if now.Sub(e.asked) < AskTimeout && !e.AllAsked(e.hearing+e.missing) && !e.majorityMisses() {
+	if now.Sub(e.asked) < AskTimeout && !e.allAsked(e.hearing+e.missing) && !e.majorityMisses() {
 		return Wait
 	}
 	e.isolated = !e.majority()
@@ -362,8 +362,8 @@
 // number of peers are no majority.
 func (e *Elector) BlocksMajority(peers int) bool { return 2*(len(e.members)-peers-1) <= len(e.members) }
 
-// AllAsked reports whether this number of peers are all that were asked.
-func (e *Elector) AllAsked(peers int) bool { return peers+1 >= e.askedCount() }
+// allAsked reports whether this number of peers are all that were asked.
+func (e *Elector) allAsked(peers int) bool { return peers+1 >= e.askedCount() }
 
 // majorityMisses reports whether more than half of the daemons that were asked, this
 // one included, miss the lead.
--- a/fleet/sched/clock_test.go
+++ b/fleet/sched/clock_test.go
@@ -21,6 +21,9 @@
 	w.t.Helper()
 	w.ahead = ahead
 	w.restartDaemon()
+	if w.peerAnswers > 0 {
+		w.post(fourMembers())
+	}
 	w.becomeLead()
 }
 
@@ -154,9 +157,7 @@
 		back := w.now
 		w.run(2 * time.Second)
 		if leadLost {
-			w.restartDaemon()
-			w.post(fourMembers())
-			w.becomeLead()
+			w.replaceLead(0)
 		}
 		w.runKnown(back.Add(limits.Status), f)
 		w.runUntil(20*time.Second, "end of the status", func() bool { return !w.knows(f) })
@@ -170,10 +171,7 @@
 	for _, ahead := range clockErrors {
 		w.run(time.Minute)
 		w.runCompleted(fleet.JobID(fmt.Sprint("beats", ahead)))
-		w.ahead = ahead
-		w.restartDaemon()
-		w.post(fourMembers())
-		w.becomeLead()
+		w.replaceLead(ahead)
 	}
 	elapsed := w.now.Sub(startTime).Milliseconds()
 	qt.Check(t, int64(w.newestReading) <= elapsed, qt.IsTrue, qt.Commentf("%d ms in heartbeats after %d ms", w.newestReading, elapsed))
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -73,9 +73,7 @@
 	sc.sendBeat()
 	sc.restore(e.Records)
 	sc.recallWorkers()
-	for _, w := range sc.pool.Sorted() {
-		w.ExpectForeignLeases(sc.now.Add(aloneDetection)) // a former lead may renew leases until it notices that it is cut off
-	}
+	sc.assumeForeignLeases()
 	if e.Lead.Epoch <= firstEpoch {
 		sc.succession.settled = true // there is no former lead
 	} else {
--- a/fleet/sched/succession.go
+++ b/fleet/sched/succession.go
@@ -39,12 +39,12 @@
 }
 
 // assumeForeignLeases assumes that a former lead renews the leases of all workers that have not
-// accepted this lead's term, until it notices that it was replaced.
+// accepted this lead's term, until it notices that it was replaced or cut off.
 func (sc *Scheduler) assumeForeignLeases() {
 	sc.succession.renewedAt = sc.now
 	for _, w := range sc.pool.Workers {
 		if !w.Synced {
-			w.AssumeLease(sc.now.Add(aloneDetection))
+			w.ExpectForeignLeases(sc.now.Add(aloneDetection))
 		}
 	}
 }
