Log when ends are stored and told, and what a new lead reads of a job

Answers to questions about jobs were not logged at all.

The lead now logs 323 when the store holds ends of a job's runs (how many, the offset, how long it took), 324 when it first tells how a job ended (and since when that is stored), and a new lead logs 325 for each job that it goes on with (unfinished tasks, age of the record). 606 has the lead's term, and heard=none instead of the largest duration for a worker that was never heard.

No decision changes. One line a job for 324, at most one a job and append for 323, at most one for each unfinished job and lead for 325, within the limit of lines a second as all events.

--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -44,6 +44,9 @@
 	RunLost         Code = 318
 	JobCapped       Code = 319
 	JobForgotten    Code = 322
+	EndsStored      Code = 323
+	EndTold         Code = 324
+	JobRestored     Code = 325
 	SpaceSet        Code = 401
 	SpaceDropped    Code = 402
 	DomainOut       Code = 403
@@ -142,6 +145,9 @@
 	{RunLost, "run-lost", Warn, "a run was lost with its worker; the line says how long after its start the worker was last heard, how many other runs stood beside it and how many were just starting, and how much its task is to blame", "if the same task often has `blame=likely`, it crashes its workers and is given up (308)"},
 	{JobCapped, "job-capped", Info, "a job waits because its workspace has all running that its cap allows; the line holds what the job needs, what the workspace uses and the cap", "raise the cap if the workspace is meant to have more"},
 	{JobForgotten, "job-forgotten", Info, "the status of a job that ended is no longer kept, and its record is deleted; the line says how long it was kept, and whether a former lead accepted the job", "nothing"},
+	{EndsStored, "ends-stored", Info, "the store holds ends of a job's runs, so that workers may forget them; the line says how many, the offset after the record, how long after the first of them was reported, and whether the job has ended", "nothing"},
+	{EndTold, "end-told", Info, "the lead told how a job ended, for the first time in its term; the line says for how long the end has been stored, or that a former lead stored it", "nothing"},
+	{JobRestored, "job-restored", Info, "a new lead goes on with a job that has not ended; the line says how many of its tasks are unfinished by the job's record, and how old that record is", "nothing"},
 	{SpaceSet, "space-set", Info, "a workspace was created or changed", "nothing"},
 	{SpaceDropped, "space-dropped", Info, "a workspace was removed", "nothing"},
 	{DomainOut, "domain-out", Warn, "a failure domain was taken out of service", "nothing"},
--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -89,6 +89,9 @@
 // Begun reports whether a run of any task of the job has been sent to a worker.
 func (j *Job) Begun() bool { return j.begun }
 
+// Unfinished returns how many tasks of the job have not succeeded.
+func (j *Job) Unfinished() int { return j.unfinished }
+
 // Repeats reports whether the job has rounds that start at fixed times.
 func (j *Job) Repeats() bool { return j.Spec.GetRepeat().GetCount() > 0 }
 
--- a/fleet/sched/ends.go
+++ b/fleet/sched/ends.go
@@ -25,6 +25,7 @@
 	newest := j.ClearRun(e.Task, e.Run, sc.now)
 	if newest || e.How == fleet.EndDone {
 		sc.outbox.markDirty(j)
+		j.unstoredEnds.note(sc.now)
 	}
 	switch e.How {
 	case fleet.EndDone:
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -23,7 +23,10 @@
 	dirty          bool
 	madeAt         clock.Reading // when the record of its newest progress was made
 	endStored      bool
-	lastBatch      uint64 // number of the batch with its newest progress
+	endStoredAt    time.Time    // zero if a former lead stored it
+	endTold        bool         // this lead has told how the job ended
+	unstoredEnds   reportedEnds // that the newest record does not hold
+	lastBatch      uint64       // number of the batch with its newest progress
 	waiters        []submitter
 	preemptedAt    time.Time                  // when runs were last preempted for it
 	preemptTriedAt time.Time                  // when runs to preempt for it were last searched for
@@ -43,6 +46,19 @@
 	fits       bool
 }
 
+// reportedEnds counts ends of a job's runs that workers have reported.
+type reportedEnds struct {
+	count int
+	since time.Time // when the first of them was reported
+}
+
+func (r *reportedEnds) note(now time.Time) {
+	if r.count == 0 {
+		r.since = now
+	}
+	r.count++
+}
+
 // submitter is a caller that waits until its job is stored.
 type submitter struct {
 	waiter   Waiter
@@ -126,6 +142,7 @@
 		sc.logf(event.JobCancelled, string(j.ID), "term=%d", sc.term)
 		sc.changed = true
 	} else if j.endStored {
+		sc.noteTold(j)
 		sc.emit(AnswerCancel{e.Waiter, &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: j.Stage()}})
 		return
 	}
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -111,6 +111,19 @@
 		j.endStored = j.HasEnded()
 		sc.adopt(j)
 	}
+	for _, f := range flows {
+		if j := sc.jobs[fleet.JobID(f.Id)]; !j.HasEnded() {
+			sc.logf(event.JobRestored, string(j.ID), "term=%d unfinished=%d record=%s", sc.term, j.Unfinished(), sc.recordAge(j))
+		}
+	}
+}
+
+// recordAge describes how old the record of a job's progress is.
+func (sc *Scheduler) recordAge(j *job) string {
+	if j.madeAt == 0 {
+		return "none"
+	}
+	return sc.now.Sub(sc.clock.Time(j.madeAt)).String()
 }
 
 // decode returns the jobs and their progress from their records, and restores the speeds of
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -64,11 +64,18 @@
 	accepted  []*job
 	cancels   []pendingCancel
 	ended     []*job // whose ends it holds
+	reported  []jobEnds
 	starts    []pendingStart
 	speeds    []*wire.Speed
 	ends      map[fleet.HostID]fleet.EndNo // newest run end of each worker that may be acknowledged once the batch is stored
 }
 
+// jobEnds are ends of a job's runs that a batch holds.
+type jobEnds struct {
+	job *job
+	reportedEnds
+}
+
 // stuck reports whether the store seems to be unavailable.
 func (b *outbox) stuck(now time.Time) bool {
 	return b.inFlight != nil && now.Sub(b.inFlight.firstTry) > b.appendTimeout(minStuckAfter)
@@ -182,6 +189,10 @@
 			if j.HasEnded() {
 				s.ended = append(s.ended, j)
 			}
+			if j.unstoredEnds.count > 0 {
+				s.reported = append(s.reported, jobEnds{j, j.unstoredEnds})
+				j.unstoredEnds = reportedEnds{}
+			}
 		}
 	}
 	for _, id := range b.deletes {
@@ -319,7 +330,11 @@
 	for _, j := range s.ended {
 		sc.noteEndStored(j)
 	}
+	for _, r := range s.reported {
+		sc.logf(event.EndsStored, string(r.job.ID), "ends=%d end=%d after=%s ended=%t", r.count, end, sc.now.Sub(r.since), r.job.endStored)
+	}
 	for _, d := range s.cancels {
+		sc.noteTold(d.job)
 		sc.emit(AnswerCancel{d.waiter, &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: d.job.Stage()}})
 	}
 	for host, no := range s.ends {
@@ -334,7 +349,9 @@
 // noteEndStored notes that the store holds the end of a job. A record that was made long before,
 // as in an outage, is made anew: the next lead takes the age of the status from it.
 func (sc *Scheduler) noteEndStored(j *job) {
-	j.endStored = true
+	if !j.endStored {
+		j.endStored, j.endStoredAt = true, sc.now
+	}
 	if sc.statusAge(j) > statusMargin {
 		sc.outbox.markDirty(j)
 	}
--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -169,7 +169,7 @@
 		if sc.now.Sub(e.At) < max(e.Wait, brokenWithin) {
 			w.NoteBrokenCall(sc.now)
 		}
-		sc.logf(event.LookFailed, string(w.Endpoint.Host), "heard=%s ago runs=%d: %v", sc.now.Sub(w.LastHeard), len(w.Runs), e.Err)
+		sc.logf(event.LookFailed, string(w.Endpoint.Host), "term=%d heard=%s runs=%d: %v", sc.term, age(sc.now, w.LastHeard), len(w.Runs), e.Err)
 	}
 }
 
--- a/fleet/sched/status.go
+++ b/fleet/sched/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/wire"
 )
 
@@ -74,9 +75,26 @@
 	case !j.stored || j.HasEnded() && !j.endStored:
 		return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: sc.stageBeforeEnd(j)}
 	}
+	sc.noteTold(j)
 	return &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: j.Stage()}
 }
 
+// noteTold logs that a caller is told how a job ended, once for each job.
+func (sc *Scheduler) noteTold(j *job) {
+	if !j.HasEnded() || j.endTold {
+		return
+	}
+	j.endTold = true
+	stored := "by a former lead"
+	switch {
+	case !j.endStored:
+		stored = "no"
+	case !j.endStoredAt.IsZero():
+		stored = sc.now.Sub(j.endStoredAt).String() + " ago"
+	}
+	sc.logf(event.EndTold, string(j.ID), "term=%d stage=%s stored=%s", sc.term, j.Stage(), stored)
+}
+
 // unstored reports whether progress of a job is waiting to be stored or in flight.
 func (sc *Scheduler) unstored(j *job) bool {
 	return j.dirty || sc.outbox.inFlight != nil && j.lastBatch == sc.outbox.batchNo
--- a/fleet/sched/told_test.go
+++ b/fleet/sched/told_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
@@ -112,3 +114,48 @@
 		qt.Check(w.t, w.startCount(fleet.JobID(f.Id)), qt.Equals, 1)
 	})
 }
+
+// linesAbout returns the codes and texts of the logged events about a job, of the given codes.
+func (w *world) linesAbout(id string, codes ...event.Code) []string {
+	var out []string
+	for _, e := range w.logged {
+		if e.About == id && slices.Contains(codes, e.Code) {
+			out = append(out, fmt.Sprintf("%d %s", e.Code, e.Text))
+		}
+	}
+	return out
+}
+
+// Guards against logs that cannot tell an end that was told before it was stored from one that was
+// stored and that the next lead did not read (TWICE on acampa-prod, issue 49).
+func TestLogShowsWhenAnEndIsStoredAndTold(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	runTimes["ends"], runTimes["goes-on"] = time.Second, time.Minute
+	ends, goesOn := newFlow("ends", "urgent", taskStep(1, 2, time.Second)), newFlow("goes-on", "urgent", taskStep(2, 2, time.Minute))
+	w.submitAccepted(ends)
+	w.submitAccepted(goesOn)
+	w.runUntil(2*time.Second, "end at the worker", func() bool { return w.endedRuns() == 1 })
+	w.store.down = true
+	w.run(2 * time.Second)
+	w.stage(ends)
+	w.store.down = false
+	w.awaitCompleted(ends, time.Second)
+	w.step()
+	got := w.linesAbout("ends", event.RunEnded, event.EndsStored, event.EndTold)
+	qt.Assert(t, got, qt.HasLen, 3, qt.Commentf("%q", got))
+	qt.Check(t, got[0], qt.Matches, `314 task=0\.0\.0 run=\d+ worker=\S+ end=done no=1`)
+	qt.Check(t, got[1], qt.Matches, `323 ends=1 end=\d+ after=2\.\S+s ended=true`)
+	qt.Check(t, got[2], qt.Matches, `324 term=\d+ stage=COMPLETED stored=\S+ ago`)
+
+	w.restartDaemon()
+	w.becomeLead()
+	w.awaitCompleted(ends, time.Second)
+	w.step()
+	qt.Check(t, w.linesAbout("ends", event.JobRestored), qt.HasLen, 0)
+	told := w.linesAbout("ends", event.EndTold)
+	qt.Check(t, told[len(told)-1], qt.Matches, `324 term=\d+ stage=COMPLETED stored=by a former lead`)
+	restored := w.linesAbout("goes-on", event.JobRestored)
+	qt.Assert(t, restored, qt.HasLen, 1)
+	qt.Check(t, restored[0], qt.Matches, `325 term=\d+ unfinished=2 record=\d\S+`)
+}
