Acknowledge the ends of a worker's process only with a batch that holds them

What callers would see: a task runs again whose end its worker was told to forget (TWICE, "end noted").

Cause: a batch notes for each worker the newest end that may be forgotten once the batch is stored. If the worker's process is replaced while the batch is on its way, the new process numbers its ends from 1, and the commit acknowledged as many of them, though their records were in no batch yet. If the lead is lost then, no lead learns of these ends any more.

Evidence: TestEndsOfANewProcessAreNotForgottenWithThoseOfTheFormer failed before: "at 600ms the worker forgets an end that is not stored". It needs a worker that is back within the time of one append, a start that is sent to it again, and a store that falls silent then. Nothing in the users' records shows that it is what they saw.

A batch now names the process whose ends it holds, and its commit acknowledges nothing to another one.

--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -67,7 +67,7 @@
 	reported  []jobEnds
 	starts    []pendingStart
 	speeds    []*wire.Speed
-	ends      map[fleet.HostID]fleet.EndNo // newest run end of each worker that may be acknowledged once the batch is stored
+	ends      []workerEnds // that may be acknowledged once the batch is stored
 }
 
 // jobEnds are ends of a job's runs that a batch holds.
@@ -76,6 +76,14 @@
 	reportedEnds
 }
 
+// workerEnds are the run ends that a process of a worker has reported. A later process numbers its
+// ends from the beginning.
+type workerEnds struct {
+	worker *pool.Worker
+	inc    fleet.Incarnation
+	newest fleet.EndNo
+}
+
 // stuck reports whether the store seems to be unavailable.
 func (b *outbox) stuck(now time.Time) bool {
 	return b.inFlight != nil && now.Sub(b.inFlight.firstTry) > b.appendTimeout(minStuckAfter)
@@ -166,7 +174,7 @@
 
 func (sc *Scheduler) buildBatch() *batch {
 	b := &sc.outbox
-	s := &batch{offset: b.end, firstTry: sc.now, ends: map[fleet.HostID]fleet.EndNo{}}
+	s := &batch{offset: b.end, firstTry: sc.now}
 	size := 0
 	n := 0
 	for _, j := range b.accepted {
@@ -211,7 +219,7 @@
 	}
 	for _, w := range sc.pool.Sorted() {
 		if w.EndsSeen > w.EndsStored {
-			s.ends[w.Endpoint.Host] = w.EndsSeen
+			s.ends = append(s.ends, workerEnds{w, w.Inc, w.EndsSeen})
 		}
 	}
 	return s
@@ -337,9 +345,9 @@
 		sc.noteTold(d.job)
 		sc.emit(AnswerCancel{d.waiter, &wire.FlowReply{Verdict: wire.Verdict_OK, Stage: d.job.Stage()}})
 	}
-	for host, no := range s.ends {
-		if w, ok := sc.pool.Workers[host]; ok && w.EndsSeen >= no {
-			w.EndsStored = max(w.EndsStored, no)
+	for _, e := range s.ends {
+		if e.worker.Inc == e.inc {
+			e.worker.EndsStored = max(e.worker.EndsStored, e.newest)
 		}
 	}
 	sc.speeds.book.Stored(s.speeds)
--- a/fleet/sched/told_test.go
+++ b/fleet/sched/told_test.go
@@ -159,3 +159,33 @@
 	qt.Assert(t, restored, qt.HasLen, 1)
 	qt.Check(t, restored[0], qt.Matches, `325 term=\d+ unfinished=2 record=\d\S+`)
 }
+
+// Guards against ends that a worker forgets before they are stored, so that no lead learns of them
+// any more: a batch held ends of a process that was replaced meanwhile, and the first ends of the
+// new one, whose numbers begin anew, counted as stored with it.
+func TestEndsOfANewProcessAreNotForgottenWithThoseOfTheFormer(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	one := w.sorted()[0]
+	runTimes["former"], runTimes["later"] = 60*time.Millisecond, 60*time.Millisecond
+	former, later := newFlow("former", "urgent", taskStep(1, 2, time.Second)), newFlow("later", "urgent", taskStep(1, 2, time.Second))
+	w.submitAccepted(former)
+	w.runUntil(time.Second, "start", func() bool { return w.startCount("former") == 1 })
+	one.startDelay, one.maxDelayed = time.Second, 1
+	w.submitAccepted(later)
+	w.runUntil(time.Second, "start that is not answered", func() bool { return len(one.pending) == 1 })
+	w.appendDelay = 450 * time.Millisecond
+	appends := w.appends
+	w.runUntil(time.Second, "append of the end", func() bool { return w.appends > appends })
+	w.store.down = true // the append that is under way is its last
+	one.startDelay = 0
+	one.crash(w.now)
+	w.runUntil(time.Second, "end in the new process", func() bool { return one.ended == 1 })
+	for until := w.now.Add(3 * time.Second); w.now.Before(until); {
+		w.step()
+		if len(one.ends) == 0 && !w.endIsStored("later") {
+			w.printLog()
+			t.Fatalf("at %s the worker forgets an end that is not stored", w.now.Sub(startTime))
+		}
+	}
+}
