Let a worker forget no ends while its process may have been replaced

What callers would see: a task that ended runs again, and its end had been acknowledged (TWICE, "end noted").

Cause: a poll says up to which number the worker may forget its ends, and names no process. A worker that crashes and starts again under its id numbers its ends from 1. The first poll that reached the new process still carried the number of the former one, so that ends which no lead had read were forgotten. Then the run is missing from the answer, and its task starts again. A start reaches the new process before that poll if it is repeated for want of an answer, or if the worker was idle and is not polled.

Evidence: TestNewProcessIsNotToldToForgetEndsOfTheFormer failed before: 330 ms run-started, 430 ms worker-lost "its process was replaced", job-requeued "the worker does not list it". The task has to end before the next poll, 250 ms after the crash. Nothing in the users' records shows that it is what they saw.

A poll now lets the worker forget nothing after a call to it has failed, while an answer is overdue, or after its clock went back, until the answer to a later poll has told its process. Ends that are listed again are known by their numbers. The answer of a new process no longer counts as having been told the number of the former one.

Left: a poll that is on its way while the process is replaced, and arrives after an end of the new one.

--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -86,6 +86,7 @@
 	quarantines      int
 	outcomes         outcomes             // of its recent tasks
 	failing          bool                 // calls have failed since it last answered
+	inDoubtAt        time.Time            // when its process may last have been replaced unnoticed; zero if not since it last answered a poll
 	failedAt         time.Time            // when its calls last began to fail
 	brokenAt         time.Time            // when a call to it was first broken off since it last answered
 	crashedAt        time.Time            // when it was last found to have crashed
--- a/fleet/pool/reach.go
+++ b/fleet/pool/reach.go
@@ -29,6 +29,7 @@
 
 // NoteFailedCall notes that a call to the worker failed: its answer counts as overdue.
 func (w *Worker) NoteFailedCall(now time.Time) {
+	w.inDoubtAt = now
 	if !w.failing {
 		w.failing, w.failedAt = true, now
 	}
@@ -69,11 +70,29 @@
 	p.lastHeard[w.Domain] = now
 }
 
+// NoteProcess notes that the answer to a poll, sent at the given time, has told the worker's process.
+func (w *Worker) NoteProcess(sentAt time.Time) {
+	if !sentAt.Before(w.inDoubtAt) {
+		w.inDoubtAt = time.Time{}
+	}
+}
+
+// Forgettable returns the newest run end that the worker may be told to forget. It is none while the
+// worker's process may have been replaced: a poll names no process, and a new one numbers its ends
+// from the beginning.
+func (w *Worker) Forgettable(now time.Time) fleet.EndNo {
+	if !w.inDoubtAt.IsZero() || w.Overdue(now) {
+		return 0
+	}
+	return w.EndsStored
+}
+
 // NoteOrderAnswer records a worker's answer to an order, which does not tell its process. An
 // answer of a later process says nothing about the runs of the former; the next poll shows
 // the new one.
 func (p *Pool) NoteOrderAnswer(w *Worker, clock fleet.Ticks, now time.Time) {
 	if w.isRestartedClock(clock) {
+		w.inDoubtAt = now
 		return
 	}
 	p.NoteAnswer(w, clock, now)
--- a/fleet/sched/domains.go
+++ b/fleet/sched/domains.go
@@ -79,7 +79,7 @@
 // poll asks a worker for its runs and their ends. It also renews the worker's lease,
 // unless the worker is idle or silent, or the lead is not confirmed.
 func (sc *Scheduler) poll(w *pool.Worker, wait time.Duration) {
-	o := fleet.PollOrder{Term: sc.term, Acked: w.EndsStored, Wait: wait}
+	o := fleet.PollOrder{Term: sc.term, Acked: w.Forgettable(sc.now), Wait: wait}
 	if w.Synced && len(w.Runs) > 0 && sc.now.Sub(w.LastHeard) < leaseCutoff && !w.Overdue(sc.now) && sc.isConfirmed() {
 		o.LeaseUntil = w.GrantLease(sc.limits.Lease, sc.now)
 	}
--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -141,7 +141,10 @@
 	if s.Inc != 0 && s.Inc < w.Inc {
 		return
 	}
-	if s.Inc > w.Inc {
+	w.NoteProcess(e.At)
+	if s.Inc <= w.Inc {
+		w.EndsForgettable = max(w.EndsForgettable, e.Acked)
+	} else {
 		if w.Inc != 0 {
 			entry := w.WorkerEntry
 			entry.Inc = s.Inc
@@ -151,7 +154,6 @@
 		w.Inc = s.Inc
 	}
 	sc.pool.NoteAnswer(w, s.Clock, sc.now)
-	w.EndsForgettable = max(w.EndsForgettable, e.Acked)
 	if !w.Synced {
 		w.Synced, w.UnknownEndsUntil, sc.changed = true, time.Time{}, true
 	}
--- a/fleet/sched/told_test.go
+++ b/fleet/sched/told_test.go
@@ -189,3 +189,26 @@
 		}
 	}
 }
+
+// Guards against ends that a worker forgets before any lead has read them: its process was replaced
+// unnoticed, and the next poll acknowledged the ends of the former process to the new one, whose
+// numbers begin anew.
+func TestNewProcessIsNotToldToForgetEndsOfTheFormer(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	one := w.sorted()[0]
+	for _, id := range []fleet.JobID{"former", "later"} {
+		runTimes[id] = 60 * time.Millisecond
+	}
+	former, later := newFlow("former", "urgent", taskStep(1, 2, time.Second)), newFlow("later", "urgent", taskStep(1, 2, time.Second))
+	w.submitAccepted(former)
+	w.awaitCompleted(former, time.Second)
+	w.runUntil(time.Second, "acknowledgement", func() bool { return len(one.ends) == 0 })
+	one.startDelay, one.maxDelayed = time.Second, 1
+	w.submitAccepted(later)
+	w.runUntil(time.Second, "start that is not answered", func() bool { return len(one.pending) == 1 })
+	one.startDelay = 0
+	one.crash(w.now)
+	w.awaitCompleted(later, 2*time.Second)
+	qt.Check(t, w.startCount("later"), qt.Equals, 1)
+}
