Acknowledge a cancellation with the batch that holds it

What callers would see: tasks of a job that they cancelled start after the cancellation was acknowledged.

Cause: a batch holds at most 512 KiB of new jobs; what is above waits for the next one, and so does the progress of these jobs, their cancellation included. The callers who cancelled them were answered with the first batch all the same. If the lead is lost between the two, the job is not known, and its caller's next try runs it.

Such a cancellation now waits for the batch that holds its job.

--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -207,9 +207,15 @@
 		s.records = append(s.records, fleet.Record{Key: flowKey + string(id)}, fleet.Record{Key: trackKey + string(id)})
 	}
 	sc.addSpeedRecords(s)
-	starts := b.starts
-	s.cancels = b.cancels
+	cancels, starts := b.cancels, b.starts
 	b.cancels, b.starts, b.dirty, b.deletes = nil, nil, later, nil
+	for _, d := range cancels {
+		if slices.Contains(later, d.job) {
+			b.cancels = append(b.cancels, d)
+			continue
+		}
+		s.cancels = append(s.cancels, d)
+	}
 	for _, o := range starts {
 		if j := sc.jobs[o.run.Task.Job]; j != nil && j.dirty {
 			b.starts = append(b.starts, o)
