Log a worker that was never heard as such

Events 601, 605 and 606 now say heard=never, as 608 does.

Test: TestWorkerThatWasNeverHeardIsLoggedAsSuch; before, the lines held the duration.

--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -171,7 +171,7 @@
 		if sc.now.Sub(e.At) < max(e.Wait, brokenWithin) {
 			w.NoteBrokenCall(sc.now)
 		}
-		sc.logf(event.LookFailed, string(w.Endpoint.Host), "term=%d heard=%s runs=%d: %v", sc.term, age(sc.now, w.LastHeard), len(w.Runs), e.Err)
+		sc.logf(event.LookFailed, string(w.Endpoint.Host), "term=%d heard=%s runs=%d: %v", sc.term, ago(sc.now, w.LastHeard), len(w.Runs), e.Err)
 	}
 }
 
--- a/fleet/sched/recovery_test.go
+++ b/fleet/sched/recovery_test.go
@@ -481,3 +481,19 @@
 		qt.Assert(t, r.stop.IsZero(), qt.IsTrue)
 	}
 }
+
+// Guards against heard=2562047h47m16.8s, the largest duration, for a worker that a new lead has never heard.
+func TestWorkerThatWasNeverHeardIsLoggedAsSuch(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.sorted()[0].cutOff = true
+	w.becomeLead()
+	w.run(3 * time.Second)
+	w.sorted()[0].unlisted = true
+	w.postWorkers()
+	w.run(time.Second)
+	for _, c := range []event.Code{event.LookFailed, event.WorkerGone} {
+		lines := w.linesAbout("w0-0", c)
+		qt.Assert(t, len(lines) > 0, qt.IsTrue, qt.Commentf("%s", c))
+		qt.Check(t, lines[0], qt.Contains, "heard=never")
+	}
+}
--- a/fleet/sched/workers.go
+++ b/fleet/sched/workers.go
@@ -109,7 +109,7 @@
 	}
 	for id, w := range sc.pool.Workers {
 		if _, ok := entries[id]; !ok && w.Listed {
-			sc.logf(event.WorkerGone, string(id), "runs=%d heard=%s ago", len(w.Runs), sc.now.Sub(w.LastHeard))
+			sc.logf(event.WorkerGone, string(id), "runs=%d heard=%s", len(w.Runs), ago(sc.now, w.LastHeard))
 			sc.pool.Unlist(id)
 		}
 	}
@@ -134,7 +134,7 @@
 
 // closeRuns closes every run of a worker that is lost.
 func (sc *Scheduler) closeRuns(w *pool.Worker, why string) {
-	sc.logf(event.WorkerLost, string(w.Endpoint.Host), "runs=%d heard=%s ago: %s", len(w.Runs), sc.now.Sub(w.LastHeard), why)
+	sc.logf(event.WorkerLost, string(w.Endpoint.Host), "runs=%d heard=%s: %s", len(w.Runs), ago(sc.now, w.LastHeard), why)
 	for _, r := range w.Sorted() {
 		sc.closeRun(w, r, why)
 	}
@@ -145,7 +145,7 @@
 // before the restart was known, and may still carry out a start that is in flight. State
 // is what the former process announced.
 func (sc *Scheduler) noteRestart(w *pool.Worker, state fleet.WorkerState) {
-	sc.logf(event.WorkerLost, string(w.Endpoint.Host), "runs=%d heard=%s ago: its process was replaced", len(w.Runs), sc.now.Sub(w.LastHeard))
+	sc.logf(event.WorkerLost, string(w.Endpoint.Host), "runs=%d heard=%s: its process was replaced", len(w.Runs), ago(sc.now, w.LastHeard))
 	sc.judgeLoss(w, state != fleet.WorkerDraining, "its process was replaced")
 	for _, r := range w.Sorted() {
 		if r.Phase == pool.Sent && r.Dispatched {
