--- /dev/null
+++ b/fleet/sched/answers_test.go
@@ -0,0 +1,65 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/pool"
+	"dragonflydeck.example/fleet/sched"
+	"dragonflydeck.example/fleet/wire"
+	qt "github.com/frankban/quicktest"
+)
+
+// onlyRun returns the only run in the site and its worker.
+func (w *world) onlyRun() (*worker, pool.Key) {
+	w.t.Helper()
+	for _, one := range w.sorted() {
+		for k := range one.runs {
+			return one, k
+		}
+	}
+	w.t.Fatal("nothing runs")
+	return nil, pool.Key{}
+}
+
+// mostAtOnce runs for a while and returns the most runs that were there at one time.
+func (w *world) mostAtOnce(span time.Duration) int {
+	most := 0
+	for end := w.now.Add(span); w.now.Before(end); {
+		w.step()
+		n := 0
+		for _, one := range w.workers {
+			n += len(one.runs)
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// Guards against a task that runs twice at a time: a second send of a start fails, whose first send
+// took effect, and its daemon has lost the lead and taken it again in between.
+func TestStartThatFailsAfterTheLeadWasTakenAgainEndsNoRun(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.becomeLead()
+	for _, one := range w.workers {
+		one.losesAnswers = true
+	}
+	runTimes["again"] = 5 * time.Second
+	w.submitAccepted(newFlow("again", "bulk", taskStep(1, 1, 5*time.Second)))
+	w.runUntil(time.Second, "start", func() bool { return w.startCount("again") == 1 })
+	one, k := w.onlyRun()
+	former := w.scheduler.Elect.Lead().Term
+	w.store.records = append(w.store.records, fleet.Record{Key: sched.LeadKey, Value: []byte("other"), Offset: fleet.Offset(len(w.store.records))})
+	w.later = nil
+	w.post(sched.BeatReceived{Beat: &wire.Beat{Host: "e2", Addr: "e2:7000", Term: int64(len(w.store.records)), Inc: 1, Leaving: true}})
+	w.inc++
+	w.post(sched.Members{All: fourMembers().All[:1], Inc: w.inc})
+	w.step()
+	w.runUntil(time.Second, "lead", w.scheduler.Leads)
+	for _, o := range w.workers {
+		o.losesAnswers = false
+	}
+	w.post(sched.Started{Host: one.id, Term: former, Key: k, Err: &fleet.Error{Op: "start", Kind: fleet.Unsent}})
+	qt.Assert(t, w.mostAtOnce(3*time.Second), qt.Equals, 1)
+}
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -107,6 +107,7 @@
 	// Started is the outcome of a Start.
 	Started struct {
 		Host  fleet.HostID
+		Term  fleet.Term
 		Key   pool.Key
 		Clock fleet.Ticks
 		Err   error
@@ -114,6 +115,7 @@
 	// Stopped is the outcome of a Stop.
 	Stopped struct {
 		Host  fleet.HostID
+		Term  fleet.Term
 		Key   pool.Key
 		Clock fleet.Ticks
 		Err   error
