Take an answer from a worker's former address for nothing

What callers would see: a task runs twice at a time.

Cause: a call that another process answers (421) meant that the worker is gone, whatever address the call went to. A worker that had started anew at another address, and had been listed, polled and given work, lost its new runs to a call that was still on its way to the old one, and their tasks were placed again while they ran.

It needs a call in flight for longer than the new process takes to get work.

Outcomes of orders and polls now name the address that they went to, and 421 counts only from the present one.

--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -63,14 +63,14 @@
 		d.site.loop.Post(d.check(a))
 	case sched.Start:
 		clock, err := timed("start", func() (fleet.Ticks, error) { return d.site.deps.Exec.Start(d.ctx, a.Endpoint, a.Order) })
-		d.site.loop.Post(sched.Started{Host: a.Endpoint.Host, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
+		d.site.loop.Post(sched.Started{Endpoint: a.Endpoint, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
 	case sched.Stop:
 		clock, err := timed("stop", func() (fleet.Ticks, error) { return d.site.deps.Exec.Stop(d.ctx, a.Endpoint, a.Order) })
-		d.site.loop.Post(sched.Stopped{Host: a.Endpoint.Host, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
+		d.site.loop.Post(sched.Stopped{Endpoint: a.Endpoint, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
 	case sched.Poll:
 		at := time.Now()
 		s, err := timed("look", func() (fleet.WorkerReport, error) { return d.site.deps.Exec.Poll(d.ctx, a.Endpoint, a.Order) })
-		d.site.loop.Post(sched.Polled{Host: a.Endpoint.Host, Term: a.Order.Term, Acked: a.Order.Acked, At: at, Wait: a.Order.Wait, Report: s, Err: err})
+		d.site.loop.Post(sched.Polled{Endpoint: a.Endpoint, Term: a.Order.Term, Acked: a.Order.Acked, At: at, Wait: a.Order.Wait, Report: s, Err: err})
 	}
 }
 
--- a/fleet/sched/answers_test.go
+++ b/fleet/sched/answers_test.go
@@ -60,6 +60,24 @@
 	for _, o := range w.workers {
 		o.losesAnswers = false
 	}
-	w.post(sched.Started{Host: one.id, Term: former, Key: k, Err: &fleet.Error{Op: "start", Kind: fleet.Unsent}})
+	w.post(sched.Started{Endpoint: fleet.Endpoint{Host: one.id}, Term: former, Key: k, Err: &fleet.Error{Op: "start", Kind: fleet.Unsent}})
+	qt.Assert(t, w.mostAtOnce(3*time.Second), qt.Equals, 1)
+}
+
+// Guards against tasks that run twice at a time: a worker starts again at another address, and
+// another process answers a call that was sent to its former one.
+func TestAnswerFromTheFormerAddressOfAWorkerEndsNoRuns(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.becomeLead()
+	runTimes["moved"] = 5 * time.Second
+	w.submitAccepted(newFlow("moved", "bulk", taskStep(1, 1, 5*time.Second)))
+	w.runUntil(time.Second, "start", func() bool { return w.startCount("moved") == 1 })
+	w.run(100 * time.Millisecond)
+	one, _ := w.onlyRun()
+	former := fleet.Endpoint{Host: one.id, Addr: "former:1"}
+	w.post(sched.Polled{
+		Endpoint: former, Term: w.scheduler.Elect.Lead().Term, At: w.local().Add(-time.Second), Wait: 1500 * time.Millisecond,
+		Err: &fleet.Error{Op: "look", Kind: fleet.Replaced},
+	})
 	qt.Assert(t, w.mostAtOnce(3*time.Second), qt.Equals, 1)
 }
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -106,24 +106,23 @@
 type (
 	// Started is the outcome of a Start.
 	Started struct {
-		Host  fleet.HostID
-		Term  fleet.Term
-		Key   pool.Key
-		Clock fleet.Ticks
-		Err   error
+		Endpoint fleet.Endpoint // to which it was sent
+		Term     fleet.Term
+		Key      pool.Key
+		Clock    fleet.Ticks
+		Err      error
 	}
 	// Stopped is the outcome of a Stop.
 	Stopped struct {
-		Host  fleet.HostID
-		Term  fleet.Term
-		Key   pool.Key
-		Clock fleet.Ticks
-		Err   error
+		Endpoint fleet.Endpoint // to which it was sent
+		Term     fleet.Term
+		Key      pool.Key
+		Clock    fleet.Ticks
+		Err      error
 	}
 	// Polled is the outcome of a Poll.
 	Polled struct {
-		Host     fleet.HostID
-		Endpoint fleet.Endpoint
+		Endpoint fleet.Endpoint // to which it was sent
 		Term     fleet.Term
 		Acked    fleet.EndNo
 		At       time.Time     // when the request was sent
--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -128,7 +128,7 @@
 
 // handlePolled processes a worker's answer to a poll.
 func (sc *Scheduler) handlePolled(e Polled) {
-	w, ok := sc.pool.Workers[e.Host]
+	w, ok := sc.pool.Workers[e.Endpoint.Host]
 	if sc.mode != leading || !ok || e.Term != sc.term {
 		return
 	}
@@ -161,10 +161,10 @@
 }
 
 func (sc *Scheduler) handlePollFailure(w *pool.Worker, e Polled) {
-	switch fleet.KindOf(e.Err) {
-	case fleet.Fenced:
+	switch kind := fleet.KindOf(e.Err); {
+	case kind == fleet.Fenced:
 		sc.stepDown("a worker has seen a newer term", 0)
-	case fleet.Replaced:
+	case kind == fleet.Replaced && e.Endpoint.Addr == w.Endpoint.Addr:
 		sc.loseWorker(w)
 	default:
 		w.NoteFailedCall(sc.now)
--- a/fleet/sched/runs.go
+++ b/fleet/sched/runs.go
@@ -28,30 +28,30 @@
 
 // handleStarted processes the outcome of a start.
 func (sc *Scheduler) handleStarted(e Started) {
-	w, r := sc.findRun(e.Host, e.Term, e.Key)
+	w, r := sc.findRun(e.Endpoint.Host, e.Term, e.Key)
 	if r == nil {
 		return
 	}
 	sc.pool.NoteOrderAnswer(w, e.Clock, sc.now)
 	if e.Err == nil {
 		if r.Phase == pool.Sent || r.Phase == pool.Unconfirmed {
-			sc.logf(event.RunStarted, string(r.Task.Job), "%s by=answer placed=%s sent=%s", describeRun(r.Task, r.No, e.Host), age(sc.now, r.PlacedAt), age(sc.now, r.SentAt))
+			sc.logf(event.RunStarted, string(r.Task.Job), "%s by=answer placed=%s sent=%s", describeRun(r.Task, r.No, e.Endpoint.Host), age(sc.now, r.PlacedAt), age(sc.now, r.SentAt))
 			r.Phase, r.Since, r.ProgressAt = pool.Running, sc.now, sc.now
 		}
 		r.Confirmed = true
 		return
 	}
-	sc.logf(event.StartFailed, string(r.Task.Job), "%s: %v", describeRun(r.Task, r.No, e.Host), e.Err)
+	sc.logf(event.StartFailed, string(r.Task.Job), "%s: %v", describeRun(r.Task, r.No, e.Endpoint.Host), e.Err)
 	switch kind := fleet.KindOf(e.Err); {
 	case kind == fleet.Fenced:
 		sc.stepDown("a worker has seen a newer term", 0)
-	case kind == fleet.Replaced:
+	case kind == fleet.Replaced && e.Endpoint.Addr == w.Endpoint.Addr:
 		sc.loseWorker(w)
 	case kind == fleet.Stale:
 		// An earlier send took effect, and the run has since ended or been stopped.
 		r.Phase, r.Since, r.StopAnswered = pool.Stopping, sc.now, sc.now
 		w.LastStopAnswered = sc.now
-	case kind == fleet.OutcomeUnknown, kind == fleet.Garbled, r.Sends > 1:
+	case kind == fleet.OutcomeUnknown, kind == fleet.Garbled, kind == fleet.Replaced, r.Sends > 1:
 		// The outcome of one send says nothing about the other sends.
 		w.NoteFailedCall(sc.now)
 		if r.Phase == pool.Sent {
@@ -66,7 +66,7 @@
 // handleStopped processes the outcome of a stop. The capacity becomes free only when
 // the worker reports the end or no longer lists the run.
 func (sc *Scheduler) handleStopped(e Stopped) {
-	w, r := sc.findRun(e.Host, e.Term, e.Key)
+	w, r := sc.findRun(e.Endpoint.Host, e.Term, e.Key)
 	if w != nil {
 		sc.pool.NoteOrderAnswer(w, e.Clock, sc.now)
 	}
@@ -80,7 +80,7 @@
 		}
 	case fleet.KindOf(e.Err) == fleet.Fenced:
 		sc.stepDown("a worker has seen a newer term", 0)
-	case fleet.KindOf(e.Err) == fleet.Replaced:
+	case fleet.KindOf(e.Err) == fleet.Replaced && e.Endpoint.Addr == w.Endpoint.Addr:
 		sc.loseWorker(w)
 	}
 }
--- a/fleet/sched/workers.go
+++ b/fleet/sched/workers.go
@@ -124,7 +124,8 @@
 }
 
 // loseWorker closes the runs of a worker at whose address another process answers,
-// and removes it from the listed workers.
+// and removes it from the listed workers. An answer from a former address of the worker says
+// nothing about its present process.
 func (sc *Scheduler) loseWorker(w *pool.Worker) {
 	sc.judgeLoss(w, w.State != fleet.WorkerDraining, "another process answers at its address")
 	sc.closeRuns(w, "another process answers at its address")
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -313,10 +313,10 @@
 		w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Records: w.store.records[a.At:], End: fleet.Offset(len(w.store.records)), SentAt: w.local()})
 	case sched.Start:
 		clock, span, err := w.worker(a.Endpoint).start(w.now, a.Order)
-		w.postAfter(span, sched.Started{Host: a.Endpoint.Host, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
+		w.postAfter(span, sched.Started{Endpoint: a.Endpoint, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
 	case sched.Stop:
 		clock, span, err := w.worker(a.Endpoint).stop(w.now, a.Order)
-		w.postAfter(span, sched.Stopped{Host: a.Endpoint.Host, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
+		w.postAfter(span, sched.Stopped{Endpoint: a.Endpoint, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
 	case sched.Poll:
 		w.polls++
 		w.openPolls++
@@ -333,7 +333,7 @@
 
 func (w *world) poll(a sched.Poll) {
 	one := w.worker(a.Endpoint)
-	done := sched.Polled{Host: a.Endpoint.Host, Term: a.Order.Term, Acked: a.Order.Acked, At: w.local(), Wait: a.Order.Wait}
+	done := sched.Polled{Endpoint: a.Endpoint, Term: a.Order.Term, Acked: a.Order.Acked, At: w.local(), Wait: a.Order.Wait}
 	report, span, err := one.poll(w.now, a.Order)
 	if err == nil && a.Order.Wait > 0 {
 		one.longPolls = append(one.longPolls, longPoll{
