Acknowledge no cancellation of a job that was refused

What callers would see: a job runs after its cancellation was acknowledged.

Cause: a job that was cancelled while its append was under way, and refused as the store rejected the append, left its cancellation in the outbox. The next batch acknowledged it, and held nothing of it. If the caller submitted the id again, the job ran.

Such a caller is now told that there is no such job, as one who cancels after the refusal is.

--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -235,8 +235,13 @@
 }
 
 // discard removes a job that is certainly not stored, and frees the capacity
-// assigned to it.
+// assigned to it. Callers who cancelled it learn that there is no such job: it would run if it
+// were submitted again.
 func (sc *Scheduler) discard(j *job) {
+	sc.outbox.cancels = sc.answerAbsent(sc.outbox.cancels, j)
+	if s := sc.outbox.inFlight; s != nil {
+		s.cancels = sc.answerAbsent(s.cancels, j)
+	}
 	for _, w := range sc.pool.Workers {
 		for _, r := range w.Sorted() {
 			if r.Task.Job == j.ID {
@@ -249,6 +254,19 @@
 	sc.changed = true
 }
 
+// answerAbsent answers the cancellations of a job that is not known any more, and returns the others.
+func (sc *Scheduler) answerAbsent(list []pendingCancel, j *job) []pendingCancel {
+	remaining := list[:0]
+	for _, d := range list {
+		if d.job != j {
+			remaining = append(remaining, d)
+			continue
+		}
+		sc.emit(AnswerCancel{d.waiter, &wire.FlowReply{Verdict: sc.absence()}})
+	}
+	return remaining
+}
+
 func (sc *Scheduler) expireWaiters(j *job) {
 	remaining := j.waiters[:0]
 	for _, w := range j.waiters {
