Store a job after the deletion of a former one of its id

What callers would see: a job that was accepted is not known to the next lead.

Cause: a batch put deletions behind the jobs that it stores. A job whose id was forgotten while the batch before was in flight, and that was submitted anew before the next was built, was stored and deleted by one append, and its caller was told that it is accepted. Refusing such a job also took the deletion of the former one out of the batch.

Evidence: TestJobIsNotDeletedWithAFormerOneOfItsID failed before.

Deletions now come first, and stay in the batch.

--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -175,6 +175,10 @@
 func (sc *Scheduler) buildBatch() *batch {
 	b := &sc.outbox
 	s := &batch{offset: b.end, firstTry: sc.now}
+	// Deletions come first, as a job may be submitted anew under the id of a forgotten one.
+	for _, id := range b.deletes {
+		s.records = append(s.records, fleet.Record{Key: flowKey + string(id)}, fleet.Record{Key: trackKey + string(id)})
+	}
 	size := 0
 	n := 0
 	for _, j := range b.accepted {
@@ -203,9 +207,6 @@
 			}
 		}
 	}
-	for _, id := range b.deletes {
-		s.records = append(s.records, fleet.Record{Key: flowKey + string(id)}, fleet.Record{Key: trackKey + string(id)})
-	}
 	sc.addSpeedRecords(s)
 	cancels, starts := b.cancels, b.starts
 	b.cancels, b.starts, b.dirty, b.deletes = nil, nil, later, nil
@@ -286,10 +287,11 @@
 	}
 }
 
-// removeRecords removes the records of a job that is not to be stored.
+// removeRecords removes the records of a job that is not to be stored. Deletions of a former job of
+// its id stay.
 func (s *batch) removeRecords(id fleet.JobID) {
 	s.records = slices.DeleteFunc(s.records, func(r fleet.Record) bool {
-		return r.Key == flowKey+string(id) || r.Key == trackKey+string(id)
+		return len(r.Value) > 0 && (r.Key == flowKey+string(id) || r.Key == trackKey+string(id))
 	})
 }
 
--- a/fleet/sched/store_test.go
+++ b/fleet/sched/store_test.go
@@ -340,3 +340,31 @@
 	w.runUntil(time.Second, "acknowledgement", func() bool { return w.cancelReplies[id].GetVerdict() == wire.Verdict_OK })
 	qt.Check(t, w.endIsStored(last.Id), qt.IsTrue)
 }
+
+// Guards against an accepted job that the next lead does not know: it has the id of one that is
+// forgotten while the store is slow.
+func TestJobIsNotDeletedWithAFormerOneOfItsID(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	runTimes["again"] = 100 * time.Millisecond
+	f := newFlow("again", "bulk", taskStep(1, 1, time.Second))
+	w.submitAccepted(f)
+	w.awaitCompleted(f, 2*time.Second)
+	w.run(limits.Status)
+	w.runUntil(20*time.Second, "forgetting", func() bool {
+		w.appendDelay = 0
+		w.submit(newFlow(fmt.Sprint("other", w.now.UnixMilli()), "bulk", taskStep(1, 1, time.Second)))
+		w.appendDelay = 200 * time.Millisecond
+		w.step()
+		return w.scheduler.Status(&wire.FlowAsk{Id: f.Id, Queue: f.Queue, Space: f.Space}).Verdict == wire.Verdict_ABSENT
+	})
+	runTimes["again"] = time.Minute
+	w.submitAccepted(newFlow("again", "bulk", taskStep(1, 1, time.Minute)))
+	w.appendDelay = 0
+	w.run(time.Second)
+	found := false
+	for _, r := range w.store.newest() {
+		found = found || r.Key == "flow/again"
+	}
+	qt.Assert(t, found, qt.IsTrue)
+}
