Record which run of a gang has counted as a failure

What callers would see: a job is given up, and shown as failed, before its attempts are used.

Cause: members of a gang that fail in one run count once, by the number of that run. The number was not in the job's record, so that the next lead counted the end of a further member again.

Evidence: TestRunOfAGangFailsOnceWhoeverLeads failed before, two failures instead of one. Two members have to fail in one run, and the lead to change between their ends.

Piece has the field failed; a record of an earlier version has none, and counts as before.

--- a/fleet/flow/track.go
+++ b/fleet/flow/track.go
@@ -40,7 +40,7 @@
 			Inc: int64(k.Inc), Blame: int32(k.Blame), Crashes: int32(k.Crashes),
 		}
 		if s.Spec.Gang && i == 0 {
-			p.Fails, p.Saved = int32(s.Fails), s.Saved
+			p.Fails, p.Saved, p.Failed = int32(s.Fails), s.Saved, int64(s.failedRun)
 		}
 		if p.Done || p.Fails > 0 || p.Saved != "" || p.Run > 0 {
 			out = append(out, p)
@@ -75,7 +75,7 @@
 	k.Run, k.Worker, k.Inc, k.Blame, k.Crashes = fleet.Run(p.Run), fleet.HostID(p.Worker), fleet.Incarnation(p.Inc), int(p.Blame), int(p.Crashes)
 	s.Run = max(s.Run, k.Run)
 	if s.Spec.Gang && p.Index == 0 {
-		s.Fails, s.Saved = int(p.Fails), p.Saved
+		s.Fails, s.Saved, s.failedRun = int(p.Fails), p.Saved, fleet.Run(p.Failed)
 		return
 	}
 	k.Fails, k.Saved = int(p.Fails), p.Saved
--- a/fleet/sched/sched_test.go
+++ b/fleet/sched/sched_test.go
@@ -8,6 +8,7 @@
 	"dragonflydeck.example/fleet/sched"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 )
 
 func TestJobOfTwoStepsRunsInOrder(t *testing.T) {
@@ -96,3 +97,39 @@
 	w.run(time.Second)
 	qt.Assert(t, w.running("lasting"), qt.Equals, 0)
 }
+
+// Guards against a job that fails before its attempts are used up: the members of a gang fail in
+// one run, and the lead changes between their ends.
+func TestRunOfAGangFailsOnceWhoeverLeads(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.becomeLead()
+	runTimes["gang"] = time.Minute
+	f := newFlow("gang", "bulk", gangStep(2, 8, time.Minute))
+	w.submitAccepted(f)
+	w.runUntil(time.Second, "start", func() bool { return w.startCount("gang") == 2 })
+	w.workers["w0-1"].cutOff = true
+	w.run(1600 * time.Millisecond) // the poll before is answered
+	for _, one := range w.workers {
+		one.fails = true
+	}
+	w.runUntil(time.Second, "failure", func() bool { return w.storedFails("gang") > 0 })
+	w.restartDaemon()
+	w.workers["w0-1"].cutOff = false
+	for _, one := range w.workers {
+		one.fails = false
+	}
+	w.becomeLead()
+	w.run(2 * time.Second)
+	qt.Assert(t, w.storedFails("gang"), qt.Equals, int32(1))
+}
+
+// storedFails returns how often the first step of a job has failed, as stored.
+func (w *world) storedFails(id string) int32 {
+	for _, r := range w.store.newest() {
+		if track := (&wire.Track{}); r.Key == "track/"+id {
+			qt.Assert(w.t, proto.Unmarshal(r.Value, track), qt.IsNil)
+			return track.Pieces[0].Fails
+		}
+	}
+	return 0
+}
