--- a/fleet/sched/worker_test.go
+++ b/fleet/sched/worker_test.go
@@ -24,6 +24,7 @@
 	fails        bool          // every run fails
 	flaky        bool          // every other run fails
 	hangs        bool          // no run makes progress
+	clockRate    float64       // of its clock; 0 counts as 1
 	slow         float64       // factor by which runs take longer, below 1 on a faster worker; 0 counts as 1
 	capacity     fleet.Res
 	maxAccels    int64 // most accelerators ever in use at one time
@@ -147,7 +148,7 @@
 }
 
 func (w *worker) clock(now time.Time) fleet.Ticks {
-	return fleet.Ticks(now.Sub(w.epoch).Milliseconds())
+	return fleet.Ticks(float64(now.Sub(w.epoch).Milliseconds()) * cmp.Or(w.clockRate, 1))
 }
 
 // advance moves the worker's runs on to the given time.
@@ -286,8 +287,9 @@
 }
 
 func (w *worker) extend(now time.Time, until fleet.Ticks) {
-	at := w.epoch.Add(time.Duration(until) * time.Millisecond)
-	if most := now.Add(limits.Lease); at.After(most) {
+	rate := cmp.Or(w.clockRate, 1)
+	at := w.epoch.Add(time.Duration(float64(until)/rate) * time.Millisecond)
+	if most := now.Add(time.Duration(float64(limits.Lease) / rate)); at.After(most) {
 		at = most
 	}
 	if until > 0 && at.After(w.leaseUntil) {
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -84,7 +84,9 @@
 	down    bool
 	rejects bool // appends are answered, and not done
 	lost    bool // appends take effect, but their answers are lost
+	late    bool // appends get no answer, and may take effect later
 	records []fleet.Record
+	pending []func() // appends that may take effect later
 }
 
 func (s *store) newest() []fleet.Record {
@@ -108,20 +110,30 @@
 	if s.rejects {
 		return 0, &fleet.Error{Op: "append", Kind: fleet.NotApplied, Err: errUnreachable}
 	}
-	if at != fleet.Offset(len(s.records)) {
-		if s.lost {
-			return 0, &fleet.Error{Op: "append", Kind: fleet.OutcomeUnknown, Err: errUnreachable}
-		}
+	if s.late {
+		s.pending = append(s.pending, func() { s.appendAt(at, records) })
+		return 0, &fleet.Error{Op: "append", Kind: fleet.OutcomeUnknown, Err: errUnreachable}
+	}
+	done := s.appendAt(at, records)
+	switch {
+	case s.lost:
+		return 0, &fleet.Error{Op: "append", Kind: fleet.OutcomeUnknown, Err: errUnreachable}
+	case !done:
 		return 0, &fleet.Error{Op: "append", Kind: fleet.Moved}
 	}
+	return fleet.Offset(len(s.records)), nil
+}
+
+// appendAt appends records if the topic ends at an offset.
+func (s *store) appendAt(at fleet.Offset, records []fleet.Record) bool {
+	if at != fleet.Offset(len(s.records)) {
+		return false
+	}
 	for _, r := range records {
 		r.Offset = fleet.Offset(len(s.records))
 		s.records = append(s.records, r)
 	}
-	if s.lost {
-		return 0, &fleet.Error{Op: "append", Kind: fleet.OutcomeUnknown, Err: errUnreachable}
-	}
-	return fleet.Offset(len(s.records)), nil
+	return true
 }
 
 func newWorld(t *testing.T, racks, perRack int) *world {
