Test of two leads that act on the same tasks, with faults at random

A lead is replaced and acts on: cut off from the store with some daemons and workers, or frozen for up to 9 s. Peers answer one of the two at most.

--- a/fleet/sched/crash_test.go
+++ b/fleet/sched/crash_test.go
@@ -130,7 +130,7 @@
 		changed = changed || unlisted != one.unlisted || w.listed[one.id].Inc != one.inc
 		one.unlisted = unlisted
 	}
-	if changed && !w.listHangs && !w.store.down {
+	if changed && !w.listHangs && !w.store.down && !w.cut.hasStore() {
 		w.postWorkers()
 	}
 }
--- a/fleet/sched/twice_test.go
+++ b/fleet/sched/twice_test.go
@@ -27,6 +27,8 @@
 // witness watches a site for what must never happen to its tasks.
 type witness struct {
 	w      *world
+	former *world    // of a lead that was replaced and acts on; nil if there is none
+	wakes  time.Time // when it ends its freeze
 	ends   map[fleet.Task][]*doneEnd
 	begun  map[*running]bool
 	told   map[string]wire.Stage
@@ -71,6 +73,7 @@
 		before[one], incs[one], known[one] = slices.Clone(one.ends), one.inc, one.ended
 	}
 	v.stored = len(w.store.records)
+	v.stepFormer()
 	w.step()
 	for _, one := range w.sorted() {
 		same := one.inc == incs[one] && !one.isDown()
@@ -89,7 +92,21 @@
 		}
 	}
 	v.checkRuns()
-	v.checkAnswers(jobs)
+	v.checkAnswers(w.scheduler, jobs)
+	if v.former != nil {
+		v.checkAnswers(v.former.scheduler, jobs)
+	}
+}
+
+// stepFormer steps the former lead, unless it is frozen.
+func (v *witness) stepFormer() {
+	if f := v.former; f != nil && !v.w.now.Before(v.wakes) {
+		f.now = v.w.now // it ticks on from here
+		if f.cut == nil && f.peerTerm == 0 {
+			f.peerTerm, f.peerAnswers = v.w.scheduler.Elect.Lead().Term, 3
+		}
+		f.step()
+	}
 }
 
 func (v *witness) noteForgotten(one *worker, e fleet.EndReport) {
@@ -128,15 +145,14 @@
 }
 
 // checkAnswers asks for all jobs, and looks for answers that the store does not bear out.
-func (v *witness) checkAnswers(jobs []*wire.Flow) {
-	w := v.w
-	if !w.scheduler.Leads() {
+func (v *witness) checkAnswers(lead *sched.Scheduler, jobs []*wire.Flow) {
+	if !lead.Leads() {
 		return
 	}
 	for _, f := range jobs {
-		r := w.scheduler.Status(&wire.FlowAsk{Id: f.Id, Queue: f.Queue, Space: f.Space})
+		r := lead.Status(&wire.FlowAsk{Id: f.Id, Queue: f.Queue, Space: f.Space})
 		if r.Verdict != wire.Verdict_OK || r.Stage == wire.Stage_WAITS || r.Stage == wire.Stage_RUNS {
-			if r.Verdict == wire.Verdict_OK && v.told[f.Id] != 0 {
+			if r.Verdict == wire.Verdict_OK && v.told[f.Id] != 0 && lead == v.w.scheduler {
 				v.report("%s is shown as %s, and was shown as %s", f.Id, r.Stage, v.told[f.Id])
 			}
 			continue
@@ -168,7 +184,8 @@
 	end   func(w *world, one *worker)
 }
 
-var siteFaults = []siteFault{
+// outerFaults are those of the store, the workers and their list.
+var outerFaults = []siteFault{
 	{func(w *world, _ *worker) { w.store.down = true }, func(w *world, _ *worker) { w.store.down = false }},
 	{func(w *world, _ *worker) { w.store.rejects = true }, func(w *world, _ *worker) { w.store.rejects = false }},
 	{func(w *world, _ *worker) { w.store.lost = true }, func(w *world, _ *worker) { w.store.lost = false }},
@@ -194,10 +211,14 @@
 			one.leaseUntil = time.Time{}
 		}
 	}, func(*world, *worker) {}},
+	{func(w *world, _ *worker) { w.listHangs = true }, func(w *world, _ *worker) { w.listHangs = false }},
+}
+
+// daemonFaults are those of the lead.
+var daemonFaults = []siteFault{
 	{func(w *world, _ *worker) { w.restartDaemon(); w.post(fourMembers()) }, func(*world, *worker) {}},
 	{func(w *world, _ *worker) { w.peerAnswers = 0 }, func(w *world, _ *worker) { w.peerAnswers = 3 }},
 	{func(w *world, _ *worker) { w.passLead() }, func(*world, *worker) {}},
-	{func(w *world, _ *worker) { w.listHangs = true }, func(w *world, _ *worker) { w.listHangs = false }},
 }
 
 // passLead lets another daemon take the lead and give it up at once.
@@ -211,7 +232,7 @@
 	w.post(sched.Members{All: fourMembers().All, Inc: w.inc})
 }
 
-// randomFlow returns a job of one or two steps of tasks, some of which outlast a lease.
+// randomFlow returns a job of one or two steps.
 func randomFlow(r *rand.Rand, id string) *wire.Flow {
 	step := taskStep(1+r.Int32N(3), 1+r.Int64N(3), time.Second)
 	if r.IntN(4) == 0 {
@@ -224,7 +245,6 @@
 		second.After = []int32{0}
 		f.Steps = append(f.Steps, second)
 	}
-	runTimes[fleet.JobID(id)] = time.Duration([]int{30, 200, 800, 2500, 15000}[r.IntN(5)]) * time.Millisecond
 	return f
 }
 
@@ -245,9 +265,18 @@
 	one   *worker
 }
 
+// dayPlan is what happens at random on a day.
+type dayPlan struct {
+	id         string
+	faults     []siteFault
+	jobEvery   int // steps, on average
+	faultEvery int
+	runTimes   []time.Duration
+}
+
 // playDay plays faults at random on a small site and returns what was seen.
-func playDay(t *testing.T, seed uint64) *witness {
-	r := rand.New(rand.NewPCG(seed, 1))
+// More is called before each step.
+func playDay(t *testing.T, r *rand.Rand, day dayPlan, more func(v *witness, calm bool)) *witness {
 	w := newLeadOfFour(t, 2, 2)
 	w.addCrasher(0)
 	w.endGangsTogether()
@@ -258,8 +287,9 @@
 	workers := slices.Clone(w.sorted())
 	for end := w.now.Add(dayLength); w.now.Before(end); {
 		calm := end.Sub(w.now) < calmEnd
-		if r.IntN(25) == 0 && !calm {
-			f := randomFlow(r, fmt.Sprintf("day%d-%d", seed, len(jobs)))
+		if r.IntN(day.jobEvery) == 0 && !calm {
+			f := randomFlow(r, fmt.Sprintf("%s-%d", day.id, len(jobs)))
+			runTimes[fleet.JobID(f.Id)] = day.runTimes[r.IntN(len(day.runTimes))]
 			w.submit(f)
 			jobs = append(jobs, f)
 		}
@@ -271,12 +301,12 @@
 				w.cancel(f)
 			}
 		}
-		if r.IntN(60) == 0 && !calm {
+		if r.IntN(day.faultEvery) == 0 && !calm {
 			span := time.Duration(50+r.IntN(3000)) * time.Millisecond
 			if r.IntN(4) == 0 {
 				span = 9 * time.Second // longer than any lease
 			}
-			x := lastingFault{siteFaults[r.IntN(len(siteFaults))], w.now.Add(span), workers[r.IntN(len(workers))]}
+			x := lastingFault{day.faults[r.IntN(len(day.faults))], w.now.Add(span), workers[r.IntN(len(workers))]}
 			x.begin(w, x.one)
 			active = append(active, x)
 		}
@@ -293,6 +323,7 @@
 			}
 			w.store.pending = nil
 		}
+		more(v, calm)
 		v.watch(jobs)
 	}
 	v.checkStarts()
@@ -305,7 +336,11 @@
 // again after an end that was forgotten.
 func TestNoTaskRunsTwiceWhateverFails(t *testing.T) {
 	for seed := range uint64(randomDays) {
-		v := playDay(t, seed)
+		r := rand.New(rand.NewPCG(seed, 1))
+		v := playDay(t, r, dayPlan{
+			fmt.Sprint("day", seed), slices.Concat(outerFaults, daemonFaults), 25, 60,
+			[]time.Duration{30 * time.Millisecond, 200 * time.Millisecond, 800 * time.Millisecond, 2500 * time.Millisecond, 15 * time.Second},
+		}, func(*witness, bool) {})
 		qt.Check(t, v.faults, qt.HasLen, 0, qt.Commentf("seed %d", seed))
 	}
 }
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -71,8 +71,21 @@
 	alone, blind  bool          // as in the newest heartbeat
 	claimDelay    time.Duration // extra duration of a claim
 	claims        int           // how often the daemon has claimed
+	former        bool          // it was replaced as the lead, and claims no more
+	peerTerm      fleet.Term    // that peers know; 0 for that of the daemon
+	cut           *cut          // from the store and workers; nil if there is none
 }
 
+// cut is what a daemon does not reach.
+type cut struct {
+	store   bool
+	workers map[fleet.HostID]bool
+}
+
+func (c *cut) hasStore() bool { return c != nil && c.store }
+
+func (c *cut) has(worker fleet.HostID) bool { return c != nil && c.workers[worker] }
+
 // delayed is an event that is delivered at a later time.
 type delayed struct {
 	at    time.Time
@@ -246,7 +259,7 @@
 		w.post(d.event)
 	}
 	w.later = remaining
-	if w.now.Sub(w.listedAt) >= listInterval && !w.listHangs && !w.store.down && !w.store.rejects {
+	if w.now.Sub(w.listedAt) >= listInterval && !w.listHangs && !w.store.down && !w.store.rejects && !w.cut.hasStore() {
 		w.repeatWorkers()
 	}
 	events := w.events
@@ -285,16 +298,18 @@
 		w.peerAsks++
 		reply := &wire.SightReply{}
 		if w.scheduler.Leads() && !w.beatsLost {
-			reply.Term = int64(w.scheduler.Elect.Lead().Term)
+			reply.Term = int64(cmp.Or(w.peerTerm, w.scheduler.Elect.Lead().Term))
 		}
 		for i := range w.peerAnswers {
 			w.postAfter(callTime, sched.PeerAnswered{Host: fleet.HostID(fmt.Sprint("e", i+2)), AskedAt: w.local(), Reply: reply})
 		}
 	case sched.Claim:
-		w.claim()
+		if !w.former {
+			w.claim()
+		}
 	case sched.Probe:
 		var err error
-		if w.store.down {
+		if w.store.down || w.cut.hasStore() {
 			err = errUnreachable
 		}
 		w.postAfter(storeCallTime, sched.Probed{Err: err})
@@ -304,7 +319,7 @@
 		for _, r := range a.Records {
 			w.appendedBytes += len(r.Key) + len(r.Value)
 		}
-		end, err := w.store.append(a.At, a.Records)
+		end, err := w.appendTo(a)
 		span := storeCallTime + w.appendDelay
 		if err == nil && span > a.Timeout {
 			err = &fleet.Error{Op: "append", Kind: fleet.OutcomeUnknown, Err: errUnreachable}
@@ -318,16 +333,20 @@
 			w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Err: &fleet.Error{Op: "check", Kind: fleet.NotApplied}})
 			return
 		}
-		if w.store.down {
+		if w.store.down || w.cut.hasStore() {
 			w.postAfter(time.Second, sched.Checked{Batch: a.Batch, Err: &fleet.Error{Op: "check", Kind: fleet.OutcomeUnknown}})
 			return
 		}
 		w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Records: w.store.records[a.At:], End: fleet.Offset(len(w.store.records)), SentAt: w.local()})
 	case sched.Start:
-		clock, span, err := w.worker(a.Endpoint).start(w.now, a.Order)
+		one, mend := w.worker(a.Endpoint)
+		clock, span, err := one.start(w.now, a.Order)
+		mend()
 		w.postAfter(span, sched.Started{Endpoint: a.Endpoint, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
 	case sched.Stop:
-		clock, span, err := w.worker(a.Endpoint).stop(w.now, a.Order)
+		one, mend := w.worker(a.Endpoint)
+		clock, span, err := one.stop(w.now, a.Order)
+		mend()
 		w.postAfter(span, sched.Stopped{Endpoint: a.Endpoint, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
 	case sched.Poll:
 		w.polls++
@@ -344,7 +363,8 @@
 }
 
 func (w *world) poll(a sched.Poll) {
-	one := w.worker(a.Endpoint)
+	one, mend := w.worker(a.Endpoint)
+	defer mend()
 	done := sched.Polled{Endpoint: a.Endpoint, Term: a.Order.Term, Acked: a.Order.Acked, At: w.local(), Wait: a.Order.Wait}
 	report, span, err := one.poll(w.now, a.Order)
 	if err == nil && a.Order.Wait > 0 {
@@ -373,10 +393,23 @@
 	return w
 }
 
-func (w *world) worker(p fleet.Endpoint) *worker { return w.workers[p.Host] }
+// worker returns a worker as the daemon reaches it, and what ends that.
+func (w *world) worker(p fleet.Endpoint) (one *worker, mend func()) {
+	one = w.workers[p.Host]
+	before := one.cutOff
+	one.cutOff = before || w.cut.has(one.id)
+	return one, func() { one.cutOff = before }
+}
+
+func (w *world) appendTo(a sched.Append) (fleet.Offset, error) {
+	if w.cut.hasStore() {
+		return 0, &fleet.Error{Op: "append", Kind: fleet.OutcomeUnknown, Err: errUnreachable}
+	}
+	return w.store.append(a.At, a.Records)
+}
 
 func (w *world) claim() {
-	if w.store.down {
+	if w.store.down || w.cut.hasStore() {
 		w.postAfter(time.Second, sched.Claimed{Err: &fleet.Error{Op: "claim", Kind: fleet.OutcomeUnknown}})
 		return
 	}
