--- a/fleet/sched/told_test.go
+++ b/fleet/sched/told_test.go
@@ -212,3 +212,18 @@
 	w.awaitCompleted(later, 2*time.Second)
 	qt.Check(t, w.startCount("later"), qt.Equals, 1)
 }
+
+// Guards against ends of a new process that are forgotten by a poll for the former one, sent before
+// any call to the worker failed: only a poll with something to forget names a number.
+func TestPollsNameNoEndsThatAreForgotten(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	one := w.sorted()[0]
+	runTimes["short"], runTimes["long"] = 60*time.Millisecond, time.Minute
+	w.submitAccepted(newFlow("long", "bulk", taskStep(1, 2, time.Minute)))
+	w.submitAccepted(newFlow("short", "urgent", taskStep(1, 2, time.Second)))
+	w.runUntil(time.Second, "acknowledgement", func() bool { return one.acked == 1 })
+	w.run(2 * time.Second)
+	qt.Check(t, one.acked, qt.Equals, fleet.EndNo(0))
+	qt.Check(t, one.ends, qt.HasLen, 0)
+}
--- a/fleet/sched/worker_test.go
+++ b/fleet/sched/worker_test.go
@@ -37,6 +37,7 @@
 	closed           map[fleet.Task]fleet.Run // newest run that ended or was stopped here
 	ends             []fleet.EndReport
 	ended            fleet.EndNo
+	acked            fleet.EndNo // in the newest poll
 	started          map[fleet.JobID]int
 	seen             int
 	startCount       int               // runs that have started here
@@ -330,7 +331,7 @@
 	if o.Term < w.term {
 		return fleet.WorkerReport{}, callTime, &fleet.Error{Op: "look", Kind: fleet.Fenced}
 	}
-	w.term = o.Term
+	w.term, w.acked = o.Term, o.Acked
 	w.extend(now, o.LeaseUntil)
 	for len(w.ends) > 0 && w.ends[0].No <= o.Acked {
 		w.ends = w.ends[1:]
