Stand-ins: appends that take effect late, checkpoints, workers that crash for good

The soak could not play three things that the platform allows: an append that takes effect seconds after its caller gave up, a task that resumes from a checkpoint, and a worker whose process never comes back. The engine also tells when a run on it ended last with success, so that a test can choose the worker that reported an end.

Tested: engine TestRunResumesFromItsCheckpoint.

--- a/standin/engine/auditor.go
+++ b/standin/engine/auditor.go
@@ -17,6 +17,7 @@
 	Gang   int           // number of members; 0 for a task without a gang
 	Span   time.Duration // run time; nanoseconds in JSON
 	Deadly bool          `json:",omitempty"` // the first task of a step crashes each engine that starts it
+	Saves  bool          `json:",omitempty"` // it saves checkpoints
 	Space  string        `json:",omitempty"` // workspace of the job, for the check of its cap
 }
 
--- a/standin/engine/deadly.go
+++ b/standin/engine/deadly.go
@@ -34,6 +34,14 @@
 	time.AfterFunc(downTime, e.comeUp)
 }
 
+// CrashForGood crashes the engine. No other process takes its place.
+func (e *Engine) CrashForGood() {
+	e.set(func() {
+		e.crash()
+		e.upAt = time.Now()
+	})
+}
+
 // breakOff closes a call's connection without an answer.
 func breakOff(ctx *fasthttp.RequestCtx) {
 	ctx.HijackSetNoResponse(true)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -32,6 +33,7 @@
 	task         string
 	number       int64
 	need         Need
+	resumed      int64         // percent of its work that was done at its start
 	span         time.Duration // run time on this engine
 	begun        time.Time
 	working      bool // it has no gang, or its gang is complete
@@ -45,6 +47,7 @@
 	task    string
 	run     int64
 	outcome string
+	saved   string // newest checkpoint
 	at      time.Time
 }
 
@@ -61,6 +64,7 @@
 	lastClosed   map[string]int64 // by task, the newest run that ended or was stopped
 	ends         []endRecord
 	lastSeq      int64
+	lastDone     time.Time // when a run on it ended last with success
 	dropsReplies bool
 	delaysOrders bool
 	orders       int           // starts and stops received
@@ -212,15 +216,27 @@
 	delete(e.runs, r.task)
 	e.lastClosed[r.task] = max(e.lastClosed[r.task], r.number)
 	e.lastSeq++
-	e.ends = append(e.ends, endRecord{e.lastSeq, r.task, r.number, outcome, time.Now()})
+	now := time.Now()
+	e.ends = append(e.ends, endRecord{e.lastSeq, r.task, r.number, outcome, r.saved(e.percent(r)), now})
+	if outcome == outcomeDone {
+		e.lastDone = now
+	}
 	e.opts.Auditor.runEnded(e.opts.ID, r, outcome)
 }
 
+// LastDone returns when a run on the engine ended last with success.
+func (e *Engine) LastDone() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastDone
+}
+
 // order is the body of every call; each call uses some of the fields.
 type order struct {
 	Task         string
 	Run          int64
 	Spec         string
+	Checkpoint   string
 	UntilMs      int64
 	FencingToken int64
 	LastSeen     int64
@@ -310,7 +326,8 @@
 		return "late" // the process is gone since the order arrived
 	}
 	r := &run{task: o.Task, number: o.Run, need: ReadNeed(o.Spec), begun: time.Now()}
-	r.span = time.Duration(float64(r.need.Span) / e.opts.Speed)
+	r.resumed, _ = strconv.ParseInt(o.Checkpoint, 10, 64)
+	r.span = time.Duration(float64(r.need.Span) / e.opts.Speed * float64(100-r.resumed) / 100)
 	r.working, r.workingSince = r.need.Gang == 0, r.begun
 	e.runs[o.Task] = r
 	e.opts.Auditor.runStarted(e, r)
@@ -416,19 +433,37 @@
 	writeJSON(ctx, e.report())
 }
 
+// percent returns how much of its work a run has done.
+func (e *Engine) percent(r *run) int64 {
+	if !r.working || e.hangsRuns {
+		return r.resumed
+	}
+	worked := int64(time.Since(r.workingSince)) * (100 - r.resumed) / max(int64(e.opts.Auditor.span(r)), 1)
+	return min(r.resumed+worked, 100)
+}
+
+// savePercent is how much work lies between two checkpoints.
+const savePercent = 20
+
+// saved returns the newest checkpoint of a run that has done a part of its work: the percent
+// done then.
+func (r *run) saved(percent int64) string {
+	if !r.need.Saves || percent < savePercent {
+		return ""
+	}
+	return strconv.FormatInt(percent-percent%savePercent, 10)
+}
+
 func (e *Engine) report() map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
 	for _, r := range e.runs {
-		percent := 0
-		if r.working && !e.hangsRuns {
-			percent = int(100 * time.Since(r.workingSince) / max(e.opts.Auditor.span(r), 1))
-		}
-		running = append(running, []any{r.task, r.number, "", min(percent, 100), 0})
+		percent := e.percent(r)
+		running = append(running, []any{r.task, r.number, r.saved(percent), percent, 0})
 	}
 	for _, rec := range e.ends {
-		ended = append(ended, []any{rec.seq, rec.task, rec.run, rec.outcome, ""})
+		ended = append(ended, []any{rec.seq, rec.task, rec.run, rec.outcome, rec.saved})
 	}
 	return map[string]any{"clockMs": e.clock(), "born": e.born.UnixMilli(), "running": running, "finished": ended}
 }
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -260,3 +260,21 @@
 		qt.Check(t, auditor.Running("gang"), qt.Equals, at.inGang)
 	}
 }
+
+// A run that is started with a checkpoint resumes from it, and passes it on.
+func TestRunResumesFromItsCheckpoint(t *testing.T) {
+	e := engine.New(engine.Options{ID: "w", Room: room, MaxLease: time.Minute, Auditor: engine.NewAuditor()})
+	call := func(path string, body map[string]any) string {
+		data, err := json.Marshal(body)
+		qt.Assert(t, err, qt.IsNil)
+		var ctx fasthttp.RequestCtx
+		ctx.Request.SetRequestURI(path)
+		ctx.Request.SetBody(data)
+		e.Handle(&ctx)
+		qt.Assert(t, ctx.Response.StatusCode(), qt.Equals, fasthttp.StatusOK)
+		return string(ctx.Response.Body())
+	}
+	need := engine.Need{Accels: 1, Span: time.Hour, Saves: true}
+	call("/run-start", map[string]any{"task": "job.0.0.0", "run": 1, "spec": need.Spec(), "checkpoint": "40", "untilMs": 60000, "fencingToken": 1})
+	qt.Check(t, call("/hold", map[string]any{"fencingToken": 1}), qt.Contains, `"running":[["job.0.0.0",1,"40",40,0]]`)
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -16,6 +16,7 @@
 	maxPageRecords = 500 // records in one answer to /log-newest
 	pollInterval   = 5 * time.Millisecond
 	maxWait        = 30 * time.Second
+	lateTime       = 2 * time.Second
 )
 
 // Mode is how the store answers.
@@ -27,6 +28,7 @@
 	Silent         // it does nothing and holds every call for maxWait
 	Busy           // it does nothing and answers 503
 	ReplyLost      // appends take effect, but are held for maxWait without an answer
+	Late           // appends take effect after lateTime
 )
 
 // record is one record of a topic.
@@ -122,6 +124,10 @@
 			time.Sleep(maxWait)
 			return
 		}
+	case Late:
+		if string(ctx.Path()) == "/log-append" {
+			time.Sleep(lateTime)
+		}
 	}
 	switch string(ctx.Path()) {
 	case "/log-append":
