--- a/deckd/soak/calls_test.go
+++ b/deckd/soak/calls_test.go
@@ -25,6 +25,7 @@
 	cancelled   bool
 	finished    bool
 	told        bool      // a daemon reported it as completed while faults were injected
+	denied      bool      // a daemon contradicted that later
 	state       string    // newest state that a daemon reported
 	ended       time.Time // when the caller first learned that it had ended
 }
@@ -171,7 +172,13 @@
 }
 
 // stateAt asks a daemon for the state of a job. The status is 0 if it does not know the answer.
-func (l *load) stateAt(d *daemon, j *job) (int, string) {
+func (l *load) stateAt(d *daemon, j *job) (status int, state string) {
+	l.mu.Lock()
+	told := j.told
+	l.mu.Unlock()
+	if told {
+		defer func() { l.checkTold(d, j, status, state) }()
+	}
 	status, body := call(fasthttp.MethodGet, d.frontend, j, nil)
 	var s struct{ State string }
 	switch {
@@ -188,3 +195,15 @@
 	}
 	return status, s.State
 }
+
+// checkTold checks that an answer does not contradict an earlier one, that a job is completed. It
+// reports the first one that does.
+func (l *load) checkTold(d *daemon, j *job, status int, state string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if status == 0 || state == "completed" || j.denied {
+		return
+	}
+	j.denied = true
+	l.rig.t.Errorf("%s job %s was reported as completed, and then by %s: %d %q", time.Now().Format("15:04:05.000"), j.id, d.name, status, state)
+}
--- a/deckd/soak/soak_test.go
+++ b/deckd/soak/soak_test.go
@@ -79,16 +79,7 @@
 		d.kill()
 		return func() { d.resume(r.t) }
 	}},
-	{"kill all", func(r *rig, _ *rand.Rand) func() {
-		for _, d := range r.daemons {
-			d.kill()
-		}
-		return func() {
-			for _, d := range r.daemons {
-				d.resume(r.t)
-			}
-		}
-	}},
+	{"kill all", func(r *rig, _ *rand.Rand) func() { return r.killAll() }},
 	{"freeze", func(r *rig, rng *rand.Rand) func() {
 		d := pick(rng, r.daemons)
 		d.signal(syscall.SIGSTOP)
@@ -213,6 +204,21 @@
 	}},
 }
 
+// killAll kills all daemons at once. The function that it returns starts them again.
+func (r *rig) killAll() func() {
+	for _, d := range r.daemons {
+		d.signal(syscall.SIGKILL)
+	}
+	for _, d := range r.daemons {
+		<-d.done
+	}
+	return func() {
+		for _, d := range r.daemons {
+			d.resume(r.t)
+		}
+	}
+}
+
 // disturbRelay puts a relay into a random failure mode.
 func disturbRelay(rng *rand.Rand, l *relay.Relay) func() {
 	l.SetMode(pick(rng, []relay.Mode{relay.Silent, relay.NoReply, relay.Slow, relay.Reset}))
