Stop a run again in a worker's new process before its task starts elsewhere

What callers would see: a task runs twice at a time.

Cause: a stopped run is closed once a poll that was sent after the answer to its stop does not list it, as the worker refuses later starts of that run. A process that has replaced the one that answered knows nothing of the stop, so that a start still on its way is carried out there, beside the next run of the task.

Evidence: TestStopAnsweredByAFormerProcessEndsNoRunOfTheNewOne failed before, two runs at a time. It needs a start that is carried out late by a process that did not exist when it was sent.

The stop is now sent again to the new process, which then refuses the start.

--- a/fleet/sched/workers.go
+++ b/fleet/sched/workers.go
@@ -149,8 +149,11 @@
 	sc.logf(event.WorkerLost, string(w.Endpoint.Host), "runs=%d heard=%s: its process was replaced", len(w.Runs), ago(sc.now, w.LastHeard))
 	sc.judgeLoss(w, state != fleet.WorkerDraining, "its process was replaced")
 	for _, r := range w.Sorted() {
-		if r.Phase == pool.Sent && r.Dispatched {
+		switch {
+		case r.Phase == pool.Sent && r.Dispatched:
 			r.Phase, r.Since = pool.Unconfirmed, sc.now
+		case r.Phase == pool.Stopping:
+			r.StopAnswered = time.Time{} // the new process knows nothing of the stop
 		}
 	}
 }
