Settle a start that was sent twice before its task starts elsewhere

What callers would see: a task runs twice at a time.

Cause: when a worker's process is replaced, runs whose start had been answered were closed as soon as the new process did not list them. Where the start had been sent again for want of an answer, the other send may still reach the new process.

Such a run is now unconfirmed, as one without an answer: it is stopped in the new process first, which then refuses the start.

--- a/fleet/sched/replaced_test.go
+++ b/fleet/sched/replaced_test.go
@@ -43,3 +43,19 @@
 	start(w.now)
 	qt.Assert(t, w.mostAtOnce(time.Second), qt.Equals, 1)
 }
+
+// Guards against a task that runs twice at a time: a process that has answered one of two sends of a
+// start is replaced, and the other one reaches the new process.
+func TestStartAnsweredByAFormerProcessMayStillReachTheNewOne(t *testing.T) {
+	w, one, start := lateStart(t, "late2")
+	one.startDelay = 0
+	w.runUntil(time.Second, "start", func() bool { return len(one.runs) == 1 })
+	w.run(50 * time.Millisecond)
+	one.crash(w.now)
+	for _, o := range w.workers {
+		o.startDelay = 0
+	}
+	w.runUntil(3*time.Second, "second run", func() bool { return w.startCount("late2") == 2 })
+	start(w.now)
+	qt.Assert(t, w.mostAtOnce(time.Second), qt.Equals, 1)
+}
--- a/fleet/sched/workers.go
+++ b/fleet/sched/workers.go
@@ -150,7 +150,7 @@
 	sc.judgeLoss(w, state != fleet.WorkerDraining, "its process was replaced")
 	for _, r := range w.Sorted() {
 		switch {
-		case r.Phase == pool.Sent && r.Dispatched:
+		case r.Phase == pool.Sent && r.Dispatched, r.Phase == pool.Running && r.Sends > 1:
 			r.Phase, r.Since = pool.Unconfirmed, sc.now
 		case r.Phase == pool.Stopping:
 			r.StopAnswered = time.Time{} // the new process knows nothing of the stop
