Ignore a read of a former term that asks whether a daemon still leads

What operators would see: a daemon that has taken the lead again steps down, "another daemon has claimed", and jobs wait for the next lead.

Cause: a read that a daemon sent in a former term of its own returns the claims that followed, its own among them, and was taken for one of its present term.

TestCheckFromAFormerTermDoesNotEndTheLead failed before: two losses of the lead instead of one.

--- a/fleet/sched/answers_test.go
+++ b/fleet/sched/answers_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/pool"
 	"dragonflydeck.example/fleet/sched"
 	"dragonflydeck.example/fleet/wire"
@@ -81,3 +82,23 @@
 	})
 	qt.Assert(t, w.mostAtOnce(3*time.Second), qt.Equals, 1)
 }
+
+// Guards against a lead that steps down for its own claim: a read that it sent in a former term of its
+// own, to see whether it still leads, is answered after it has taken the lead again.
+func TestCheckFromAFormerTermDoesNotEndTheLead(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	sentAt, at := w.local(), len(w.store.records)
+	w.store.records = append(w.store.records, fleet.Record{Key: sched.LeadKey, Value: []byte("other"), Offset: fleet.Offset(at)})
+	w.later = nil
+	w.post(sched.BeatReceived{Beat: &wire.Beat{Host: "e2", Addr: "e2:7000", Term: int64(len(w.store.records)), Inc: 1, Leaving: true}})
+	w.inc++
+	w.post(sched.Members{All: fourMembers().All[:1], Inc: w.inc})
+	w.step()
+	w.becomeLead()
+	qt.Assert(t, w.eventCount(event.LeadLost), qt.Equals, 1)
+	w.post(sched.Checked{Records: w.store.records[at:], End: fleet.Offset(len(w.store.records)), SentAt: sentAt})
+	w.step()
+	w.step()
+	qt.Assert(t, w.eventCount(event.LeadLost), qt.Equals, 1)
+}
--- a/fleet/sched/quorum.go
+++ b/fleet/sched/quorum.go
@@ -85,7 +85,7 @@
 // lead has no append in flight.
 func (sc *Scheduler) handleLeadCheck(e Checked) {
 	switch {
-	case e.Err != nil || sc.outbox.inFlight != nil:
+	case e.Err != nil || sc.outbox.inFlight != nil || e.SentAt.Before(sc.leadingSince):
 	case containsClaim(e.Records):
 		sc.stepDown("another daemon has claimed", 0)
 	case e.End == sc.outbox.end:
