Read the report of a worker whose renewal has failed, whatever its version

What callers would see: a gang is shown as running while one of its workers runs nothing of it.

Cause: a report is taken over if its version differs from the newest known one. Versions begin anew with each process of a worker; one that had reached the number of the former was not told from it.

TestReportOfANewProcessIsReadWhateverItsVersion failed before: the report of the former process stayed. After a failed renewal the next one asks for the whole report, and that is now taken over.

--- a/fleet/lease/lease.go
+++ b/fleet/lease/lease.go
@@ -107,8 +107,10 @@
 		c.renewFailed(b, rn, r)
 		return
 	}
+	// The process may have been replaced since a renewal failed, and a new one numbers its reports anew.
+	maybeReplaced := !rn.failingSince.IsZero()
 	rn.answeredAt, rn.failingSince, rn.nextAt = b.Now, time.Time{}, b.Now
-	if r.Reply.Version != w.Version || !w.Reported {
+	if r.Reply.Version != w.Version || !w.Reported || maybeReplaced {
 		w.Reports, w.Version = r.Reply.Gangs, r.Reply.Version
 	}
 	w.Reported, w.AskedAt = true, r.AskedAt
