Count as forgotten only ends that are stored

A worker would be polled without a pause, and list its ends for ever.

Cause: what a worker has answered that it may forget was taken from the poll. One that named ends of the former process, reached the new one, and was answered after the list of workers had shown that, counted for the new process. Its ends were not named until it had more of them.

TestEndsOfANewProcessAreForgottenAfterAPollForTheFormer failed before: 100 polls in 2 s, two ends listed.

--- a/fleet/sched/poll.go
+++ b/fleet/sched/poll.go
@@ -143,7 +143,7 @@
 	}
 	w.NoteProcess(e.At)
 	if s.Inc <= w.Inc {
-		w.EndsForgettable = max(w.EndsForgettable, e.Acked)
+		w.EndsForgettable = max(w.EndsForgettable, min(e.Acked, w.EndsStored))
 	} else {
 		if w.Inc != 0 {
 			entry := w.WorkerEntry
