Name ends to forget in no poll beside one without an answer

A long poll that lets a worker forget an end may hang as the worker's process is replaced. Another poll that followed before any answer was overdue named the same number to the new process, which forgot ends that no lead had read.

TestNewProcessOfABusyWorkerIsNotToldToForgetEndsOfTheFormer failed before. What is left: a process that is replaced, and has ended a run, between an answer to a poll and the next poll, while no call to it fails.

--- a/fleet/pool/reach.go
+++ b/fleet/pool/reach.go
@@ -78,10 +78,10 @@
 }
 
 // Forgettable returns the newest run end that the worker is to be told to forget. It is none once the
-// worker has answered that, and while its process may have been replaced: a poll names no process,
-// and a new one numbers its ends from the beginning.
+// worker has answered that, and while its process may have been replaced, which a poll without an
+// answer may hide: a poll names no process, and a new one numbers its ends from the beginning.
 func (w *Worker) Forgettable(now time.Time) fleet.EndNo {
-	if w.EndsStored <= w.EndsForgettable || !w.inDoubtAt.IsZero() || w.Overdue(now) {
+	if w.EndsStored <= w.EndsForgettable || w.PollsInFlight > 0 || !w.inDoubtAt.IsZero() || w.Overdue(now) {
 		return 0
 	}
 	return w.EndsStored
