Ignore the answers of a worker's former process to starts and stops

What callers would see: a task runs twice at a time.

Cause: the answer of a former process to a stop that arrived after its replacement was known counted for the new process, which knows nothing of the stop. A start still on its way was carried out there, beside the next run of the task. The same held for the answer to one of two sends of a start.

TestLateAnswerOfAFormerProcessToAStopEndsNoRunOfTheNewOne failed before, two runs at a time. It needs a process back within the time of an order.

Outcomes of starts and stops now say when the order was sent, and those from before the replacement are ignored: the orders are settled with the new process by stops and polls.

--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -62,11 +62,13 @@
 	case sched.Check:
 		d.site.loop.Post(d.check(a))
 	case sched.Start:
+		at := time.Now()
 		clock, err := timed("start", func() (fleet.Ticks, error) { return d.site.deps.Exec.Start(d.ctx, a.Endpoint, a.Order) })
-		d.site.loop.Post(sched.Started{Endpoint: a.Endpoint, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
+		d.site.loop.Post(sched.Started{Endpoint: a.Endpoint, Term: a.Order.Term, SentAt: at, Key: a.Key, Clock: clock, Err: err})
 	case sched.Stop:
+		at := time.Now()
 		clock, err := timed("stop", func() (fleet.Ticks, error) { return d.site.deps.Exec.Stop(d.ctx, a.Endpoint, a.Order) })
-		d.site.loop.Post(sched.Stopped{Endpoint: a.Endpoint, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
+		d.site.loop.Post(sched.Stopped{Endpoint: a.Endpoint, Term: a.Order.Term, SentAt: at, Key: a.Key, Clock: clock, Err: err})
 	case sched.Poll:
 		at := time.Now()
 		s, err := timed("look", func() (fleet.WorkerReport, error) { return d.site.deps.Exec.Poll(d.ctx, a.Endpoint, a.Order) })
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -81,6 +81,7 @@
 	LastHeard        time.Time // when it last answered
 	LastPoll         time.Time // when the last poll was sent
 	LastStopAnswered time.Time // when it last answered a stop order
+	ReplacedAt       time.Time // when its process was last found to have been replaced
 	Fails            int       // consecutive failures of jobs that failed on no other worker
 	QuarantinedUntil time.Time // end of its quarantine
 	quarantines      int
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -108,6 +108,7 @@
 	Started struct {
 		Endpoint fleet.Endpoint // to which it was sent
 		Term     fleet.Term
+		SentAt   time.Time
 		Key      pool.Key
 		Clock    fleet.Ticks
 		Err      error
@@ -116,6 +117,7 @@
 	Stopped struct {
 		Endpoint fleet.Endpoint // to which it was sent
 		Term     fleet.Term
+		SentAt   time.Time
 		Key      pool.Key
 		Clock    fleet.Ticks
 		Err      error
--- a/fleet/sched/replaced_test.go
+++ b/fleet/sched/replaced_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dragonflydeck.example/fleet"
+	"dragonflydeck.example/fleet/sched"
 	qt "github.com/frankban/quicktest"
 )
 
@@ -59,3 +60,28 @@
 	start(w.now)
 	qt.Assert(t, w.mostAtOnce(time.Second), qt.Equals, 1)
 }
+
+// Guards against a task that runs twice at a time: the answer of a former process to a stop arrives
+// after the list of workers has shown the new one, which knows nothing of the stop.
+func TestLateAnswerOfAFormerProcessToAStopEndsNoRunOfTheNewOne(t *testing.T) {
+	w, one, start := lateStart(t, "late3")
+	w.runUntil(3*time.Second, "stop", func() bool { return len(one.closed) > 0 })
+	w.delayStops(100 * time.Millisecond)
+	one.crash(w.now)
+	w.postWorkers()
+	for _, o := range w.workers {
+		o.startDelay = 0
+	}
+	w.runUntil(3*time.Second, "second run", func() bool { return w.startCount("late3") == 1 })
+	start(w.now)
+	qt.Assert(t, w.mostAtOnce(time.Second), qt.Equals, 1)
+}
+
+// delayStops delays the answers to stops that are on their way to the daemon.
+func (w *world) delayStops(span time.Duration) {
+	for i, d := range w.later {
+		if _, ok := d.event.(sched.Stopped); ok {
+			w.later[i].at = d.at.Add(span)
+		}
+	}
+}
--- a/fleet/sched/runs.go
+++ b/fleet/sched/runs.go
@@ -28,7 +28,7 @@
 
 // handleStarted processes the outcome of a start.
 func (sc *Scheduler) handleStarted(e Started) {
-	w, r := sc.findRun(e.Endpoint.Host, e.Term, e.Key)
+	w, r := sc.findRun(e.Endpoint.Host, e.Term, e.SentAt, e.Key)
 	if r == nil {
 		return
 	}
@@ -66,7 +66,7 @@
 // handleStopped processes the outcome of a stop. The capacity becomes free only when
 // the worker reports the end or no longer lists the run.
 func (sc *Scheduler) handleStopped(e Stopped) {
-	w, r := sc.findRun(e.Endpoint.Host, e.Term, e.Key)
+	w, r := sc.findRun(e.Endpoint.Host, e.Term, e.SentAt, e.Key)
 	if w != nil {
 		sc.pool.NoteOrderAnswer(w, e.Clock, sc.now)
 	}
@@ -85,11 +85,12 @@
 	}
 }
 
-// findRun returns the worker and the run of an order that this daemon sent in its present term. In a
-// former one of its own, it may have sent the same order before.
-func (sc *Scheduler) findRun(host fleet.HostID, term fleet.Term, k pool.Key) (*pool.Worker, *pool.Run) {
+// findRun returns the worker and the run of an order that this daemon sent in its present term and to
+// the worker's present process. In a former term of its own, it may have sent the same order before; what
+// a former process has answered says nothing about the present one.
+func (sc *Scheduler) findRun(host fleet.HostID, term fleet.Term, sentAt time.Time, k pool.Key) (*pool.Worker, *pool.Run) {
 	w, ok := sc.pool.Workers[host]
-	if sc.mode != leading || term != sc.term || !ok {
+	if sc.mode != leading || term != sc.term || !ok || sentAt.Before(w.ReplacedAt) {
 		return nil, nil
 	}
 	return w, w.Runs[k]
--- a/fleet/sched/workers.go
+++ b/fleet/sched/workers.go
@@ -148,6 +148,7 @@
 func (sc *Scheduler) noteRestart(w *pool.Worker, state fleet.WorkerState) {
 	sc.logf(event.WorkerLost, string(w.Endpoint.Host), "runs=%d heard=%s: its process was replaced", len(w.Runs), ago(sc.now, w.LastHeard))
 	sc.judgeLoss(w, state != fleet.WorkerDraining, "its process was replaced")
+	w.ReplacedAt = sc.now
 	for _, r := range w.Sorted() {
 		switch {
 		case r.Phase == pool.Sent && r.Dispatched, r.Phase == pool.Running && r.Sends > 1:
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -342,12 +342,12 @@
 		one, mend := w.worker(a.Endpoint)
 		clock, span, err := one.start(w.now, a.Order)
 		mend()
-		w.postAfter(span, sched.Started{Endpoint: a.Endpoint, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
+		w.postAfter(span, sched.Started{Endpoint: a.Endpoint, Term: a.Order.Term, SentAt: w.local(), Key: a.Key, Clock: clock, Err: err})
 	case sched.Stop:
 		one, mend := w.worker(a.Endpoint)
 		clock, span, err := one.stop(w.now, a.Order)
 		mend()
-		w.postAfter(span, sched.Stopped{Endpoint: a.Endpoint, Term: a.Order.Term, Key: a.Key, Clock: clock, Err: err})
+		w.postAfter(span, sched.Stopped{Endpoint: a.Endpoint, Term: a.Order.Term, SentAt: w.local(), Key: a.Key, Clock: clock, Err: err})
 	case sched.Poll:
 		w.polls++
 		w.openPolls++
