Stop the second run of a gang once the first is known to have succeeded

What callers see: a job that is completed goes on taking room until its second run ends as well.

Cause: a gang whose worker is cut off for longer than its lease is started elsewhere. When the end of the first run arrives after all, the gang is done; single tasks that are done are stopped wherever they run, but gangs were left out, as their other members may be about to end.

TestSecondRunOfAGangIsStoppedOnceTheFirstHasEnded failed before: two tasks run on instead of none. Now the members of all other runs are stopped.

--- a/fleet/sched/ends.go
+++ b/fleet/sched/ends.go
@@ -5,6 +5,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/flow"
 	"dragonflydeck.example/fleet/pool"
 )
 
@@ -30,7 +31,7 @@
 	switch e.How {
 	case fleet.EndDone:
 		w.NoteSuccess(sc.now)
-		sc.finishTask(j, e.Task)
+		sc.finishTask(j, e.Task, e.Run)
 		return
 	case fleet.EndFailed:
 		if newest {
@@ -43,19 +44,33 @@
 	}
 }
 
-// finishTask records that a task succeeded.
-func (sc *Scheduler) finishTask(j *job, t fleet.Task) {
+// finishTask records that a run of a task succeeded.
+func (sc *Scheduler) finishTask(j *job, t fleet.Task, no fleet.Run) {
 	if !j.Done(t, sc.now) {
 		return
 	}
-	if s := j.Step(t); s.Unfinished() == 0 {
+	s := j.Step(t)
+	if s.Unfinished() == 0 {
 		sc.speeds.finish(j.Spec.Queue, s)
 	}
+	if s.Spec.Gang {
+		sc.stopOtherRuns(j, s, no)
+	}
 	if j.HasEnded() {
 		sc.logf(event.JobDone, string(j.ID), "queue=%s after=%s", j.Spec.Queue, sc.now.Sub(j.Accepted))
 	}
 }
 
+// stopOtherRuns stops the run of a gang that was started while one that has succeeded was not heard of. Other
+// members of the one that has succeeded end by themselves.
+func (sc *Scheduler) stopOtherRuns(j *job, s *flow.Step, succeeded fleet.Run) {
+	for i := range s.Tasks {
+		if w, r := sc.newestRun(j, s, i); r != nil && r.No != succeeded {
+			sc.stopRun(w, r, "another run of its gang has succeeded")
+		}
+	}
+}
+
 // failedWorkerPause is how long a job is not placed again on a worker where it
 // failed, so that it does not use up its attempts there within an instant.
 const failedWorkerPause = 2 * time.Second
