--- a/fleet/sched/forget_test.go
+++ b/fleet/sched/forget_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,3 +92,131 @@
 	w.awaitCompleted(later, 5*time.Second)
 	qt.Check(t, w.startCount("later"), qt.Equals, 1)
 }
+
+// Guards against ends that a worker forgets before they are stored, so that no lead learns of them
+// any more: a batch held ends of a process that was replaced meanwhile, and the first ends of the
+// new one, whose numbers begin anew, counted as stored with it.
+func TestEndsOfANewProcessAreNotForgottenWithThoseOfTheFormer(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	one := w.sorted()[0]
+	runTimes["former"], runTimes["later"] = 60*time.Millisecond, 60*time.Millisecond
+	former, later := newFlow("former", "urgent", taskStep(1, 2, time.Second)), newFlow("later", "urgent", taskStep(1, 2, time.Second))
+	w.submitAccepted(former)
+	w.runUntil(time.Second, "start", func() bool { return w.startCount("former") == 1 })
+	one.startDelay, one.maxDelayed = time.Second, 1
+	w.submitAccepted(later)
+	w.runUntil(time.Second, "start that is not answered", func() bool { return len(one.pending) == 1 })
+	w.appendDelay = 450 * time.Millisecond
+	appends := w.appends
+	w.runUntil(time.Second, "append of the end", func() bool { return w.appends > appends })
+	w.store.down = true // the append that is under way is its last
+	one.startDelay = 0
+	one.crash(w.now)
+	w.runUntil(time.Second, "end in the new process", func() bool { return one.ended == 1 })
+	for until := w.now.Add(3 * time.Second); w.now.Before(until); {
+		w.step()
+		if len(one.ends) == 0 && !w.endIsStored("later") {
+			w.printLog()
+			t.Fatalf("at %s the worker forgets an end that is not stored", w.now.Sub(startTime))
+		}
+	}
+}
+
+// Guards against ends that a worker forgets before any lead has read them: its process was replaced
+// unnoticed, and the next poll acknowledged the ends of the former process to the new one, whose
+// numbers begin anew.
+func TestNewProcessIsNotToldToForgetEndsOfTheFormer(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	one := w.sorted()[0]
+	for _, id := range []fleet.JobID{"former", "later"} {
+		runTimes[id] = 60 * time.Millisecond
+	}
+	former, later := newFlow("former", "urgent", taskStep(1, 2, time.Second)), newFlow("later", "urgent", taskStep(1, 2, time.Second))
+	w.submitAccepted(former)
+	w.awaitCompleted(former, time.Second)
+	w.runUntil(time.Second, "acknowledgement", func() bool { return len(one.ends) == 0 })
+	one.startDelay, one.maxDelayed = time.Second, 1
+	w.submitAccepted(later)
+	w.runUntil(time.Second, "start that is not answered", func() bool { return len(one.pending) == 1 })
+	one.startDelay = 0
+	one.crash(w.now)
+	w.awaitCompleted(later, 2*time.Second)
+	qt.Check(t, w.startCount("later"), qt.Equals, 1)
+}
+
+// Guards against ends of a new process that are forgotten by a poll for the former one, sent before
+// any call to the worker failed: only a poll with something to forget names a number.
+func TestPollsNameNoEndsThatAreForgotten(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	one := w.sorted()[0]
+	runTimes["short"], runTimes["long"] = 60*time.Millisecond, time.Minute
+	w.submitAccepted(newFlow("long", "bulk", taskStep(1, 2, time.Minute)))
+	w.submitAccepted(newFlow("short", "urgent", taskStep(1, 2, time.Second)))
+	w.runUntil(time.Second, "acknowledgement", func() bool { return one.acked == 1 })
+	w.run(2 * time.Second)
+	qt.Check(t, one.acked, qt.Equals, fleet.EndNo(0))
+	qt.Check(t, one.ends, qt.HasLen, 0)
+}
+
+// Guards against ends that a worker forgets before any lead has read them: the long poll that lets it
+// forget an end hangs as its process is replaced, and another poll follows before any answer is overdue.
+func TestNewProcessOfABusyWorkerIsNotToldToForgetEndsOfTheFormer(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	one := w.sorted()[0]
+	runTimes["long"], runTimes["former"], runTimes["later"] = time.Minute, 60*time.Millisecond, 60*time.Millisecond
+	w.submitAccepted(newFlow("long", "bulk", taskStep(1, 2, time.Minute)))
+	former, later := newFlow("former", "urgent", taskStep(1, 2, time.Second)), newFlow("later", "urgent", taskStep(1, 2, time.Second))
+	w.submitAccepted(former)
+	w.awaitCompleted(former, time.Second)
+	w.runUntil(time.Second, "acknowledgement", func() bool { return one.ended == 1 && len(one.ends) == 0 && len(one.longPolls) > 0 })
+	one.longPolls = nil // no answer, and no failure for long
+	one.crash(w.now)
+	w.submit(later)
+	for until := w.now.Add(330 * time.Millisecond); w.now.Before(until); {
+		w.step()
+		w.losePolls()
+		w.loseStarts()
+	}
+	w.checkUnread(one, later.Id)
+	w.awaitCompleted(later, 8*time.Second)
+	qt.Check(t, w.startCount(fleet.JobID(later.Id)), qt.Equals, 1)
+}
+
+// Guards against ends that a worker lists for ever, so that each poll is answered at once: a poll that
+// named ends of a former process reached the new one, and was answered after the list of workers had
+// shown that one.
+func TestEndsOfANewProcessAreForgottenAfterAPollForTheFormer(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.becomeLead()
+	one := w.sorted()[0]
+	runTimes["long"] = time.Minute
+	w.submitAccepted(newFlow("long", "bulk", taskStep(1, 2, time.Minute)))
+	for i := range 5 {
+		f := newFlow(fmt.Sprint("former", i), "urgent", taskStep(1, 1, time.Second))
+		runTimes[fleet.JobID(f.Id)] = 60 * time.Millisecond
+		w.submitAccepted(f)
+		w.awaitCompleted(f, 2*time.Second)
+	}
+	w.runUntil(time.Second, "acknowledgement", func() bool { return one.ended == 5 && len(one.ends) == 0 && len(one.longPolls) > 0 })
+	onItsWay := one.longPolls
+	one.longPolls = nil
+	one.crash(w.now)
+	one.longPolls = onItsWay
+	w.postWorkers()
+	w.run(2 * time.Second)
+	for i := range 2 {
+		f := newFlow(fmt.Sprint("later", i), "urgent", taskStep(1, 1, time.Second))
+		runTimes[fleet.JobID(f.Id)] = 60 * time.Millisecond
+		w.submitAccepted(f)
+		w.awaitCompleted(f, 2*time.Second)
+	}
+	w.run(time.Second)
+	before := w.polls
+	w.run(2 * time.Second)
+	qt.Check(t, one.ends, qt.HasLen, 0)
+	qt.Check(t, w.polls-before < 20, qt.IsTrue, qt.Commentf("%d polls of one worker in 2 s", w.polls-before))
+}
