--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -123,7 +123,7 @@
 	if j.madeAt == 0 {
 		return "none"
 	}
-	return sc.now.Sub(sc.clock.Time(j.madeAt)).String()
+	return age(sc.now, sc.clock.Time(j.madeAt))
 }
 
 // decode returns the jobs and their progress from their records, and restores the speeds of
--- a/fleet/sched/reused_test.go
+++ b/fleet/sched/reused_test.go
@@ -18,10 +18,7 @@
 	w.runUntil(time.Second, "start", func() bool { return w.startCount("again") == 1 })
 	one, _ := w.onlyRun()
 	one.cutOff = true
-	for _, p := range one.longPolls {
-		p.fail()
-	}
-	one.longPolls = nil
+	one.breakPolls()
 	w.awaitCompleted(f, 20*time.Second)
 	w.run(limits.Status + 6*time.Second)
 	qt.Assert(t, len(one.ends), qt.Equals, 1)
--- a/fleet/sched/superseded_test.go
+++ b/fleet/sched/superseded_test.go
@@ -21,10 +21,7 @@
 	w.runUntil(time.Second, "start", func() bool { return w.startCount("gang") == 2 })
 	first, _ := w.onlyRun()
 	first.cutOff = true
-	for _, p := range first.longPolls {
-		p.fail()
-	}
-	first.longPolls = nil
+	first.breakPolls()
 	w.runUntil(3500*time.Millisecond, "end behind the cut", func() bool { return len(first.ends) == 2 })
 	runTimes["gang"] = time.Minute
 	w.runUntil(12*time.Second, "second run", func() bool { return w.startCount("gang") == 4 })
--- a/fleet/sched/worker_test.go
+++ b/fleet/sched/worker_test.go
@@ -142,6 +142,11 @@
 	w.epoch, w.term, w.ends, w.ended = now, 0, nil, 0
 	w.runs, w.closed = map[pool.Key]*running{}, map[fleet.Task]fleet.Run{}
 	w.pending = nil
+	w.breakPolls()
+}
+
+// breakPolls fails the polls that wait at the worker.
+func (w *worker) breakPolls() {
 	for _, p := range w.longPolls {
 		p.fail()
 	}
