--- a/fleet/sched/sched_test.go
+++ b/fleet/sched/sched_test.go
@@ -8,7 +8,6 @@
 	"dragonflydeck.example/fleet/sched"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
-	"google.golang.org/protobuf/proto"
 )
 
 func TestJobOfTwoStepsRunsInOrder(t *testing.T) {
@@ -125,11 +124,8 @@
 
 // storedFails returns how often the first step of a job has failed, as stored.
 func (w *world) storedFails(id string) int32 {
-	for _, r := range w.store.newest() {
-		if track := (&wire.Track{}); r.Key == "track/"+id {
-			qt.Assert(w.t, proto.Unmarshal(r.Value, track), qt.IsNil)
-			return track.Pieces[0].Fails
-		}
+	if track := w.storedTrack(id); track != nil {
+		return track.Pieces[0].Fails
 	}
 	return 0
 }
--- a/fleet/sched/told_test.go
+++ b/fleet/sched/told_test.go
@@ -14,17 +14,20 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// endIsStored reports whether the store holds the end of a job.
-func (w *world) endIsStored(id string) bool {
+// storedTrack returns the stored progress of a job, or nil.
+func (w *world) storedTrack(id string) *wire.Track {
 	for _, r := range w.store.newest() {
 		if track := (&wire.Track{}); r.Key == "track/"+id {
 			qt.Assert(w.t, proto.Unmarshal(r.Value, track), qt.IsNil)
-			return track.Ended > 0
+			return track
 		}
 	}
-	return false
+	return nil
 }
 
+// endIsStored reports whether the store holds the end of a job.
+func (w *world) endIsStored(id string) bool { return w.storedTrack(id).GetEnded() > 0 }
+
 // storeTroubles are ways in which a store may fail.
 var storeTroubles = map[string]func(w *world, on bool){
 	"none":          func(*world, bool) {},
