Review case 6: two leads in a cut during which a machine is added

Cause: each lead counts the majority against the daemons that it knows itself. A daemon that is added outside a cut is not known inside it, so that a former lead is confirmed by a majority of the old members while the new lead counts half of the new ones as its followers. Change: a script with the project's daemons as processes, and the stand-ins that it starts (review/rig2, built by review/build-2.sh). Nothing is fixed.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,3 @@
+#!/bin/bash
+# Two leads in a cut during which a machine is added. Needs the build of the deploy file and review/build-2.sh.
+cd "$(dirname "$0")/../.." && exec target/reviewrig2 split review/6
