--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -22,6 +23,8 @@
 	Ms    int64 `json:"ms"`    // run time of a task
 	Then  int64 `json:"then"`  // run time of a task of the second step; 0 is the same
 	Saves bool  `json:"saves"` // it checkpoints its progress
+	Lasts bool  `json:"lasts"` // it runs until it is stopped
+	Fails int64 `json:"fails"` // a run fails after this time; 0 is never
 }
 
 // run is one run of a task on a runner.
@@ -118,6 +121,7 @@
 type runner struct {
 	id, service, zone, rack, address string
 	cpu, mem, gpu                    int64
+	kind                             string        // its first label; "a" if empty
 	lease                            time.Duration // bounds.maxHoldMs
 	aud                              *auditor
 
@@ -163,7 +167,7 @@
 	return map[string]any{
 		"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": 8, "state": "ready",
 		"coldRemainingMs": 0, "seq": r.clock(), "clockMs": r.clock(), "born": r.born.UnixMilli(),
-		"capacity": map[string]int64{"cpu": r.cpu, "memMb": r.mem, "gpu": r.gpu}, "labels": []string{"a", r.rack},
+		"capacity": map[string]int64{"cpu": r.cpu, "memMb": r.mem, "gpu": r.gpu}, "labels": []string{cmp.Or(r.kind, "a"), r.rack},
 	}
 }
 
@@ -201,7 +205,9 @@
 			if now.After(x.stopAt) {
 				r.close(x, "stopped")
 			}
-		case x.work(now) >= time.Duration(x.need.Ms)*time.Millisecond:
+		case x.need.Fails > 0 && now.Sub(x.begun) >= time.Duration(x.need.Fails)*time.Millisecond:
+			r.close(x, "failed")
+		case !x.need.Lasts && x.work(now) >= time.Duration(x.need.Ms)*time.Millisecond:
 			r.close(x, "done")
 		}
 	}
