Review case 9: recurring jobs end the daemons one after the other

Cause: the state of every task of every occurrence is held in memory from the acceptance on, and nothing bounds the sum over all jobs. Change: a script. Nothing is fixed.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,3 +1,3 @@
 #!/bin/bash
-# Crashes of runners fail a sound job. Needs the build of the deploy file and review/build-2.sh.
-cd "$(dirname "$0")/../.." && exec target/reviewrig2 crashes review/9
+# Recurring jobs end the daemons one after the other. Needs the build of the deploy file and review/build-2.sh.
+cd "$(dirname "$0")/../.." && exec target/reviewrig2 memory review/9
