--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,7 +20,7 @@
 var errRun = errors.New("the case could not run")
 
 var cases = map[string]func(s *site, trouble bool) error{
-	"split": split, "large": large, "long": long, "memory": memory,
+	"split": split, "guarantee": guarantee, "large": large, "memory": memory,
 }
 
 func newQuietLogger() *log.Logger { return log.New(quietLog{}, "", 0) }
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -58,12 +58,12 @@
 
 // Recurring jobs of the memory case.
 const (
-	yearly    = 365 * 48 // times of a job that runs each half hour for a year
+	many      = 500 * 48 // times of a job that runs each half hour for 500 days
 	few       = 6
-	recurring = 80
+	recurring = 50 // together 2,400 runs a day
 )
 
-// memory: recurring jobs that run each half hour for a year are handed in, beside small jobs.
+// memory: recurring jobs that run each half hour for 500 days are handed in, beside small jobs.
 func memory(s *site, trouble bool) error {
 	zones := []string{"za", "zb", "zc"}
 	for i, z := range zones {
@@ -97,7 +97,7 @@
 	time.Sleep(2 * time.Second)
 	times := few
 	if trouble {
-		times = yearly
+		times = many
 	}
 	s.rec.notef("%d jobs of one task each are handed in; each runs %d times, every half hour, from the next hour on", recurring, times)
 	var accepted []string
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -23,6 +23,7 @@
 	Ms    int64 `json:"ms"`    // run time of a task
 	Then  int64 `json:"then"`  // run time of a task of the second step; 0 is the same
 	Saves bool  `json:"saves"` // it checkpoints its progress
+	Lasts bool  `json:"lasts"` // it runs until it is stopped
 }
 
 // run is one run of a task on a runner.
@@ -203,7 +204,7 @@
 			if now.After(x.stopAt) {
 				r.close(x, "stopped")
 			}
-		case x.work(now) >= time.Duration(x.need.Ms)*time.Millisecond:
+		case !x.need.Lasts && x.work(now) >= time.Duration(x.need.Ms)*time.Millisecond:
 			r.close(x, "done")
 		}
 	}
@@ -354,7 +355,7 @@
 	now := time.Now()
 	running, finished := [][]any{}, [][]any{}
 	for _, x := range r.runs {
-		running = append(running, []any{x.task, x.number, x.saved(now), min(100*x.work(now).Milliseconds()/max(x.need.Ms, 1), 100), 0})
+		running = append(running, []any{x.task, x.number, x.saved(now), min(100*x.work(now).Milliseconds()/max(x.need.Ms, 1), 100), 0}) // a task that lasts is at work at 100
 	}
 	for _, e := range r.ends[:min(len(r.ends), maxEndsListed)] {
 		finished = append(finished, []any{e.n, e.task, e.run, e.how, e.saved})
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -17,13 +17,14 @@
 	"time"
 )
 
-// Names of the queues and the one tenant of the rig's manifest.
+// Names of the queues and the tenants of the rig's manifest.
 const (
 	service      = "desk"
 	queueHost    = "desk.example"
 	prefix       = "/jobs/"
 	urgentPrefix = "/urgent/"
 	tenantKey    = "key-of-a-tenant"
+	otherKey     = "key-of-another-tenant"
 	leaseMs      = 6000
 )
 
@@ -58,6 +59,8 @@
 	version int
 	maxTry  int
 	urgent  map[string]bool // jobs of the urgent queue
+	owed    int             // accelerators that are guaranteed to the other tenant
+	others  map[string]bool // jobs of the other tenant
 }
 
 const (
@@ -88,7 +91,7 @@
 }
 
 func newSite(rec *recorder, dir string) *site {
-	s := &site{rec: rec, aud: newAuditor(rec), store: newStore(rec), dir: dir, net: 100 + os.Getpid()%20*7, port: freePorts(portCount), stop: make(chan struct{}), maxTry: 3, urgent: map[string]bool{}}
+	s := &site{rec: rec, aud: newAuditor(rec), store: newStore(rec), dir: dir, net: 100 + os.Getpid()%20*7, port: freePorts(portCount), stop: make(chan struct{}), maxTry: 3, urgent: map[string]bool{}, others: map[string]bool{}}
 	s.configure()
 	return s
 }
@@ -100,10 +103,14 @@
 		"routes":   []any{s.route("r-jobs", prefix, 1), s.route("r-urgent", urgentPrefix, 0)},
 		"services": []any{map[string]any{"name": service, "maxConns": 64, "healthPath": "/healthz", "admissionCheck": false}},
 		"limits":   map[string]any{"maxBodyBytes": 262144},
-		"tenants":  []any{map[string]any{"name": "t", "apiKeys": []string{tenantKey}, "guaranteed": map[string]any{"gpu": 0}}},
+		"tenants":  []any{tenant("t", tenantKey, 0), tenant("u", otherKey, s.owed)},
 	})
 }
 
+func tenant(name, key string, gpu int) map[string]any {
+	return map[string]any{"name": name, "apiKeys": []string{key}, "guaranteed": map[string]any{"gpu": gpu}}
+}
+
 func (s *site) route(name, prefix string, priority int) map[string]any {
 	return map[string]any{
 		"name": name, "host": queueHost, "pathPrefix": prefix, "kind": "non_idempotent", "timeoutMs": 3000, "targetDurationMs": 60000,
@@ -293,7 +300,11 @@
 		return 0, err.Error()
 	}
 	r.Host = queueHost
-	r.Header.Set("Authorization", "Bearer "+tenantKey)
+	key := tenantKey
+	if s.others[id] {
+		key = otherKey
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Deadline-Ms", "3000")
 	resp, err := http.DefaultClient.Do(r)
