--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,5 @@
 #!/bin/bash
 # Two leads in a cut during which a machine is added. Needs the build of the deploy file and review/build-2.sh.
-cd "$(dirname "$0")/../.." && exec target/reviewrig2 split review/6
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/reviewrig2 ] && [ -x target/deckd ] || exit 2
+exec target/reviewrig2 split review/6
