Review: trials that show further faults

Change: five trials in review/rig2 for which there is no room among the cases: crashes of runners, a lasting task, a long task, a renamed route, the number of pending jobs.

--- a/review/rig2/guarantee.go
+++ b/review/rig2/guarantee.go
@@ -17,28 +17,9 @@
 func guarantee(s *site, trouble bool) error {
 	s.owed = owedAccels
 	s.configure()
-	zones := []string{"za", "zb", "zc"}
-	for i, z := range zones {
-		if _, err := s.addDaemon(fmt.Sprintf("edge-%s-%d", z, i+1), z, zones); err != nil {
-			return err
-		}
-	}
-	for i := range 4 {
-		r := &runner{id: fmt.Sprintf("i-%010d", i+1), zone: zones[i%3], rack: fmt.Sprintf("r-%d", i/4), cpu: 32000, mem: 65536, gpu: 8, address: s.addr(netReal, 101+i, portRunner)}
-		s.addRunner(r, func() bool { return true })
-		if err := s.serve(r.address, r); err != nil {
-			return err
-		}
+	if err := s.boot(4); err != nil {
+		return err
 	}
-	for _, d := range s.daemons {
-		if err := s.start(d); err != nil {
-			return err
-		}
-	}
-	if !s.awaitReady(10*time.Second, s.daemons...) {
-		return fmt.Errorf("%w: the daemons are not ready", errRun)
-	}
-	time.Sleep(2 * time.Second)
 	for i, lasting := range []bool{true, false} {
 		if err := s.claimGuarantee(fmt.Sprintf("%016x", 0x701+i), fmt.Sprintf("%016x", 0x801+i), lasting, trouble); err != nil {
 			return err
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,7 +20,8 @@
 var errRun = errors.New("the case could not run")
 
 var cases = map[string]func(s *site, trouble bool) error{
-	"split": split, "guarantee": guarantee, "large": large, "memory": memory,
+	"split": split, "memory": memory, "large": large, "guarantee": guarantee,
+	"crashes": crashes, "lasting": lasting, "long": long, "renamed": renamed, "pending": pending,
 }
 
 func newQuietLogger() *log.Logger { return log.New(quietLog{}, "", 0) }
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -24,6 +24,7 @@
 	Then  int64 `json:"then"`  // run time of a task of the second step; 0 is the same
 	Saves bool  `json:"saves"` // it checkpoints its progress
 	Lasts bool  `json:"lasts"` // it runs until it is stopped
+	Fails int64 `json:"fails"` // a run fails after this time; 0 is never
 }
 
 // run is one run of a task on a runner.
@@ -124,16 +125,17 @@
 	lease                            time.Duration // bounds.maxHoldMs
 	aud                              *auditor
 
-	mu     sync.Mutex
-	born   time.Time
-	down   bool
-	token  int64
-	until  time.Time
-	runs   map[string]*run
-	closed map[string]int64
-	ends   []end
-	endNo  int64
-	wake   chan struct{} // closed at the end of a run and at a crash
+	mu      sync.Mutex
+	born    time.Time
+	down    bool
+	refuses bool // it answers starts with 503
+	token   int64
+	until   time.Time
+	runs    map[string]*run
+	closed  map[string]int64
+	ends    []end
+	endNo   int64
+	wake    chan struct{} // closed at the end of a run and at a crash
 }
 
 func (r *runner) boot() {
@@ -204,6 +206,8 @@
 			if now.After(x.stopAt) {
 				r.close(x, "stopped")
 			}
+		case x.need.Fails > 0 && now.Sub(x.begun) >= time.Duration(x.need.Fails)*time.Millisecond:
+			r.close(x, "failed")
 		case !x.need.Lasts && x.work(now) >= time.Duration(x.need.Ms)*time.Millisecond:
 			r.close(x, "done")
 		}
@@ -283,6 +287,10 @@
 	r.token = o.FencingToken
 	switch q.URL.Path {
 	case "/run-start":
+		if r.refuses {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		r.start(w, o)
 	case "/run-stop":
 		if x := r.runs[o.Task]; x != nil && x.number <= o.Run && x.stopAt.IsZero() {
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -61,6 +62,9 @@
 	urgent  map[string]bool // jobs of the urgent queue
 	owed    int             // accelerators that are guaranteed to the other tenant
 	others  map[string]bool // jobs of the other tenant
+
+	routeName string // of the first queue; "r-jobs" if empty
+	labelled  bool   // the first runner is of another kind
 }
 
 const (
@@ -100,7 +104,7 @@
 	s.version += 3
 	s.store.put("keyed.op", "config", map[string]any{
 		"version":  s.version,
-		"routes":   []any{s.route("r-jobs", prefix, 1), s.route("r-urgent", urgentPrefix, 0)},
+		"routes":   []any{s.route(cmp.Or(s.routeName, "r-jobs"), prefix, 1), s.route("r-urgent", urgentPrefix, 0)},
 		"services": []any{map[string]any{"name": service, "maxConns": 64, "healthPath": "/healthz", "admissionCheck": false}},
 		"limits":   map[string]any{"maxBodyBytes": 262144},
 		"tenants":  []any{tenant("t", tenantKey, 0), tenant("u", otherKey, s.owed)},
