--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,8 +20,8 @@
 var errRun = errors.New("the case could not run")
 
 var cases = map[string]func(s *site, trouble bool) error{
-	"split": split, "memory": memory, "large": large, "guarantee": guarantee,
-	"crashes": crashes, "lasting": lasting, "long": long, "renamed": renamed, "pending": pending,
+	"split": split, "memory": memory, "large": large, "guarantee": guarantee, "replaced": replaced, "renamed": renamed,
+	"crashes": crashes, "lasting": lasting, "long": long, "pending": pending,
 }
 
 func newQuietLogger() *log.Logger { return log.New(quietLog{}, "", 0) }
