--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -58,12 +58,12 @@
 
 // Recurring jobs of the memory case.
 const (
-	many      = 500 * 48 // times of a job that runs each half hour for 500 days
+	many      = 730 * 24 // times of a job that runs each hour for two years
 	few       = 6
-	recurring = 50 // together 2,400 runs a day
+	recurring = 100 // together 2,400 runs a day
 )
 
-// memory: recurring jobs that run each half hour for 500 days are handed in, beside small jobs.
+// memory: recurring jobs that run each hour for two years are handed in, beside small jobs.
 func memory(s *site, trouble bool) error {
 	zones := []string{"za", "zb", "zc"}
 	for i, z := range zones {
@@ -99,12 +99,12 @@
 	if trouble {
 		times = many
 	}
-	s.rec.notef("%d jobs of one task each are handed in; each runs %d times, every half hour, from the next hour on", recurring, times)
+	s.rec.notef("%d jobs of one task each are handed in; each runs %d times, every hour, from the next hour on", recurring, times)
 	var accepted []string
 	refused := 0
-	for i, end := 0, time.Now().Add(40*time.Second); i < recurring && time.Now().Before(end); i++ {
+	for i, end := 0, time.Now().Add(50*time.Second); i < recurring && time.Now().Before(end); i++ {
 		j := job(need{Ms: 2000}, 1, 1000, 500, 1)
-		j["repeatCount"], j["firstMs"], j["intervalMs"] = times, time.Now().Add(time.Hour).UnixMilli(), 30*60*1000
+		j["repeatCount"], j["firstMs"], j["intervalMs"] = times, time.Now().Add(time.Hour).UnixMilli(), 60*60*1000
 		if id := fmt.Sprintf("%016x", 0xa00+i); s.submit(s.daemons[i%3:i%3+1], 1, id, j) {
 			accepted = append(accepted, id)
 		} else {
@@ -115,7 +115,7 @@
 				s.rec.notef("daemon %s: %d MB", d.name, resident(d.cmd.Process.Pid))
 			}
 		}
-		time.Sleep(250 * time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
 	}
 	s.rec.notef("%d of them accepted, %d not", len(accepted), refused)
 	answered, asked := 0, 0
