--- a/review/rig2/split.go
+++ b/review/rig2/split.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -214,9 +213,6 @@
 				}
 			}
 			if err != nil {
-				if err != io.EOF {
-					return
-				}
 				return
 			}
 		}
