--- a/review/rig2/guarantee.go
+++ b/review/rig2/guarantee.go
@@ -21,30 +21,37 @@
 		return err
 	}
 	for i, lasting := range []bool{true, false} {
-		if err := s.claimGuarantee(fmt.Sprintf("%016x", 0x701+i), fmt.Sprintf("%016x", 0x801+i), lasting, trouble); err != nil {
+		fillers := []string{fmt.Sprintf("%016x", 0x701+2*i), fmt.Sprintf("%016x", 0x702+2*i)}
+		if err := s.claimGuarantee(fillers, fmt.Sprintf("%016x", 0x801+i), lasting, trouble); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// claimGuarantee hands in the job that fills the site and then the one that is within its tenant's guarantee.
-func (s *site) claimGuarantee(filler, owed string, lasting, trouble bool) error {
+// claimGuarantee hands in the two jobs that fill the site and then the one that is within its tenant's guarantee.
+func (s *site) claimGuarantee(fillers []string, owed string, lasting, trouble bool) error {
 	count, what := allAccels, "that last"
 	if !trouble {
 		count -= owedAccels
 	}
-	j := job(need{Ms: 90000, Lasts: lasting}, count, 500, 1000, 1)
+	j := job(need{Ms: 90000, Lasts: lasting}, count/len(fillers), 500, 1000, 1)
 	if lasting {
 		j["steps"].([]any)[0].(map[string]any)["longRunning"] = true
 	} else {
-		s.urgent[filler], what = true, "of priority 0 that run for 90 s"
+		what = "of priority 0 that run for 90 s"
+		for _, filler := range fillers {
+			s.urgent[filler] = true
+		}
 	}
-	s.rec.notef("tenant t, to which none are guaranteed, hands in %d tasks %s, with an accelerator each; the runners have %d", count, what, allAccels)
-	if !s.submit(s.daemons, 4, filler, j) {
-		return fmt.Errorf("%w: the tasks of tenant t were not accepted", errRun)
+	s.rec.notef("tenant t, to which none are guaranteed, hands in %d jobs of together %d tasks %s, with an accelerator each; the runners have %d", len(fillers), count, what, allAccels)
+	for _, filler := range fillers {
+		if !s.submit(s.daemons, 4, filler, j) {
+			return fmt.Errorf("%w: the tasks of tenant t were not accepted", errRun)
+		}
 	}
-	if !await(5*time.Second, func() bool { return s.aud.atWork(filler) == count }) {
+	atWork := func() int { return s.aud.atWork(fillers[0]) + s.aud.atWork(fillers[1]) }
+	if !await(5*time.Second, func() bool { return atWork() == count }) {
 		return fmt.Errorf("%w: the tasks of tenant t did not start", errRun)
 	}
 	time.Sleep(2 * time.Second)
@@ -64,12 +71,12 @@
 	default:
 		s.rec.notef("job %s has begun all of its tasks %.1f s after its confirmation", owed, waited.Seconds())
 	}
-	s.rec.notef("job %s: %d tasks at work", filler, s.aud.atWork(filler))
-	for _, id := range []string{owed, filler} {
+	s.rec.notef("tenant t: %d tasks at work", atWork())
+	for _, id := range append([]string{owed}, fillers...) {
 		status, text := s.call(s.daemons[0], http.MethodDelete, id, nil)
 		s.rec.notef("requester: DELETE %s: %d %s", id, status, text)
 	}
-	if !await(10*time.Second, func() bool { return s.aud.atWork(filler)+s.aud.atWork(owed) == 0 }) {
+	if !await(10*time.Second, func() bool { return atWork()+s.aud.atWork(owed) == 0 }) {
 		return fmt.Errorf("%w: the cancelled tasks are still at work", errRun)
 	}
 	return nil
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -71,7 +71,6 @@
 			return err
 		}
 	}
-	s.aud.quiet = true
 	for i := range 8 {
 		r := &runner{id: fmt.Sprintf("i-%010d", i+1), zone: zones[i%3], rack: fmt.Sprintf("r-%d", i/4), cpu: 32000, mem: 65536, gpu: 8, address: s.addr(netReal, 101+i, portRunner)}
 		s.addRunner(r, func() bool { return true })
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -76,12 +76,12 @@
 	portCount
 )
 
-// freePorts returns the first of some consecutive ports that are free.
-func freePorts(n int) int {
+// freePorts returns the first of some consecutive ports that are free at a loopback address.
+func freePorts(ip string, n int) int {
 	for base := 21000 + os.Getpid()%8000; ; base += n {
 		free := true
 		for i := range n {
-			ln, err := net.Listen("tcp", fmt.Sprintf("0.0.0.0:%d", base+i))
+			ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, base+i))
 			if err != nil {
 				free = false
 				break
@@ -95,7 +95,8 @@
 }
 
 func newSite(rec *recorder, dir string) *site {
-	s := &site{rec: rec, aud: newAuditor(rec), store: newStore(rec), dir: dir, net: 100 + os.Getpid()%20*7, port: freePorts(portCount), stop: make(chan struct{}), maxTry: 3, urgent: map[string]bool{}, others: map[string]bool{}}
+	network := 100 + os.Getpid()%20*7
+	s := &site{rec: rec, aud: newAuditor(rec), store: newStore(rec), dir: dir, net: network, port: freePorts(fmt.Sprintf("127.%d.0.1", network), portCount), stop: make(chan struct{}), maxTry: 3, urgent: map[string]bool{}, others: map[string]bool{}}
 	s.configure()
 	return s
 }
@@ -322,6 +323,9 @@
 
 // submit hands a job in, and does so again, at the next daemon, until it is accepted or the tries are used up.
 func (s *site) submit(list []*daemon, tries int, id string, job any) bool {
+	if body, err := json.Marshal(job); err == nil {
+		s.rec.notef("requester: job %s: %s", id, body)
+	}
 	for try := range tries {
 		d := list[try%len(list)]
 		status, text := s.call(d, http.MethodPost, id, job)
