--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -11,6 +11,7 @@
 	"dragonflydeck.example/fleet/clock"
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/sched"
+	"dragonflydeck.example/fleet/voter"
 	"dragonflydeck.example/fleet/wire"
 	"google.golang.org/protobuf/proto"
 )
@@ -51,7 +52,7 @@
 	case sched.AskPeers:
 		d.askPeers(a.All)
 	case sched.Claim:
-		d.site.loop.Post(d.claim(a.Known))
+		d.site.loop.Post(d.claim(a))
 	case sched.Probe:
 		_, err := d.site.deps.Store.Newest(d.ctx, topicHosts, "")
 		d.site.loop.Post(sched.Probed{Err: err})
@@ -126,7 +127,7 @@
 // several concurrent claims succeeds and the winner has seen every record. If
 // there already is a claim newer than the known term, claim returns that one
 // instead: it may be this daemon's own, whose response was lost.
-func (d *dispatcher) claim(known fleet.Term) sched.Claimed {
+func (d *dispatcher) claim(a sched.Claim) sched.Claimed {
 	store, self, sentAt := d.site.deps.Store, d.site.self, time.Now()
 	records, end, err := readNewest(d.ctx, store, topicJobs)
 	if err != nil {
@@ -136,20 +137,25 @@
 	if err != nil {
 		return sched.Claimed{Err: err}
 	}
-	if term > known {
-		return sched.Claimed{Lead: before, Term: term, End: end, Records: records, SentAt: sentAt}
+	if term > a.Known {
+		roll, err := sched.ReadRoll(records)
+		return sched.Claimed{Lead: before, Roll: roll, Term: term, End: end, Records: records, SentAt: sentAt, Err: err}
 	}
 	mine := &wire.Lead{Host: string(self.Host), Addr: self.Addr, Inc: int64(d.site.incarnation()), Epoch: before.Epoch + 1}
-	value, err := proto.Marshal(mine)
+	roll, err := sched.SucceedRoll(records, before, voter.Process{Host: self.Host, Inc: d.site.incarnation()}, a.Voters)
+	if err != nil {
+		return sched.Claimed{Err: err}
+	}
+	claim, err := sched.ClaimRecords(mine, roll)
 	if err != nil {
 		return sched.Claimed{Err: err}
 	}
 	sentAt = time.Now()
-	after, err := d.appendRecords(claimTimeout, topicJobs, end, []fleet.Record{{Key: sched.LeadKey, Value: value}})
+	after, err := d.appendRecords(claimTimeout, topicJobs, end, claim)
 	if err != nil {
 		return sched.Claimed{Err: err}
 	}
-	return sched.Claimed{Lead: mine, Term: fleet.Term(after), End: after, Records: records, SentAt: sentAt}
+	return sched.Claimed{Lead: mine, Roll: roll, Term: fleet.Term(after), End: after, Records: records, SentAt: sentAt}
 }
 
 // newestClaim returns the newest claim and its term, which is the offset after
--- a/fleet/elect/elect.go
+++ b/fleet/elect/elect.go
@@ -139,6 +139,9 @@
 	e.reset()
 }
 
+// Members returns the daemons of the site in the order in which they claim.
+func (e *Elector) Members() []Member { return e.members }
+
 func (e *Elector) powerOf(host fleet.HostID) fleet.Millicores {
 	for _, m := range e.members {
 		if m.Host == host {
@@ -221,7 +224,7 @@
 // Sight returns this daemon's answer to peers that ask whether it hears the lead.
 func (e *Elector) Sight(now time.Time) *wire.SightReply {
 	l := e.lead
-	r := &wire.SightReply{Term: int64(l.Term), Host: string(l.Host), Addr: l.Addr, Age: now.Sub(l.LastHeard).Milliseconds()}
+	r := &wire.SightReply{Term: int64(l.Term), Host: string(l.Host), Addr: l.Addr, Age: now.Sub(l.LastHeard).Milliseconds(), Inc: int64(e.self.Inc)}
 	if !l.BeatHeard {
 		r.Age = neverHeard.Milliseconds()
 	}
@@ -354,14 +357,6 @@
 // half of the daemons that are asked.
 func (e *Elector) AskedMajority(peers int) bool { return 2*(peers+1) > e.askedCount() }
 
-// Majority reports whether this number of peers and this daemon are more than half
-// of all members.
-func (e *Elector) Majority(peers int) bool { return 2*(peers+1) > len(e.members) }
-
-// BlocksMajority reports whether the members that are neither this daemon nor among this
-// number of peers are no majority.
-func (e *Elector) BlocksMajority(peers int) bool { return 2*(len(e.members)-peers-1) <= len(e.members) }
-
 // allAsked reports whether this number of peers are all that were asked.
 func (e *Elector) allAsked(peers int) bool { return peers+1 >= e.askedCount() }
 
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -79,6 +79,7 @@
 	RecordsGone     Code = 520
 	LeadSettled     Code = 521
 	HostGone        Code = 522
+	VotersChanged   Code = 523
 	WorkerLost      Code = 601
 	WorkerBack      Code = 602
 	WorkerAside     Code = 603
@@ -178,8 +179,9 @@
 	{RecordBad, "record-bad", Warn, "a record of the store cannot be decoded and is ignored", "find out who wrote it"},
 	{CallFailed, "call-failed", Warn, "a call to another daemon failed", "check the link between the two"},
 	{RecordsGone, "records-gone", Info, "the store no longer holds the records of a topic that a daemon would read next, so the daemon reads the newest record of each key", "nothing"},
-	{LeadSettled, "lead-settled", Info, "so many daemons know a new lead that no former one is confirmed any more; the line says how many, and how long it took. Until then, work on workers that the new lead does not reach is not started again", "if it does not follow soon after lead-taken (501), look for a cut between the daemons"},
-	{HostGone, "host-gone", Info, "an entry host has not renewed its entry for a day and no longer counts for majorities", "nothing if the host was removed; else check its link to the store"},
+	{LeadSettled, "lead-settled", Info, "so many voters of the former leads know a new lead that none of these is confirmed any more; the line says how many daemons know it, and how long it took. Until then, work on workers that the new lead does not reach is not started again", "if it does not follow soon after lead-taken (501), look for a cut between the daemons"},
+	{HostGone, "host-gone", Info, "an entry host has not renewed its entry for a day and is no longer taken for present", "nothing if the host was removed; else check its link to the store"},
+	{VotersChanged, "voters-changed", Info, "the lead stores which daemons may confirm it while the store does not answer; the line says how many, and how many former leads may still act", "nothing; if former stays above 0, look for daemons that were lost together with a former lead"},
 	{WorkerLost, "worker-lost", Warn, "the lease of a worker expired; its gangs are requeued", "nothing; the platform replaces it"},
 	{WorkerBack, "worker-back", Info, "a worker answers again", "nothing"},
 	{WorkerAside, "worker-aside", Warn, "a worker failed several jobs in a row and is quarantined until it is probed", "check the worker named"},
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -7,6 +7,7 @@
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/pool"
 	"dragonflydeck.example/fleet/queue"
+	"dragonflydeck.example/fleet/voter"
 	"dragonflydeck.example/fleet/wire"
 )
 
@@ -34,10 +35,11 @@
 	// Probed is the outcome of a Probe; Err is nil if the store answered.
 	Probed struct{ Err error }
 	// Claimed is the outcome of a Claim: the newest claim in the store, the end of
-	// the topic, and the newest record of every key up to there. SentAt is when the call
-	// was sent that stored or found the claim.
+	// the topic, the newest record of every key up to there, and the voters that were stored
+	// with the claim. SentAt is when the call was sent that stored or found the claim.
 	Claimed struct {
 		Lead    *wire.Lead
+		Roll    voter.Roll
 		Term    fleet.Term
 		End     fleet.Offset
 		Records []fleet.Record
@@ -142,9 +144,12 @@
 	// AskPeers asks peers whether they hear the lead: all of them, or at most
 	// elect.MaxAsked.
 	AskPeers struct{ All bool }
-	// Claim appends a claim to the lead, unless the store has a claim newer than the
-	// known term.
-	Claim struct{ Known fleet.Term }
+	// Claim appends a claim to the lead together with its voters, unless the store has a
+	// claim newer than the known term.
+	Claim struct {
+		Known  fleet.Term
+		Voters voter.Set
+	}
 	// Probe makes some read of the store, to see whether it answers.
 	Probe struct{}
 	// SendBeat sends a heartbeat to all other daemons.
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -21,9 +21,6 @@
 	trackKey = "track/"
 )
 
-// firstEpoch is that of a site's first lead.
-const firstEpoch = 1
-
 // runsPerEpoch separates the run numbers of successive leads, so that those of the
 // newer lead are always higher.
 const runsPerEpoch = 1 << 12
@@ -48,7 +45,7 @@
 		sc.emit(Probe{})
 	case elect.Claim:
 		sc.mode = claiming
-		sc.emit(Claim{Known: sc.Elect.Lead().Term})
+		sc.emit(Claim{Known: sc.Elect.Lead().Term, Voters: sc.present()})
 	}
 }
 
@@ -72,9 +69,10 @@
 	sc.logf(event.LeadTaken, string(sc.self.Host), "term=%d epoch=%d", sc.term, sc.epoch)
 	sc.sendBeat()
 	sc.restore(e.Records)
+	sc.takeOverRoll(e.Roll)
 	sc.recallWorkers()
 	sc.assumeForeignLeases()
-	if e.Lead.Epoch <= firstEpoch {
+	if len(e.Roll.Former) == 0 {
 		sc.succession.settled = true // there is no former lead
 	} else {
 		sc.settleSuccession()
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -7,6 +7,7 @@
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/pool"
+	"dragonflydeck.example/fleet/voter"
 	"dragonflydeck.example/fleet/wire"
 	"google.golang.org/protobuf/proto"
 )
@@ -67,6 +68,7 @@
 	reported  []jobEnds
 	starts    []pendingStart
 	speeds    []*wire.Speed
+	roll      *voter.Roll  // its record of the voters; nil if it has none
 	ends      []workerEnds // that may be acknowledged once the batch is stored
 }
 
@@ -125,7 +127,7 @@
 		sc.resumeBatch(b.inFlight)
 		return
 	}
-	if len(b.accepted)+len(b.cancels)+len(b.dirty)+len(b.deletes) == 0 {
+	if len(b.accepted)+len(b.cancels)+len(b.dirty)+len(b.deletes) == 0 && !sc.rollDue() {
 		sc.acknowledgeEnds()
 		return
 	}
@@ -208,6 +210,7 @@
 		}
 	}
 	sc.addSpeedRecords(s)
+	sc.addRoll(s)
 	cancels, starts := b.cancels, b.starts
 	b.cancels, b.starts, b.dirty, b.deletes = nil, nil, later, nil
 	for _, d := range cancels {
@@ -338,6 +341,7 @@
 	b.inFlight, b.end, b.callTook = nil, end, sc.now.Sub(sentAt)
 	sc.confirmLead(sentAt)
 	sc.changed = true
+	sc.noteRollStored(s.roll)
 	for _, j := range s.accepted {
 		j.stored = true
 		sc.logf(event.JobAccepted, string(j.ID), "queue=%s space=%s steps=%d end=%d", j.Spec.Queue, j.Spec.Space, len(j.Spec.Steps), end)
--- a/fleet/sched/quorum.go
+++ b/fleet/sched/quorum.go
@@ -6,6 +6,7 @@
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/elect"
+	"dragonflydeck.example/fleet/voter"
 )
 
 // How a lead detects that it is cut off and may have been replaced.
@@ -17,18 +18,15 @@
 	aloneDetection  = confirmationAge + elect.BeatInterval            // upper bound on how long a lead goes on after it was replaced; a peer hears a new lead with its first heartbeat
 )
 
-// hosts is a set of hosts.
-type hosts map[fleet.HostID]bool
-
 // quorum is what the lead knows about its connection to the store and its peers.
 type quorum struct {
-	confirmedAt time.Time // when the newest call was sent with which the store confirmed the lead
-	checkedAt   time.Time // when the store was last asked; zero while there is no need to ask
-	askedAt     time.Time // when the peers were last asked; zero while there is no need to ask
-	counted     bool      // the answers of the current round were counted
-	answers     hosts     // peers that have answered in the current round
-	alone       bool      // neither the store nor a majority answers
-	majorityAt  time.Time // when the newest round was sent that a majority answered
+	confirmedAt time.Time              // when the newest call was sent with which the store confirmed the lead
+	checkedAt   time.Time              // when the store was last asked; zero while there is no need to ask
+	askedAt     time.Time              // when the peers were last asked; zero while there is no need to ask
+	counted     bool                   // the answers of the current round were counted
+	answers     map[voter.Process]bool // that have answered in the current round
+	alone       bool                   // neither the store nor a majority answers
+	majorityAt  time.Time              // when the newest round was sent that a majority answered
 }
 
 // confirmLead records that the store showed no claim newer than this lead's to a call that
@@ -49,7 +47,8 @@
 // is cut off, has not been told yet.
 func (sc *Scheduler) isConfirmed() bool {
 	q := &sc.quorum
-	return !q.alone && (sc.isRecent(q.confirmedAt) || sc.isRecent(q.majorityAt))
+	byPeers := sc.isRecent(q.majorityAt) && sc.now.Sub(q.confirmedAt) < peersConfirmFor
+	return !q.alone && (sc.isRecent(q.confirmedAt) || byPeers)
 }
 
 // isRecent reports whether a question was sent recently enough for its answer to count.
@@ -74,7 +73,7 @@
 	}
 	switch since := sc.now.Sub(q.askedAt); {
 	case q.askedAt.IsZero() || since >= quorumInterval:
-		q.askedAt, q.counted, q.answers = sc.now, false, hosts{}
+		q.askedAt, q.counted, q.answers = sc.now, false, map[voter.Process]bool{}
 		sc.emit(AskPeers{All: true})
 	case !q.counted && since >= elect.AskTimeout:
 		sc.countAnswers()
@@ -103,7 +102,7 @@
 func (sc *Scheduler) countAnswers() {
 	q := &sc.quorum
 	q.counted = true
-	alone := !sc.Elect.Majority(len(q.answers))
+	alone := !sc.majority(q.answers)
 	if !alone {
 		q.majorityAt = q.askedAt
 	}
@@ -126,7 +125,7 @@
 		return
 	}
 	if !sc.quorum.askedAt.IsZero() && !e.AskedAt.Before(sc.quorum.askedAt) {
-		sc.quorum.answers[e.Host] = true
+		sc.quorum.answers[voter.Process{Host: e.Host, Inc: fleet.Incarnation(r.Inc)}] = true
 	}
 	if r.Term == int64(sc.term) {
 		sc.noteFollower(e.Host)
--- a/fleet/sched/rivals_test.go
+++ b/fleet/sched/rivals_test.go
@@ -30,6 +30,11 @@
 	f.submitReplies, f.cancelReplies, f.statusReplies = maps.Clone(w.submitReplies), maps.Clone(w.cancelReplies), maps.Clone(w.statusReplies)
 	f.listed = maps.Clone(w.listed)
 	f.order, f.logged = slices.Clone(w.order), nil
+	if w.host == "e1" {
+		w.host = "e5"
+	} else {
+		w.host = "e1"
+	}
 	w.restartDaemon()
 	w.post(fiveMembers())
 	return &f
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -68,6 +68,7 @@
 	quorum  quorum
 
 	succession succession
+	rolls      rolls
 	term       fleet.Term
 	epoch      int64
 
@@ -121,7 +122,8 @@
 	sc.stepMeans = map[*flow.Step]*stepMean{}
 	sc.speeds, sc.goneSpeeds = newSpeeds(), nil
 	sc.clock = clock.Clock{}
-	sc.quorum, sc.succession = quorum{confirmedAt: sc.now}, succession{followers: hosts{}}
+	sc.quorum, sc.succession = quorum{confirmedAt: sc.now}, succession{followers: map[fleet.HostID]bool{}}
+	sc.rolls = rolls{}
 	sc.unreachable, sc.domainPolledAt = nil, map[fleet.DomainID]time.Time{}
 }
 
--- a/fleet/sched/succession.go
+++ b/fleet/sched/succession.go
@@ -1,21 +1,23 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/voter"
 )
 
 // succession is what a lead knows about the end of its predecessors. One that hears neither the
-// store nor this lead goes on to renew leases for as long as a majority of the daemons confirms
-// it. None can be confirmed any more once so many daemons know this lead that the others are no
-// majority: a daemon never confirms a term that is older than one it knows.
+// store nor this lead goes on to renew leases for as long as a majority of its voters confirms
+// it. That ends once so many of them know this lead that the others are no majority: a daemon
+// never confirms a term that is older than one it knows.
 type succession struct {
-	followers hosts     // daemons that know this lead
-	askedAt   time.Time // when the peers were last asked
-	settled   bool      // no former lead can be confirmed any more
-	renewedAt time.Time // when foreign leases were last assumed to be renewed
+	followers map[fleet.HostID]bool // daemons that know this lead
+	askedAt   time.Time             // when the peers were last asked
+	settled   bool                  // no former lead can be confirmed any more
+	renewedAt time.Time             // when foreign leases were last assumed to be renewed
 }
 
 // noteFollower records that a peer knows this lead.
@@ -26,11 +28,11 @@
 	}
 }
 
-// settleSuccession notes when enough daemons know this lead. From then on a former lead goes on
-// for as long as it takes to notice.
+// settleSuccession notes when all former leads are over. From then on they go on for as long as it
+// takes to notice.
 func (sc *Scheduler) settleSuccession() {
 	s := &sc.succession
-	if !sc.Elect.BlocksMajority(len(s.followers)) {
+	if slices.ContainsFunc(sc.rolls.stored.Former, func(t voter.Tenure) bool { return !sc.isOver(t) }) {
 		return
 	}
 	s.settled = true
@@ -59,6 +61,7 @@
 	}
 	if sc.now.Sub(s.renewedAt) >= superviseInterval {
 		sc.assumeForeignLeases()
+		sc.settleSuccession()
 	}
 	if s.askedAt.IsZero() || sc.now.Sub(s.askedAt) >= quorumInterval {
 		s.askedAt = sc.now
