--- a/deckd/site/dispatch.go
+++ b/deckd/site/dispatch.go
@@ -50,7 +50,9 @@
 func (d *dispatcher) perform(a sched.Action) {
 	switch a := a.(type) {
 	case sched.AskPeers:
-		d.askPeers(a.All)
+		d.askPeers(a)
+	case sched.MarkLost:
+		d.markLost(a.Process)
 	case sched.Claim:
 		d.site.loop.Post(d.claim(a))
 	case sched.Probe:
@@ -171,22 +173,27 @@
 	return lead, 0, nil
 }
 
-// peersToAsk returns other daemons: all of them, or a random sample.
-func (d *dispatcher) peersToAsk(all bool) []*wire.Member {
-	peers := d.site.members.others(d.site.self.Host)
-	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
-	if !all {
-		peers = peers[:min(len(peers), elect.MaxAsked)]
+// peersToAsk returns other daemons: those on the given hosts, all of them, or a random sample.
+// Silent ones are among all of them, as they may be voters of a former lead.
+func (d *dispatcher) peersToAsk(a sched.AskPeers) []*wire.Member {
+	peers := d.site.members.reachable(d.site.self.Host)
+	if len(a.Hosts) > 0 {
+		return slices.DeleteFunc(peers, func(m *wire.Member) bool { return !slices.Contains(a.Hosts, fleet.HostID(m.Host)) })
+	}
+	if a.All {
+		return peers
 	}
-	return peers
+	peers = d.site.members.others(d.site.self.Host)
+	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+	return peers[:min(len(peers), elect.MaxAsked)]
 }
 
-// askPeers asks other daemons at the same time whether they hear the lead, all of them or a random
-// sample, and waits for their answers.
-func (d *dispatcher) askPeers(all bool) {
+// askPeers asks other daemons at the same time whether they hear the lead, and waits for their
+// answers.
+func (d *dispatcher) askPeers(a sched.AskPeers) {
 	askedAt := time.Now()
 	var group sync.WaitGroup
-	for _, m := range d.peersToAsk(all) {
+	for _, m := range d.peersToAsk(a) {
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(d.ctx, elect.AskTimeout)
 			defer cancel()
--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -11,6 +11,7 @@
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/mirror"
 	"dragonflydeck.example/fleet/sched"
+	"dragonflydeck.example/fleet/voter"
 	"dragonflydeck.example/fleet/wire"
 	"google.golang.org/protobuf/proto"
 )
@@ -25,37 +26,61 @@
 	registerTimeout  = 2 * time.Second        // for storing the own entry; all daemons of a site may do so at the same time
 )
 
-// How long a host that is gone for good counts for majorities. A daemon that is cut off must not
-// be counted out before the cut ends, as its part of the site may go on with a former lead.
+// How long a host is known that is gone for good. It is no longer taken for present long before.
 const (
 	renewInterval = 10 * time.Minute // between two renewals of a daemon's entry
 	memberTTL     = 24 * time.Hour   // after the newest renewal; regions lose each other for an hour now and then
 )
 
-// members is the set of known daemons of the site. Their entries are never removed; a host whose
-// entry was not renewed for memberTTL is left out.
+// departTimeout is how long a daemon that shuts down waits for a peer to note it.
+const departTimeout = 500 * time.Millisecond
+
+// presence is what is known about whether a daemon runs.
+type presence int
+
+const (
+	present  presence = iota
+	silent            // marked by the lead, which it did not answer; it may be cut off
+	departed          // it has said that it shuts down
+	gone              // its entry was not renewed for memberTTL
+)
+
+// members is the set of known daemons of the site. Their entries are never removed.
 type members struct {
 	mu     sync.RWMutex
 	all    map[fleet.HostID]*wire.Member
 	newest clock.Reading // of the site's clock
+	logged map[fleet.HostID]presence
 }
 
-func newMembers() *members { return &members{all: map[fleet.HostID]*wire.Member{}} }
+func newMembers() *members {
+	return &members{all: map[fleet.HostID]*wire.Member{}, logged: map[fleet.HostID]presence{}}
+}
 
-// split returns the daemons except self: those that count, and those that are left out.
-func (m *members) split(self fleet.HostID) (present, gone []*wire.Member) {
+// split returns the daemons except self by their presence.
+func (m *members) split(self fleet.HostID) map[presence][]*wire.Member {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	out := map[presence][]*wire.Member{}
 	for id, member := range m.all {
-		switch {
-		case id == self:
-		case m.isGone(member):
-			gone = append(gone, member)
-		default:
-			present = append(present, member)
+		if id != self {
+			p := m.presenceOf(member)
+			out[p] = append(out[p], member)
 		}
 	}
-	return present, gone
+	return out
+}
+
+func (m *members) presenceOf(member *wire.Member) presence {
+	switch {
+	case member.Left:
+		return departed
+	case m.isGone(member):
+		return gone
+	case member.Lost:
+		return silent
+	}
+	return present
 }
 
 // isGone reports whether a host has not renewed its entry for long.
@@ -63,10 +88,37 @@
 	return time.Duration(int64(m.newest)-member.Stamp)*time.Millisecond > memberTTL
 }
 
-// others returns every daemon that counts except self.
-func (m *members) others(self fleet.HostID) []*wire.Member {
-	present, _ := m.split(self)
-	return present
+// others returns every daemon that is taken for present except self.
+func (m *members) others(self fleet.HostID) []*wire.Member { return m.split(self)[present] }
+
+// reachable returns every daemon that may run except self.
+func (m *members) reachable(self fleet.HostID) []*wire.Member {
+	all := m.split(self)
+	return append(all[present], all[silent]...)
+}
+
+// get returns the entry of a host; nil if it is not known.
+func (m *members) get(host fleet.HostID) *wire.Member {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.all[host]
+}
+
+// newlyAway returns the daemons that are not present any more, each once.
+func (m *members) newlyAway(all map[presence][]*wire.Member) map[presence][]*wire.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[presence][]*wire.Member{}
+	for p, list := range all {
+		for _, member := range list {
+			id := fleet.HostID(member.Host)
+			if m.logged[id] != p {
+				m.logged[id] = p
+				out[p] = append(out[p], member)
+			}
+		}
+	}
+	return out
 }
 
 // electors converts entries to members of the election.
@@ -92,12 +144,14 @@
 	return m.newest
 }
 
-// update adds a member, or replaces its entry unless the known one is newer.
+// update adds a member, or replaces its entry unless the known one is newer. A process that has left
+// does not return.
 func (m *members) update(member *wire.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.newest = max(m.newest, clock.Reading(member.Stamp))
-	if before, ok := m.all[fleet.HostID(member.Host)]; !ok || member.Inc >= before.Inc {
+	before, ok := m.all[fleet.HostID(member.Host)]
+	if !ok || member.Inc > before.Inc || member.Inc == before.Inc && !before.Left {
 		m.all[fleet.HostID(member.Host)] = member
 	}
 }
@@ -113,23 +167,60 @@
 	}
 	f.noteSuccess()
 	s.storeEntry(ctx)
+	s.registered.Store(true)
 	f.run(ctx)
 }
 
-// renewEntry stores this daemon's entry again at each tick, until the context ends.
+// renewEntry stores this daemon's entry again at each tick, and when it was replaced by another
+// one, until the context ends.
 func (s *Site) renewEntry(ctx context.Context, ticks <-chan time.Time) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticks:
-			s.storeEntry(ctx)
+		case <-s.entryReplaced:
 		}
+		s.storeEntry(ctx)
+	}
+}
+
+// depart tells all peers and the store that this process confirms no lead any more.
+func (s *Site) depart(ctx context.Context) {
+	own := s.ownEntry()
+	for _, m := range s.members.reachable(s.self.Host) {
+		s.dispatcher.group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, departTimeout)
+			defer cancel()
+			if _, err := s.pool.Site(m.Addr).Depart(ctx, &wire.DepartAsk{Member: own}); err != nil {
+				s.logCallFailure("say that this daemon leaves", m.Host, err)
+			}
+		})
+	}
+	s.dispatcher.group.Go(func() { s.storeEntry(ctx) })
+}
+
+// markLost stores that a process does not answer the lead, unless its host has another one by now.
+func (d *dispatcher) markLost(p voter.Process) {
+	known := d.site.members.get(p.Host)
+	if known == nil || known.Inc != int64(p.Inc) {
+		return
+	}
+	entry := proto.Clone(known).(*wire.Member)
+	entry.Lost = true
+	value, err := proto.Marshal(entry)
+	if err == nil {
+		_, err = d.appendRecords(registerTimeout, topicHosts, -1, []fleet.Record{{Key: entry.Host, Value: value}})
+	}
+	if err != nil {
+		d.site.log(event.StoreFailed, string(topicHosts), "mark %s as lost: %v", p.Host, err) // it is marked again when it stays silent
 	}
 }
 
 // storeEntry stores this daemon's entry, and tries until it succeeds or the context ends.
 func (s *Site) storeEntry(ctx context.Context) {
+	s.entry.Lock() // entries must be stored in the order in which they are made
+	defer s.entry.Unlock()
 	for ctx.Err() == nil {
 		own := s.ownEntry()
 		value, err := proto.Marshal(own)
@@ -153,13 +244,22 @@
 
 // ownEntry returns the entry of this daemon.
 func (s *Site) ownEntry() *wire.Member {
-	return &wire.Member{Host: string(s.self.Host), Addr: s.self.Addr, Domain: string(s.self.Domain), Inc: int64(s.incarnation()), Power: int64(s.self.Power), Stamp: int64(s.members.reading())}
+	return &wire.Member{Host: string(s.self.Host), Addr: s.self.Addr, Domain: string(s.self.Domain), Inc: int64(s.incarnation()), Power: int64(s.self.Power), Stamp: int64(s.members.reading()), Left: s.leaving.Load()}
 }
 
-// noteOwn notes an entry of this host, which may be of a former process.
-func (s *Site) noteOwn(inc fleet.Incarnation) {
-	if inc != s.incarnation() {
+// noteOwn notes an entry of this host, which may be of a former process, or marked as lost. It is
+// replaced by one of this process.
+func (s *Site) noteOwn(m *wire.Member) {
+	if inc := fleet.Incarnation(m.Inc); inc != s.incarnation() {
 		s.newerThan.Store(max(s.newerThan.Load(), int64(inc)))
+	} else if !m.Lost {
+		return
+	}
+	if s.registered.Load() {
+		select {
+		case s.entryReplaced <- struct{}{}:
+		default: // it is being stored anyway
+		}
 	}
 }
 
@@ -173,27 +273,36 @@
 			continue
 		}
 		if fleet.HostID(m.Host) == s.self.Host {
-			s.noteOwn(fleet.Incarnation(m.Inc))
+			s.noteOwn(m)
 			continue
 		}
 		s.members.update(m)
 	}
-	own := s.ownEntry()
-	s.members.update(own)
-	present, gone := s.members.split(s.self.Host)
-	s.logGone(gone)
-	s.loop.Post(sched.Members{All: electors(append(present, own)), Inc: s.incarnation()})
-}
-
-// logGone logs the hosts that are left out since the last call.
-func (s *Site) logGone(gone []*wire.Member) {
-	logged := s.gone
-	s.gone = map[fleet.HostID]bool{}
-	for _, m := range gone {
-		id := fleet.HostID(m.Host)
-		if s.gone[id] = true; !logged[id] {
-			s.log(event.HostGone, m.Host, "not renewed for %s", memberTTL)
-		}
+	s.members.update(s.ownEntry())
+	s.postMembers()
+}
+
+// postMembers tells the control loop which daemons are present and which have left.
+func (s *Site) postMembers() {
+	all := s.members.split(s.self.Host)
+	s.logAway(s.members.newlyAway(all))
+	e := sched.Members{All: electors(append(all[present], s.ownEntry())), Inc: s.incarnation()}
+	for _, m := range all[departed] {
+		e.Left = append(e.Left, voter.Process{Host: fleet.HostID(m.Host), Inc: fleet.Incarnation(m.Inc)})
+	}
+	s.loop.Post(e)
+}
+
+// logAway logs daemons that are not taken for present any more.
+func (s *Site) logAway(away map[presence][]*wire.Member) {
+	for _, m := range away[departed] {
+		s.log(event.HostLeft, m.Host, "inc=%d", m.Inc)
+	}
+	for _, m := range away[silent] {
+		s.log(event.HostLost, m.Host, "inc=%d marked by the lead", m.Inc)
+	}
+	for _, m := range away[gone] {
+		s.log(event.HostGone, m.Host, "not renewed for %s", memberTTL)
 	}
 }
 
--- a/deckd/site/members_test.go
+++ b/deckd/site/members_test.go
@@ -10,6 +10,7 @@
 	"dragonflydeck.example/fleet/elect"
 	"dragonflydeck.example/fleet/mirror"
 	"dragonflydeck.example/fleet/sched"
+	"dragonflydeck.example/fleet/voter"
 	"dragonflydeck.example/fleet/wire"
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
@@ -80,9 +81,9 @@
 	qt.Check(t, m.others("own"), qt.HasLen, 2)
 	m.update(&wire.Member{Host: "lives", Addr: "lives", Inc: 1, Stamp: int64(1001 + day)})
 	qt.Check(t, m.others("own"), qt.HasLen, 1)
-	_, gone := m.split("own")
-	qt.Assert(t, gone, qt.HasLen, 1)
-	qt.Check(t, gone[0].Host, qt.Equals, "gone")
+	away := m.split("own")[gone]
+	qt.Assert(t, away, qt.HasLen, 1)
+	qt.Check(t, away[0].Host, qt.Equals, "gone")
 	m.update(&wire.Member{Host: "gone", Addr: "gone", Inc: 2, Stamp: int64(m.reading())})
 	qt.Check(t, m.others("own"), qt.HasLen, 2, qt.Commentf("it is back"))
 }
@@ -111,3 +112,79 @@
 	cancel()
 	<-ended
 }
+
+// A daemon that shuts down says so, and a late record of the same process does not bring it back.
+func TestDaemonThatLeavesIsNotPresent(t *testing.T) {
+	m := newMembers()
+	entry := func(inc int64, left, lost bool) *wire.Member {
+		return &wire.Member{Host: "e2", Addr: "e2:7000", Inc: inc, Left: left, Lost: lost}
+	}
+	m.update(entry(1, false, false))
+	m.update(entry(1, true, false))
+	m.update(entry(1, false, false))
+	m.update(entry(1, false, true))
+	qt.Check(t, m.others("own"), qt.HasLen, 0)
+	qt.Check(t, m.split("own")[departed], qt.HasLen, 1)
+	m.update(entry(2, false, false))
+	qt.Check(t, m.others("own"), qt.HasLen, 1)
+}
+
+// A daemon that the lead marked as lost is asked and hears heartbeats, as it may be a voter.
+func TestSilentDaemonIsReachable(t *testing.T) {
+	m := newMembers()
+	m.update(&wire.Member{Host: "e2", Addr: "e2:7000", Inc: 1, Lost: true})
+	qt.Check(t, m.others("own"), qt.HasLen, 0)
+	qt.Check(t, m.reachable("own"), qt.HasLen, 1)
+}
+
+// Guards against a daemon that is taken for lost although it runs: one that was only cut off stores its entry
+// again when it reads that the lead has marked it.
+func TestDaemonThatWasTakenForLostReturns(t *testing.T) {
+	standin, client := newStandinStore(t)
+	r := newOperatorRigOn(t, standin, client)
+	r.site.dispatcher = &dispatcher{ctx: t.Context(), site: r.site}
+	r.site.entryReplaced = make(chan struct{}, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.site.renewEntry(ctx, nil)
+	}()
+	defer func() { cancel(); <-ended }()
+	r.site.storeEntry(t.Context())
+	r.site.registered.Store(true)
+
+	lead := newOperatorRigOn(t, standin, client).site
+	lead.self.Host = "lead"
+	lead.dispatcher = &dispatcher{ctx: t.Context(), site: lead}
+	f := follower{site: lead, topic: topicHosts, apply: lead.applyMembers}
+	qt.Assert(t, f.step(t.Context()), qt.IsNil)
+	host := r.site.self.Host
+	lead.dispatcher.markLost(voter.Process{Host: host, Inc: r.site.incarnation() + 1}) // another process
+	lead.dispatcher.markLost(voter.Process{Host: host, Inc: r.site.incarnation()})
+	qt.Assert(t, f.step(t.Context()), qt.IsNil)
+	qt.Check(t, lead.members.others("lead"), qt.HasLen, 0)
+
+	own := follower{site: r.site, topic: topicHosts, apply: r.site.applyMembers}
+	qt.Assert(t, own.step(t.Context()), qt.IsNil)
+	b, err := client.Read(t.Context(), topicHosts, 2, 5*time.Second) // waits for the entry
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, b.Records, qt.HasLen, 1)
+	qt.Assert(t, f.step(t.Context()), qt.IsNil)
+	qt.Check(t, lead.members.others("lead"), qt.HasLen, 1)
+}
+
+// A peer that is told of a departure passes it on to the control loop; what does not say so is refused.
+func TestPeerNotesADeparture(t *testing.T) {
+	r := newOperatorRig(t)
+	r.site.members.update(&wire.Member{Host: "e2", Addr: "e2:7000", Inc: 3})
+	_, err := siteServer{r.site}.Depart(t.Context(), &wire.DepartAsk{Member: &wire.Member{Host: "e2", Addr: "e2:7000", Inc: 3, Left: true}})
+	qt.Assert(t, err, qt.IsNil)
+	e := (<-r.events).(sched.Members)
+	qt.Check(t, e.Left, qt.DeepEquals, []voter.Process{{Host: "e2", Inc: 3}})
+	qt.Check(t, e.All, qt.HasLen, 1)
+	for _, m := range []*wire.Member{nil, {Host: "e2", Addr: "e2:7000"}, {Left: true}} {
+		_, err := siteServer{r.site}.Depart(t.Context(), &wire.DepartAsk{Member: m})
+		qt.Check(t, err, qt.IsNotNil)
+	}
+}
--- a/deckd/site/peer.go
+++ b/deckd/site/peer.go
@@ -64,7 +64,23 @@
 }
 
 func (s siteServer) Sight(context.Context, *wire.SightAsk) (*wire.SightReply, error) {
-	return onLoop(s.site, peerTimeout, func(sc *sched.Scheduler) *wire.SightReply { return sc.Sight(time.Now()) })
+	return onLoop(s.site, peerTimeout, func(sc *sched.Scheduler) *wire.SightReply {
+		r := sc.Sight(time.Now())
+		r.Left = s.site.leaving.Load()
+		return r
+	})
+}
+
+func (s siteServer) Depart(_ context.Context, ask *wire.DepartAsk) (*wire.DepartReply, error) {
+	m := ask.Member
+	if m.GetHost() == "" || m.GetAddr() == "" || !m.GetLeft() {
+		return nil, twirp.InvalidArgumentError("member", "must name a host and an address, and say that it has left")
+	}
+	if fleet.HostID(m.Host) != s.site.self.Host {
+		s.site.members.update(m)
+		s.site.postMembers()
+	}
+	return &wire.DepartReply{}, nil
 }
 
 func (s siteServer) Orders(_ context.Context, ask *wire.OrdersAsk) (*wire.OrdersReply, error) {
--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -11,6 +11,7 @@
 	"net"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,8 +62,10 @@
 
 	leadGained chan struct{} // receives when this daemon becomes the lead
 
-	newerThan atomic.Int64          // newest recorded incarnation of this host's former processes
-	gone      map[fleet.HostID]bool // hosts that are left out of the members, as logged
+	newerThan     atomic.Int64  // newest recorded incarnation of this host's former processes
+	entry         sync.Mutex    // held while this daemon's entry is being stored
+	registered    atomic.Bool   // its entry was stored
+	entryReplaced chan struct{} // receives when the stored entry is not the one of this process
 }
 
 // Options holds the settings that come from flags and environment variables instead
@@ -83,6 +86,7 @@
 		},
 		submitWaiters: newWaiters[*wire.HandReply](), cancelWaiters: newWaiters[*wire.FlowReply](), statusWaiters: newWaiters[*wire.FlowReply](),
 		logger: logger.NewAsync(s.Host, options.Level, options.Lines, w), leadGained: make(chan struct{}, 1),
+		entryReplaced: make(chan struct{}, 1),
 	}
 	site.operator = newOperatorRecords(site)
 	site.view.Store(&leadView{})
@@ -105,7 +109,7 @@
 		group.Go(server.Run)
 	}
 	<-ctx.Done()
-	s.leave()
+	s.leave(background)
 	errs := s.stopServers(servers)
 	cancel()
 	s.heartbeats.conn.Close()
@@ -245,10 +249,11 @@
 // leave prepares the shutdown: the daemon reports that it is not ready and gives up
 // the lead, and continues to serve callers until the load balancer has stopped
 // sending new ones.
-func (s *Site) leave() {
+func (s *Site) leave(ctx context.Context) {
 	s.leaving.Store(true)
 	s.log(event.ProcessLeaving, string(s.self.Host), "lead=%t", s.view.Load().leading)
 	s.loop.Post(sched.Leave{})
+	s.depart(ctx)
 	time.Sleep(min(lameDuckTime, s.settings.Grace/2))
 }
 
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -80,6 +80,8 @@
 	LeadSettled     Code = 521
 	HostGone        Code = 522
 	VotersChanged   Code = 523
+	HostLost        Code = 524
+	HostLeft        Code = 525
 	WorkerLost      Code = 601
 	WorkerBack      Code = 602
 	WorkerAside     Code = 603
@@ -182,6 +184,8 @@
 	{LeadSettled, "lead-settled", Info, "so many voters of the former leads know a new lead that none of these is confirmed any more; the line says how many daemons know it, and how long it took. Until then, work on workers that the new lead does not reach is not started again", "if it does not follow soon after lead-taken (501), look for a cut between the daemons"},
 	{HostGone, "host-gone", Info, "an entry host has not renewed its entry for a day and is no longer taken for present", "nothing if the host was removed; else check its link to the store"},
 	{VotersChanged, "voters-changed", Info, "the lead stores which daemons may confirm it while the store does not answer; the line says how many, and how many former leads may still act", "nothing; if former stays above 0, look for daemons that were lost together with a former lead"},
+	{HostLost, "host-lost", Warn, "a daemon has not answered the lead 15 times in a row and is no longer taken for present, until it stores its entry again", "nothing if the host was removed; else check the daemon and its links"},
+	{HostLeft, "host-left", Info, "a daemon says that it shuts down; it confirms no lead any more", "nothing"},
 	{WorkerLost, "worker-lost", Warn, "the lease of a worker expired; its gangs are requeued", "nothing; the platform replaces it"},
 	{WorkerBack, "worker-back", Info, "a worker answers again", "nothing"},
 	{WorkerAside, "worker-aside", Warn, "a worker failed several jobs in a row and is quarantined until it is probed", "check the worker named"},
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -27,10 +27,12 @@
 		AskedAt time.Time
 		Reply   *wire.SightReply
 	}
-	// Members are all daemons of the site, including this one, whose incarnation is Inc.
+	// Members are all daemons of the site that are taken for present, including this one, whose
+	// incarnation is Inc, and the newest process of each host that has left.
 	Members struct {
-		All []elect.Member
-		Inc fleet.Incarnation
+		All  []elect.Member
+		Inc  fleet.Incarnation
+		Left []voter.Process
 	}
 	// Probed is the outcome of a Probe; Err is nil if the store answered.
 	Probed struct{ Err error }
@@ -141,9 +143,14 @@
 
 // Actions of the scheduler.
 type (
-	// AskPeers asks peers whether they hear the lead: all of them, or at most
-	// elect.MaxAsked.
-	AskPeers struct{ All bool }
+	// AskPeers asks peers whether they hear the lead: those on the given hosts, or all of
+	// them, or at most elect.MaxAsked.
+	AskPeers struct {
+		All   bool
+		Hosts []fleet.HostID
+	}
+	// MarkLost stores that a process does not answer the lead.
+	MarkLost struct{ Process voter.Process }
 	// Claim appends a claim to the lead together with its voters, unless the store has a
 	// claim newer than the known term.
 	Claim struct {
--- a/fleet/sched/quorum.go
+++ b/fleet/sched/quorum.go
@@ -120,11 +120,12 @@
 	if sc.mode != leading {
 		return
 	}
+	sc.watch.noteAnswer(e.Host)
 	if r.Term > int64(sc.term) {
 		sc.stepDown("a peer hears a newer lead", fleet.Term(r.Term))
 		return
 	}
-	if !sc.quorum.askedAt.IsZero() && !e.AskedAt.Before(sc.quorum.askedAt) {
+	if !r.Left && !sc.quorum.askedAt.IsZero() && !e.AskedAt.Before(sc.quorum.askedAt) {
 		sc.quorum.answers[voter.Process{Host: e.Host, Inc: fleet.Incarnation(r.Inc)}] = true
 	}
 	if r.Term == int64(sc.term) {
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -69,6 +69,8 @@
 
 	succession succession
 	rolls      rolls
+	watch      watch
+	left       map[fleet.HostID]fleet.Incarnation // newest process of each host that has left
 	term       fleet.Term
 	epoch      int64
 
@@ -107,7 +109,7 @@
 func New(self Identity, limits Limits, now time.Time) *Scheduler {
 	sc := &Scheduler{
 		self: self, limits: limits, Elect: elect.New(elect.Member{Host: self.Host, Inc: self.Inc, Power: self.Power}, now), now: now,
-		domainsOut: map[fleet.DomainID]bool{},
+		domainsOut: map[fleet.DomainID]bool{}, left: map[fleet.HostID]fleet.Incarnation{},
 	}
 	sc.reset()
 	return sc
@@ -123,7 +125,7 @@
 	sc.speeds, sc.goneSpeeds = newSpeeds(), nil
 	sc.clock = clock.Clock{}
 	sc.quorum, sc.succession = quorum{confirmedAt: sc.now}, succession{followers: map[fleet.HostID]bool{}}
-	sc.rolls = rolls{}
+	sc.rolls, sc.watch = rolls{}, newWatch()
 	sc.unreachable, sc.domainPolledAt = nil, map[fleet.DomainID]time.Time{}
 }
 
@@ -141,6 +143,7 @@
 		sc.dispatchStarts()
 		sc.checkQuorum()
 		sc.checkSuccession()
+		sc.checkMembers()
 		sc.beat()
 		if sc.now.Sub(sc.supervisedAt) >= superviseInterval {
 			sc.supervisedAt = sc.now
@@ -188,6 +191,11 @@
 	case Members:
 		sc.self.Inc = max(sc.self.Inc, e.Inc)
 		sc.Elect.SetMembers(e.All)
+		for _, p := range e.Left {
+			if before, known := sc.left[p.Host]; !known || p.Inc > before {
+				sc.left[p.Host] = p.Inc
+			}
+		}
 	case Claimed:
 		sc.handleClaimed(e)
 	case Probed:
--- a/fleet/sched/voters.go
+++ b/fleet/sched/voters.go
@@ -151,5 +151,6 @@
 
 // isReleased reports whether a process confirms no former lead any more.
 func (sc *Scheduler) isReleased(p voter.Process) bool {
-	return p.Host == sc.self.Host || sc.succession.followers[p.Host]
+	left, known := sc.left[p.Host]
+	return p.Host == sc.self.Host || sc.succession.followers[p.Host] || known && left >= p.Inc
 }
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -64,21 +64,22 @@
 	openPolls     int // polls without an answer so far
 	maxOpenPolls  int
 	appends       int
-	lastBatch     uint64        // number of the newest append
-	leavingBeats  int           // heartbeats that announce that the lead leaves
-	appendedBytes int           // total size of appended records
-	stepTime      time.Duration // processor time spent in Step
-	appendDelay   time.Duration // extra duration of appends
-	peerAnswers   int           // number of peers that answer
-	peerAsks      int           // how often the peers were asked
-	newestReading clock.Reading // of the site's clock, in heartbeats
-	beatsLost     bool          // peers that answer do not hear the daemon's heartbeats
-	alone, blind  bool          // as in the newest heartbeat
-	claimDelay    time.Duration // extra duration of a claim
-	claims        int           // how often the daemon has claimed
-	former        bool          // it was replaced as the lead, and claims no more
-	peerTerm      fleet.Term    // that peers know; 0 for that of the daemon
-	cut           *cut          // from the store and workers; nil if there is none
+	lastBatch     uint64          // number of the newest append
+	leavingBeats  int             // heartbeats that announce that the lead leaves
+	appendedBytes int             // total size of appended records
+	stepTime      time.Duration   // processor time spent in Step
+	appendDelay   time.Duration   // extra duration of appends
+	peerAnswers   int             // number of peers that answer
+	peerAsks      int             // how often all peers were asked
+	lost          []voter.Process // marked as lost
+	newestReading clock.Reading   // of the site's clock, in heartbeats
+	beatsLost     bool            // peers that answer do not hear the daemon's heartbeats
+	alone, blind  bool            // as in the newest heartbeat
+	claimDelay    time.Duration   // extra duration of a claim
+	claims        int             // how often the daemon has claimed
+	former        bool            // it was replaced as the lead, and claims no more
+	peerTerm      fleet.Term      // that peers know; 0 for that of the daemon
+	cut           *cut            // from the store and workers; nil if there is none
 }
 
 // cut is what a daemon does not reach.
@@ -300,13 +301,20 @@
 		}
 		w.alone, w.blind = a.Beat.Alone, a.Beat.Blind
 		w.newestReading = max(w.newestReading, clock.Reading(a.Beat.Clock))
+	case sched.MarkLost:
+		w.lost = append(w.lost, a.Process)
 	case sched.AskPeers:
-		w.peerAsks++
+		if len(a.Hosts) == 0 {
+			w.peerAsks++
+		}
 		reply := &wire.SightReply{}
 		if w.scheduler.Leads() && !w.beatsLost {
 			reply.Term = int64(cmp.Or(w.peerTerm, w.scheduler.Elect.Lead().Term))
 		}
 		for _, host := range w.peers[:w.peerAnswers] {
+			if len(a.Hosts) > 0 && !slices.Contains(a.Hosts, host) {
+				continue
+			}
 			w.postAfter(callTime, sched.PeerAnswered{Host: host, AskedAt: w.local(), Reply: &wire.SightReply{Term: reply.Term, Inc: int64(w.peerInc[host])}})
 		}
 	case sched.Claim:
