--- a/deckd/site/intake.go
+++ b/deckd/site/intake.go
@@ -7,6 +7,7 @@
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/client"
 	"dragonflydeck.example/fleet/event"
+	"dragonflydeck.example/fleet/queue"
 	"dragonflydeck.example/fleet/sched"
 	"dragonflydeck.example/fleet/wire"
 )
@@ -35,7 +36,11 @@
 		s.logRefused(path, "the key is not known", c.Version)
 		return fleet.Caller{}, fleet.UnknownKey
 	}
-	return fleet.Caller{Queue: q.Name, Space: space, Path: rest}, fleet.Granted
+	caller := fleet.Caller{Queue: q.Name, Space: space, Path: rest}
+	if known {
+		caller.Mark = queue.MarkOf(key)
+	}
+	return caller, fleet.Granted
 }
 
 // logRefused logs a call that the configuration does not allow.
@@ -98,7 +103,7 @@
 // applyQueue sets the fields of a job that come from the current configuration of
 // its queue and workspace.
 func (s *Site) applyQueue(c fleet.Caller, f *wire.Flow) {
-	f.Queue, f.Space, f.Domain = c.Queue, string(c.Space), string(s.self.Domain)
+	f.Queue, f.Space, f.Mark, f.Domain = c.Queue, string(c.Space), uint64(c.Mark), string(s.self.Domain)
 	config := s.operator.config.Load()
 	if limit, ok := config.Limit(c.Space); ok && config.Limited() {
 		f.Cap, f.Weight = limit.Cap.Wire(), limit.Weight
@@ -106,6 +111,7 @@
 	if q := config.Queue(c.Queue); q != nil {
 		f.Service, f.Attempts, f.Priority = q.Service, int32(q.Attempts), int32(q.Priority)
 		f.Slowdown, f.Target = q.Slowdown, q.Target.Milliseconds()
+		f.Address, f.Open = q.Address(), q.Open
 	}
 }
 
@@ -116,7 +122,7 @@
 	if s.operator.config.Load().Queue(f.Queue) == nil {
 		return false
 	}
-	s.applyQueue(fleet.Caller{Queue: f.Queue, Space: fleet.SpaceID(f.Space)}, f)
+	s.applyQueue(fleet.Caller{Queue: f.Queue, Space: fleet.SpaceID(f.Space), Mark: fleet.KeyMark(f.Mark)}, f)
 	return true
 }
 
@@ -184,14 +190,14 @@
 
 // Status asks the lead for the state of a job.
 func (s *Site) Status(c fleet.Caller, id fleet.JobID, until time.Time) *wire.FlowReply {
-	ask := &wire.FlowAsk{Id: string(id), Queue: c.Queue, Space: string(c.Space)}
+	ask := &wire.FlowAsk{Id: string(id), Queue: c.Queue, Space: string(c.Space), Mark: uint64(c.Mark)}
 	return s.askLeadWithRetries(until, func() *wire.FlowReply { return s.statusLocally(ask, until) },
 		func(ctx context.Context, lead wire.Site) (*wire.FlowReply, error) { return lead.Status(ctx, ask) })
 }
 
 // Cancel asks the lead to cancel a job.
 func (s *Site) Cancel(c fleet.Caller, id fleet.JobID, until time.Time) *wire.FlowReply {
-	ask := &wire.FlowAsk{Id: string(id), Queue: c.Queue, Space: string(c.Space), Limit: time.Until(until).Milliseconds()}
+	ask := &wire.FlowAsk{Id: string(id), Queue: c.Queue, Space: string(c.Space), Mark: uint64(c.Mark), Limit: time.Until(until).Milliseconds()}
 	started := time.Now()
 	r := s.askLeadWithRetries(until, func() *wire.FlowReply { return s.cancelLocally(ask, until) },
 		func(ctx context.Context, lead wire.Site) (*wire.FlowReply, error) { return lead.Drop(ctx, ask) })
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -47,6 +47,7 @@
 	EndsStored      Code = 323
 	EndTold         Code = 324
 	JobRestored     Code = 325
+	JobReowned      Code = 326
 	SpaceSet        Code = 401
 	SpaceDropped    Code = 402
 	DomainOut       Code = 403
@@ -151,6 +152,7 @@
 	{EndsStored, "ends-stored", Info, "the store holds ends of a job's runs, so that workers may forget them; the line says how many, the offset after the record, how long after the first of them was reported, and whether the job has ended", "nothing"},
 	{EndTold, "end-told", Info, "the lead told how a job ended, for the first time in its term; the line says for how long the end has been stored, or that a former lead stored it", "nothing"},
 	{JobRestored, "job-restored", Info, "a new lead goes on with a job that has not ended; the line says how many of its tasks are unfinished by the job's record, and how old that record is", "nothing"},
+	{JobReowned, "job-reowned", Info, "a job belongs to another workspace than before, which has the key that it was submitted with", "nothing; the operator has renamed, split or joined workspaces"},
 	{SpaceSet, "space-set", Info, "a workspace was created or changed", "nothing"},
 	{SpaceDropped, "space-dropped", Info, "a workspace was removed", "nothing"},
 	{DomainOut, "domain-out", Warn, "a failure domain was taken out of service", "nothing"},
--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -18,6 +18,7 @@
 	Failed    bool
 	Accepted  time.Time
 	Ended     time.Time // zero until it has ended
+	Moved     bool      // its workspace has another name than when it was accepted
 
 	unfinished int  // number of tasks of all rounds that have not succeeded
 	begun      bool // a run of a task has been sent
--- a/fleet/flow/track.go
+++ b/fleet/flow/track.go
@@ -16,6 +16,9 @@
 	if j.HasEnded() {
 		t.Ended = j.Ended.UnixMilli()
 	}
+	if j.Moved {
+		t.Space = j.Spec.Space
+	}
 	if j.HasEnded() && !keepRuns {
 		return t
 	}
@@ -65,6 +68,9 @@
 		j.begun = j.begun || p.Run > 0
 	}
 	j.Cancelled, j.Failed = t.Cancelled, t.Failed
+	if t.Space != "" {
+		j.Spec.Space, j.Moved = t.Space, true
+	}
 	if t.Ended > 0 {
 		j.Ended = made
 	}
--- a/fleet/ids.go
+++ b/fleet/ids.go
@@ -9,6 +9,9 @@
 // SpaceID identifies a workspace.
 type SpaceID string
 
+// KeyMark is a digest that tells API keys apart without giving them away. It is 0 without a key.
+type KeyMark uint64
+
 // JobID identifies a job.
 type JobID string
 
--- a/fleet/intake.go
+++ b/fleet/intake.go
@@ -21,6 +21,7 @@
 type Caller struct {
 	Queue string
 	Space SpaceID // empty for a queue that needs no key
+	Mark  KeyMark // of the key that the call carries
 	Path  string  // the path after the queue's prefix
 }
 
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -179,6 +179,17 @@
 	}
 }
 
+// MoveRuns moves what a job's runs use to the account of another workspace.
+func (w *Worker) MoveRuns(job fleet.JobID, space fleet.SpaceID) {
+	for _, r := range w.Runs {
+		if r.Task.Job == job {
+			w.ledger.Release(r.Space, w.Service, r.Counts)
+			w.ledger.Take(space, w.Service, r.Counts)
+			r.Space = space
+		}
+	}
+}
+
 // Drop removes a run from the worker and frees its resources.
 func (w *Worker) Drop(k Key) {
 	r, ok := w.Runs[k]
--- a/fleet/queue/queue.go
+++ b/fleet/queue/queue.go
@@ -3,6 +3,8 @@
 package queue
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"slices"
 	"strings"
 	"time"
@@ -43,28 +45,70 @@
 	MaxBody int // bytes
 
 	keys   map[string]fleet.SpaceID
+	marks  map[fleet.KeyMark]fleet.SpaceID
 	byName map[string]*Queue
+	byAddr map[string]*Queue
 	spaces map[fleet.SpaceID]*Space
 }
 
 // New returns a copy of the configuration, with the indexes that its methods need.
 func New(c Config) *Config {
-	c.keys = map[string]fleet.SpaceID{}
+	c.keys, c.marks = map[string]fleet.SpaceID{}, map[fleet.KeyMark]fleet.SpaceID{}
 	c.spaces = make(map[fleet.SpaceID]*Space, len(c.Spaces))
 	for i := range c.Spaces {
 		s := &c.Spaces[i]
 		c.spaces[s.Name] = s
 		for _, k := range s.Keys {
-			c.keys[k] = s.Name
+			c.keys[k], c.marks[MarkOf(k)] = s.Name, s.Name
 		}
 	}
-	c.byName = make(map[string]*Queue, len(c.Queues))
+	c.byName, c.byAddr = make(map[string]*Queue, len(c.Queues)), make(map[string]*Queue, len(c.Queues))
 	for i := range c.Queues {
-		c.byName[c.Queues[i].Name] = &c.Queues[i]
+		q := &c.Queues[i]
+		c.byName[q.Name], c.byAddr[q.Address()] = q, q
 	}
 	return &c
 }
 
+// MarkOf returns the mark of an API key, 0 for an empty one.
+func MarkOf(key string) fleet.KeyMark {
+	if key == "" {
+		return 0
+	}
+	sum := sha256.Sum256([]byte(key))
+	return fleet.KeyMark(max(binary.BigEndian.Uint64(sum[:]), 1))
+}
+
+// Address returns what the calls of a queue begin with: its host and path prefix.
+func (q *Queue) Address() string { return strings.ToLower(q.Host) + q.Prefix }
+
+// Now returns the queue that has taken the place of one with a name and an address in a former
+// version. Callers know a queue by its address, so that one there goes first; then the queue of
+// that name, which may have moved; then the one that matches calls to the address. It returns nil if there is none.
+func (c *Config) Now(name, address string) *Queue {
+	if c == nil {
+		return nil
+	}
+	if q, ok := c.byAddr[address]; ok {
+		return q
+	}
+	if q, ok := c.byName[name]; ok {
+		return q
+	}
+	host, path, _ := strings.Cut(address, "/")
+	q, _ := c.Match(host, "/"+path)
+	return q
+}
+
+// OwnerOf returns the workspace that has the key with a mark. A nil configuration has none.
+func (c *Config) OwnerOf(mark fleet.KeyMark) (fleet.SpaceID, bool) {
+	if c == nil || mark == 0 {
+		return "", false
+	}
+	s, ok := c.marks[mark]
+	return s, ok
+}
+
 // Match returns the queue of a host name with the longest prefix of the path, and the
 // rest of the path. It returns nil if there is none. A port in host is ignored.
 func (c *Config) Match(host, path string) (*Queue, string) {
--- a/fleet/queue/queue_test.go
+++ b/fleet/queue/queue_test.go
@@ -55,3 +55,34 @@
 	var none *queue.Config
 	qt.Assert(t, none.Queue("jobs"), qt.IsNil)
 }
+
+// Calls know a queue by its address, so that one there takes the place of a queue whose name is gone.
+func TestQueueThatTakesThePlaceOfAnother(t *testing.T) {
+	c := config()
+	for _, a := range []struct{ name, address, want string }{
+		{"jobs", "a.example/jobs/", "jobs"},
+		{"gone", "a.example/jobs/", "jobs"},
+		{"other", "a.example/jobs/", "jobs"},
+		{"other", "a.example/gone/", "other"},
+		{"gone", "a.example/gone/", "all"},
+		{"gone", "c.example/", ""},
+		{"jobs", "", "jobs"},
+	} {
+		name := ""
+		if q := c.Now(a.name, a.address); q != nil {
+			name = q.Name
+		}
+		qt.Check(t, name, qt.Equals, a.want, qt.Commentf("%s at %s", a.name, a.address))
+	}
+}
+
+func TestOwnersOfKeysAreKnownByTheirMarks(t *testing.T) {
+	c := config()
+	owner, ok := c.OwnerOf(queue.MarkOf("k2"))
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Check(t, owner, qt.Equals, fleet.SpaceID("s"))
+	qt.Check(t, queue.MarkOf("k1") == queue.MarkOf("k2"), qt.IsFalse)
+	qt.Check(t, queue.MarkOf(""), qt.Equals, fleet.KeyMark(0))
+	_, ok = c.OwnerOf(0)
+	qt.Check(t, ok, qt.IsFalse)
+}
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -81,6 +82,9 @@
 		// the job was refused.
 		sc.emit(AnswerSubmit{e.Waiter, &wire.HandReply{Verdict: wire.Verdict_ASTRAY}})
 		return
+	case known && !sc.mayUse(j, e.Flow.Queue, fleet.SpaceID(e.Flow.Space), fleet.KeyMark(e.Flow.Mark)):
+		sc.refuse(e, 0, fmt.Sprintf("the id %q is that of a job of another workspace", id))
+		return
 	case known && j.stored:
 		sc.emit(AnswerSubmit{e.Waiter, &wire.HandReply{Verdict: wire.Verdict_OK}})
 		return
@@ -150,19 +154,6 @@
 	sc.outbox.cancels = append(sc.outbox.cancels, pendingCancel{j, e.Waiter, e.Deadline})
 }
 
-// findJob returns the job that a call names, if it belongs to the caller's queue and
-// workspace.
-func (sc *Scheduler) findJob(ask *wire.FlowAsk) *job {
-	j, ok := sc.jobs[fleet.JobID(ask.Id)]
-	if !ok || j.Spec.Queue != ask.Queue {
-		return nil
-	}
-	if ask.Space != "" && j.Spec.Space != "" && ask.Space != j.Spec.Space {
-		return nil
-	}
-	return j
-}
-
 // absence returns the verdict on a job that this lead does not know. Unless it is confirmed, its
 // successor may have accepted the job.
 func (sc *Scheduler) absence() wire.Verdict {
@@ -179,7 +170,7 @@
 	}
 	r := &wire.BacklogReply{Verdict: wire.Verdict_OK}
 	for _, j := range sc.jobs {
-		if j.stored && !j.HasEnded() && !j.Begun() && j.Spec.Queue == ask.Queue {
+		if j.stored && !j.HasEnded() && !j.Begun() && sc.queueOf(j) == ask.Queue {
 			r.Waiting++
 		}
 	}
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -107,7 +107,12 @@
 		j.madeAt = clock.Reading(t.Stamp)
 		j.Resume(t, sc.clock.Time(j.madeAt))
 		j.endStored = j.HasEnded()
-		sc.adopt(j)
+	}
+	sc.moveJobs()
+	for id := range tracks {
+		if j, ok := sc.jobs[id]; ok {
+			sc.adopt(j)
+		}
 	}
 	for _, f := range flows {
 		if j := sc.jobs[fleet.JobID(f.Id)]; !j.HasEnded() {
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -236,6 +236,7 @@
 	if e.Config != nil && (sc.config == nil || e.Config.Version > sc.config.Version) {
 		sc.logChangedLimits(sc.config, e.Config)
 		sc.config = e.Config
+		sc.moveJobs()
 		sc.logf(event.ConfigRead, "config", "version=%d queues=%d workspaces=%d end=%d", e.Config.Version, len(e.Config.Queues), len(e.Config.Spaces), e.End)
 	}
 }
