--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -244,7 +244,7 @@
 
 // ownEntry returns the entry of this daemon.
 func (s *Site) ownEntry() *wire.Member {
-	return &wire.Member{Host: string(s.self.Host), Addr: s.self.Addr, Domain: string(s.self.Domain), Inc: int64(s.incarnation()), Power: int64(s.self.Power), Stamp: int64(s.members.reading()), Left: s.leaving.Load()}
+	return &wire.Member{Host: string(s.self.Host), Addr: s.self.Addr, Domain: string(s.self.Domain), Inc: int64(s.incarnation()), Power: int64(s.self.Power), Stamp: int64(s.members.reading()), Left: s.leaving.Load(), Memory: int64(s.settings.Memory)}
 }
 
 // noteOwn notes an entry of this host, which may be of a former process, or marked as lost. It is
@@ -286,7 +286,13 @@
 func (s *Site) postMembers() {
 	all := s.members.split(s.self.Host)
 	s.logAway(s.members.newlyAway(all))
-	e := sched.Members{All: electors(append(all[present], s.ownEntry())), Inc: s.incarnation()}
+	own := s.ownEntry()
+	e := sched.Members{All: electors(append(all[present], own)), Inc: s.incarnation(), Memory: fleet.Mebibytes(own.Memory)}
+	for _, m := range all[present] {
+		if m.Memory > 0 {
+			e.Memory = min(e.Memory, fleet.Mebibytes(m.Memory))
+		}
+	}
 	for _, m := range all[departed] {
 		e.Left = append(e.Left, voter.Process{Host: fleet.HostID(m.Host), Inc: fleet.Incarnation(m.Inc)})
 	}
--- a/deckd/site/site.go
+++ b/deckd/site/site.go
@@ -133,7 +133,7 @@
 }
 
 func limitsOf(s fleet.SiteSettings) sched.Limits {
-	return sched.Limits{Lease: s.Lease, Stop: s.Stop, Gang: s.Gang, Drain: s.Drain, Status: s.Status}
+	return sched.Limits{Lease: s.Lease, Stop: s.Stop, Gang: s.Gang, Drain: s.Drain, Status: s.Status, Record: int(s.Record)}
 }
 
 func setMemoryLimit(limit fleet.Mebibytes) {
--- a/fleet/flow/apply.go
+++ b/fleet/flow/apply.go
@@ -8,7 +8,7 @@
 
 // Start records that a run of a task is sent to a process of a worker.
 func (j *Job) Start(t fleet.Task, run fleet.Run, worker fleet.HostID, inc fleet.Incarnation) {
-	s := j.Step(t)
+	s := j.open(t)
 	k := &s.Tasks[t.Index]
 	k.Run, k.Worker, k.Inc = max(k.Run, run), worker, inc
 	s.Run = max(s.Run, run)
@@ -18,7 +18,7 @@
 // ClearRun records that a run of a task is no longer on any worker. It reports whether
 // that was the task's newest run.
 func (j *Job) ClearRun(t fleet.Task, run fleet.Run, now time.Time) bool {
-	s := j.Step(t)
+	s := j.open(t)
 	if s == nil {
 		return false
 	}
@@ -33,7 +33,7 @@
 
 // Save records a newer checkpoint of a task, or of its gang.
 func (j *Job) Save(t fleet.Task, saved string) {
-	s := j.Step(t)
+	s := j.open(t)
 	if s == nil || saved == "" {
 		return
 	}
@@ -47,7 +47,7 @@
 // Done records that a task succeeded; for a gang, one member's success completes
 // the whole gang. It reports whether that changed anything.
 func (j *Job) Done(t fleet.Task, now time.Time) bool {
-	s := j.Step(t)
+	s := j.open(t)
 	if s == nil || s.unfinished == 0 || s.Spec.Lasting {
 		return false
 	}
@@ -78,7 +78,7 @@
 // however many of its members failed. The job fails when one of its tasks or gangs
 // has failed the given number of times.
 func (j *Job) Fail(t fleet.Task, run fleet.Run, attempts int, now time.Time) {
-	s := j.Step(t)
+	s := j.open(t)
 	if s == nil || s.Spec.Lasting || s.Tasks[t.Index].Done {
 		return
 	}
--- a/fleet/flow/blame.go
+++ b/fleet/flow/blame.go
@@ -53,7 +53,7 @@
 // Accuse records that a worker crashed under a run of a task. The job fails if that is too
 // much for the task; Accuse reports whether it does.
 func (j *Job) Accuse(t fleet.Task, b Blame, now time.Time) bool {
-	s := j.Step(t)
+	s := j.open(t)
 	if s == nil || b == Unrelated || s.Tasks[t.Index].Done || j.HasEnded() {
 		return false
 	}
@@ -69,7 +69,7 @@
 
 // Acquit records that a task has run without crashing its worker.
 func (j *Job) Acquit(t fleet.Task) {
-	if s := j.Step(t); s != nil {
+	if s := j.open(t); s != nil {
 		s.Tasks[t.Index].Blame, s.Tasks[t.Index].Crashes = 0, 0
 	}
 }
--- a/fleet/flow/flow.go
+++ b/fleet/flow/flow.go
@@ -3,6 +3,8 @@
 package flow
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"dragonflydeck.example/fleet"
@@ -13,7 +15,7 @@
 type Job struct {
 	ID        fleet.JobID
 	Spec      *wire.Flow
-	Rounds    []*Round
+	Rounds    []*Round // those that have begun to count and have not ended, in their order
 	Cancelled bool
 	Failed    bool
 	Accepted  time.Time
@@ -21,11 +23,13 @@
 	Moved     bool      // its workspace has another name than when it was accepted
 
 	unfinished int  // number of tasks of all rounds that have not succeeded
+	next       int  // number of the first round that has not begun to count
 	begun      bool // a run of a task has been sent
 }
 
 // Round is one execution of all steps of a job; a recurring job has several.
 type Round struct {
+	No    int       // counted from 0
 	Due   time.Time // when it may start; a time of day if the job repeats
 	Steps []*Step
 }
@@ -58,32 +62,105 @@
 	Crashes int               // of workers that it may have caused, then or later
 }
 
-// New returns a job of which nothing has started.
+// New returns a job of which nothing has started. The rounds of a job that repeats begin to count
+// with OpenDue.
 func New(spec *wire.Flow, accepted time.Time) *Job {
 	j := &Job{ID: fleet.JobID(spec.Id), Spec: spec, Accepted: accepted}
-	rounds := 1
-	if r := spec.GetRepeat(); r.GetCount() > 0 {
-		rounds = int(r.Count)
-	}
-	for k := range rounds {
-		j.Rounds = append(j.Rounds, j.round(k))
+	j.unfinished = j.count() * j.RoundTasks()
+	if !j.Repeats() {
+		j.openNext()
 	}
 	return j
 }
 
-func (j *Job) round(k int) *Round {
-	r := &Round{Due: j.Accepted}
+// count returns the number of rounds.
+func (j *Job) count() int { return max(int(j.Spec.GetRepeat().GetCount()), 1) }
+
+// RoundTasks returns the number of tasks of a round.
+func (j *Job) RoundTasks() int {
+	n := 0
+	for _, s := range j.Spec.Steps {
+		n += int(s.Count)
+	}
+	return n
+}
+
+// openNext lets the next round begin to count.
+func (j *Job) openNext() {
+	j.Rounds = append(j.Rounds, j.round(j.next))
+	j.next++
+}
+
+// OpenDue lets rounds that are due begin to count, in their order, while there is room for the tasks
+// of one more. State is kept for these alone, so that a job takes no more memory the longer it
+// repeats. It reports whether any did.
+func (j *Job) OpenDue(wall time.Time, hasRoom func() bool) bool {
+	opened := false
+	for j.Repeats() && !j.HasEnded() && j.next < j.count() && !wall.Before(j.Due(j.next)) && hasRoom() {
+		j.openNext()
+		opened = true
+	}
+	return opened
+}
+
+// Close takes out and returns the rounds of a job that repeats of which all tasks have succeeded and none
+// is on a worker.
+func (j *Job) Close() []*Round {
+	if !j.Repeats() {
+		return nil
+	}
+	var closed []*Round
+	j.Rounds = slices.DeleteFunc(j.Rounds, func(r *Round) bool {
+		ended := r.isIdle() && !slices.ContainsFunc(r.Steps, func(s *Step) bool { return s.unfinished > 0 })
+		if ended {
+			closed = append(closed, r)
+		}
+		return ended
+	})
+	return closed
+}
+
+// Clear takes out and returns all rounds of a job that has ended, unless a task is on a worker.
+func (j *Job) Clear() []*Round {
+	if !j.HasEnded() || slices.ContainsFunc(j.Rounds, func(r *Round) bool { return !r.isIdle() }) {
+		return nil
+	}
+	all := j.Rounds
+	j.Rounds, j.next = nil, j.count()
+	return all
+}
+
+// isIdle reports whether no task of the round is on a worker.
+func (r *Round) isIdle() bool {
+	return !slices.ContainsFunc(r.Steps, func(s *Step) bool {
+		return slices.ContainsFunc(s.Tasks, func(t Task) bool { return t.Worker != "" })
+	})
+}
+
+// Due returns when a round may start.
+func (j *Job) Due(round int) time.Time {
 	if p := j.Spec.GetRepeat(); p.GetCount() > 0 {
-		r.Due = time.UnixMilli(p.First + int64(k)*p.Every)
+		return time.UnixMilli(p.First + int64(round)*p.Every)
 	}
+	return j.Accepted
+}
+
+// Tasks returns the number of tasks that state is kept for.
+func (j *Job) Tasks() int { return len(j.Rounds) * j.RoundTasks() }
+
+// round returns a round as it is before anything of it has started.
+func (j *Job) round(k int) *Round {
+	r := &Round{No: k, Due: j.Due(k)}
 	for i, s := range j.Spec.Steps {
 		n := int(s.Count)
 		r.Steps = append(r.Steps, &Step{Spec: s, Round: k, Index: i, Tasks: make([]Task, n), unfinished: n})
-		j.unfinished += n
 	}
 	return r
 }
 
+// Sample returns the steps of a round of which nothing has started, to judge a job by.
+func (j *Job) Sample() []*Step { return j.round(0).Steps }
+
 // HasEnded reports whether the job has ended, for whatever reason.
 func (j *Job) HasEnded() bool { return !j.Ended.IsZero() }
 
@@ -111,12 +188,32 @@
 	return wire.Stage_WAITS
 }
 
-// Step returns the step of a task, or nil if the job has no such task.
+// Step returns the step of a task, or nil if the job has no such task. Of a round that has been closed or
+// does not count yet, it returns a copy that shows this.
 func (j *Job) Step(t fleet.Task) *Step {
-	if t.Round < 0 || t.Round >= len(j.Rounds) {
+	if t.Round < 0 || t.Round >= j.count() || t.Step < 0 || t.Step >= len(j.Spec.Steps) || t.Index < 0 || t.Index >= int(j.Spec.Steps[t.Step].Count) {
 		return nil
 	}
-	steps := j.Rounds[t.Round].Steps
+	if s := j.open(t); s != nil {
+		return s
+	}
+	s := j.round(t.Round).Steps[t.Step]
+	if t.Round < j.next {
+		for i := range s.Tasks {
+			s.Tasks[i].Done = true
+		}
+		s.unfinished = 0
+	}
+	return s
+}
+
+// open returns the step of a task whose round counts, else nil.
+func (j *Job) open(t fleet.Task) *Step {
+	i, ok := slices.BinarySearchFunc(j.Rounds, t.Round, func(r *Round, no int) int { return cmp.Compare(r.No, no) })
+	if !ok {
+		return nil
+	}
+	steps := j.Rounds[i].Steps
 	if t.Step < 0 || t.Step >= len(steps) || t.Index < 0 || t.Index >= len(steps[t.Step].Tasks) {
 		return nil
 	}
@@ -129,11 +226,11 @@
 	if j.HasEnded() || s.unfinished == 0 {
 		return false
 	}
-	r := j.Rounds[s.Round]
-	if j.Repeats() && wall.Before(r.Due) {
+	if j.Repeats() && wall.Before(j.Due(s.Round)) {
 		return false
 	}
-	return r.mayRun(s)
+	i, ok := slices.BinarySearchFunc(j.Rounds, s.Round, func(r *Round, no int) int { return cmp.Compare(r.No, no) })
+	return ok && j.Rounds[i].mayRun(s)
 }
 
 // mayRun reports whether the steps that a step of the round depends on have completed.
@@ -196,6 +293,9 @@
 // MayEnd reports whether the job may end at any time: every task that has not succeeded is on
 // a worker, and none is lasting.
 func (j *Job) MayEnd() bool {
+	if j.next < j.count() {
+		return false
+	}
 	for _, r := range j.Rounds {
 		for _, s := range r.Steps {
 			for i := range s.Tasks {
--- a/fleet/flow/flow_test.go
+++ b/fleet/flow/flow_test.go
@@ -23,6 +23,7 @@
 
 func open(j *flow.Job, at time.Time) []string {
 	var out []string
+	j.OpenDue(at, func() bool { return true })
 	j.EachOpen(at, func(s *flow.Step) { out = append(out, fmt.Sprintf("%d.%d", s.Round, s.Index)) })
 	return out
 }
@@ -161,3 +162,69 @@
 	qt.Assert(t, j.PathAfter(0), qt.Equals, 5*time.Second)
 	qt.Assert(t, j.PathAfter(2), qt.Equals, time.Duration(0))
 }
+
+// A job that repeats keeps state for the rounds that count alone, however many there are, and one that is
+// restored from its stored progress has the same rounds.
+func TestRoundsThatHaveEndedTakeNoState(t *testing.T) {
+	spec := &wire.Flow{Id: "j", Steps: []*wire.Step{step(2), step(1, 0)}, Repeat: &wire.Repeat{Count: 1000, First: now.UnixMilli(), Every: 1000}}
+	j := flow.New(spec, now)
+	qt.Assert(t, j.Tasks(), qt.Equals, 0)
+	qt.Assert(t, j.Unfinished(), qt.Equals, 3000)
+	for i := range 1000 {
+		wall := now.Add(time.Duration(i) * time.Second)
+		j.OpenDue(wall, func() bool { return true })
+		if i%10 != 0 { // one in ten is late
+			finishRound(j, i)
+		}
+		if i%10 == 5 {
+			finishRound(j, i-5)
+		}
+		j.Close()
+		qt.Assert(t, j.Tasks() <= 3, qt.IsTrue)
+		k := flow.New(spec, now)
+		k.Resume(j.Track(false, 0), now)
+		qt.Assert(t, k.Track(false, 0).String(), qt.Equals, j.Track(false, 0).String())
+		qt.Assert(t, k.HasEnded(), qt.Equals, j.HasEnded())
+		if j.HasEnded() {
+			break // only how it ended is stored
+		}
+		qt.Assert(t, k.Unfinished(), qt.Equals, j.Unfinished())
+		j = k
+	}
+	qt.Assert(t, j.HasEnded(), qt.IsTrue)
+	qt.Assert(t, j.Unfinished(), qt.Equals, 0)
+}
+
+func finishRound(j *flow.Job, round int) {
+	for _, k := range []fleet.Task{task(round, 0, 0), task(round, 0, 1), task(round, 1, 0)} {
+		j.Start(k, 1, "w", 7)
+		j.ClearRun(k, 1, now)
+		j.Done(k, now)
+	}
+}
+
+// A task of a round that has been closed has succeeded, and one of a round that does not count yet has not.
+func TestTasksOfRoundsWithoutState(t *testing.T) {
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(1)}, Repeat: &wire.Repeat{Count: 9, First: now.UnixMilli(), Every: 1000}}, now)
+	j.OpenDue(now.Add(time.Second), func() bool { return true })
+	j.Start(task(0, 0, 0), 1, "w", 7)
+	j.Done(task(0, 0, 0), now)
+	qt.Assert(t, j.Close(), qt.HasLen, 0, qt.Commentf("its run is on a worker"))
+	j.ClearRun(task(0, 0, 0), 1, now)
+	qt.Assert(t, j.Close(), qt.HasLen, 1)
+	qt.Check(t, j.Step(task(0, 0, 0)).Tasks[0].Done, qt.IsTrue)
+	qt.Check(t, j.Step(task(5, 0, 0)).Tasks[0].Done, qt.IsFalse)
+	qt.Check(t, j.Step(task(9, 0, 0)), qt.IsNil)
+	qt.Check(t, j.Done(task(0, 0, 0), now), qt.IsFalse)
+	qt.Check(t, j.Done(task(5, 0, 0), now), qt.IsFalse)
+	qt.Check(t, j.Unfinished(), qt.Equals, 8)
+}
+
+// Progress that an earlier version stored lists all tasks that have succeeded.
+func TestResumeOfRoundsFromAnOlderVersion(t *testing.T) {
+	j := flow.New(&wire.Flow{Id: "j", Steps: []*wire.Step{step(1)}, Repeat: &wire.Repeat{Count: 9, First: now.UnixMilli(), Every: 1000}}, now)
+	j.Resume(&wire.Track{Id: "j", Pieces: []*wire.Piece{{Round: 0, Done: true, Run: 1}, {Round: 2, Run: 1, Worker: "w"}}}, now)
+	j.Close()
+	qt.Check(t, open(j, now.Add(2*time.Second)), qt.DeepEquals, []string{"1.0", "2.0"})
+	qt.Check(t, j.Unfinished(), qt.Equals, 8)
+}
--- a/fleet/flow/track.go
+++ b/fleet/flow/track.go
@@ -22,7 +22,13 @@
 	if j.HasEnded() && !keepRuns {
 		return t
 	}
+	if j.Repeats() {
+		t.Next = int32(j.next)
+	}
 	for _, r := range j.Rounds {
+		if j.Repeats() {
+			t.Open = append(t.Open, int32(r.No))
+		}
 		for _, s := range r.Steps {
 			t.Pieces = s.pieces(t.Pieces, j.HasEnded())
 		}
@@ -55,9 +61,10 @@
 // Resume restores a new job's progress from its stored form, which was made at the given time.
 // Pieces that match no task of the job are ignored.
 func (j *Job) Resume(t *wire.Track, made time.Time) {
+	j.resumeRounds(t)
 	for _, p := range t.Pieces {
 		task := fleet.Task{Job: j.ID, Round: int(p.Round), Step: int(p.Step), Index: int(p.Index)}
-		s := j.Step(task)
+		s := j.open(task)
 		if s == nil {
 			continue
 		}
@@ -76,6 +83,29 @@
 	}
 }
 
+// resumeRounds restores which rounds of a job that repeats count and which have ended.
+func (j *Job) resumeRounds(t *wire.Track) {
+	if !j.Repeats() {
+		return
+	}
+	if t.Next == 0 { // of an older version
+		for _, p := range t.Pieces {
+			for j.next <= int(p.Round) && j.next < j.count() {
+				j.openNext()
+			}
+		}
+		return
+	}
+	j.next = min(int(t.Next), j.count())
+	for _, no := range t.Open {
+		if no := int(no); no >= 0 && no < j.next && (len(j.Rounds) == 0 || no > j.Rounds[len(j.Rounds)-1].No) {
+			j.Rounds = append(j.Rounds, j.round(no))
+		}
+	}
+	j.unfinished -= (j.next - len(j.Rounds)) * j.RoundTasks()
+	j.begun = j.next > len(j.Rounds)
+}
+
 func (s *Step) resume(p *wire.Piece) {
 	k := &s.Tasks[p.Index]
 	k.Run, k.Worker, k.Inc, k.Blame, k.Crashes = fleet.Run(p.Run), fleet.HostID(p.Worker), fleet.Incarnation(p.Inc), int(p.Blame), int(p.Crashes)
--- a/fleet/res.go
+++ b/fleet/res.go
@@ -10,6 +10,9 @@
 // Millicores counts thousandths of a processor core.
 type Millicores int64
 
+// Bytes counts bytes.
+type Bytes int64
+
 // Mebibytes counts memory in units of 2^20 bytes.
 type Mebibytes int64
 
--- a/fleet/sched/admit.go
+++ b/fleet/sched/admit.go
@@ -22,12 +22,15 @@
 	if why := sc.refusedByCap(j); why != "" {
 		return maxRetryAfter, why
 	}
+	if why := sc.refusedBySize(j); why != "" {
+		return maxRetryAfter, why
+	}
 	site := sc.newPlan()
 	total := site.Total(j.Spec.Service)
 	if total == 0 {
 		return 0, ""
 	}
-	for _, s := range j.Rounds[0].Steps {
+	for _, s := range j.Sample() {
 		if !site.Feasible(fullUnit(j, s), false) {
 			return maxRetryAfter, "no worker is large enough for it"
 		}
--- a/fleet/sched/caps.go
+++ b/fleet/sched/caps.go
@@ -70,7 +70,7 @@
 	if !limit.Capped() {
 		return ""
 	}
-	for _, s := range j.Rounds[0].Steps {
+	for _, s := range j.Sample() {
 		need, what := declared(s), "a task"
 		if s.Spec.Gang {
 			need, what = need.Times(len(s.Tasks)), "a gang"
--- a/fleet/sched/estimates.go
+++ b/fleet/sched/estimates.go
@@ -85,12 +85,18 @@
 	return m
 }
 
-// forgetStepMeans deletes the measurements of a job that has ended.
-func (sc *Scheduler) forgetStepMeans(j *job) {
-	for _, r := range j.Rounds {
+// forgetRounds deletes what is known about rounds of a job that have ended.
+func (sc *Scheduler) forgetRounds(j *job, rounds []*flow.Round) {
+	for _, r := range rounds {
 		for _, s := range r.Steps {
 			delete(sc.stepMeans, s)
 			sc.speeds.forget(s)
+			delete(j.rackFits, s)
+			delete(j.capped, s)
+			for i := range s.Tasks {
+				delete(j.evicted, s.Task(j.ID, i))
+				delete(j.records, s.Task(j.ID, i))
+			}
 		}
 	}
 }
--- a/fleet/sched/events.go
+++ b/fleet/sched/events.go
@@ -28,11 +28,13 @@
 		Reply   *wire.SightReply
 	}
 	// Members are all daemons of the site that are taken for present, including this one, whose
-	// incarnation is Inc, and the newest process of each host that has left.
+	// incarnation is Inc, and the newest process of each host that has left. Memory is the limit of
+	// the daemon that has least, 0 if it is not known.
 	Members struct {
-		All  []elect.Member
-		Inc  fleet.Incarnation
-		Left []voter.Process
+		All    []elect.Member
+		Inc    fleet.Incarnation
+		Left   []voter.Process
+		Memory fleet.Mebibytes
 	}
 	// Probed is the outcome of a Probe; Err is nil if the store answered.
 	Probed struct{ Err error }
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -9,6 +9,7 @@
 	"dragonflydeck.example/fleet/event"
 	"dragonflydeck.example/fleet/flow"
 	"dragonflydeck.example/fleet/wire"
+	"google.golang.org/protobuf/proto"
 )
 
 // storeDownRetry is the retry delay given to callers while the store is unavailable.
@@ -38,6 +39,8 @@
 	records        map[fleet.Task]record      // of its lost runs
 	rackFits       map[*flow.Step]rackFit
 	capped         map[*flow.Step]bool // that wait for the cap of the workspace, as logged
+	specBytes      int                 // size of its record
+	footprint      int64               // memory that it is accounted for, in bytes
 }
 
 // rackFit caches whether a step fits where it runs at full speed, for one generation
@@ -69,7 +72,7 @@
 func newJob(f *flow.Job) *job {
 	return &job{
 		Job: f, failed: map[fleet.HostID]time.Time{}, evicted: map[fleet.Task]int{}, records: map[fleet.Task]record{},
-		rackFits: map[*flow.Step]rackFit{}, capped: map[*flow.Step]bool{},
+		rackFits: map[*flow.Step]rackFit{}, capped: map[*flow.Step]bool{}, specBytes: proto.Size(f.Spec),
 	}
 }
 
@@ -104,6 +107,7 @@
 	}
 	j.waiters = []submitter{{e.Waiter, e.Deadline}}
 	sc.jobs[id] = j
+	sc.account(j)
 	sc.noteLimit(j)
 	sc.outbox.accepted = append(sc.outbox.accepted, j)
 	sc.changed = true
@@ -192,10 +196,10 @@
 	}
 	sc.outbox.cancels = sc.expireCancels(sc.outbox.cancels)
 	for id, j := range sc.jobs {
+		sc.clearEnded(j)
 		if age := sc.statusAge(j); j.HasEnded() && !sc.unstored(j) && age > sc.limits.Status+statusMargin {
 			sc.logf(event.JobForgotten, string(id), "queue=%s stage=%s age=%s restored=%t", j.Spec.Queue, j.Stage(), age, j.restored)
-			delete(sc.jobs, id)
-			sc.forgetStepMeans(j)
+			sc.removeJob(j)
 			sc.outbox.deletes = append(sc.outbox.deletes, id)
 		}
 	}
@@ -240,8 +244,7 @@
 			}
 		}
 	}
-	delete(sc.jobs, j.ID)
-	sc.forgetStepMeans(j)
+	sc.removeJob(j)
 	sc.changed = true
 }
 
--- a/fleet/sched/lead.go
+++ b/fleet/sched/lead.go
@@ -114,6 +114,9 @@
 			sc.adopt(j)
 		}
 	}
+	for _, j := range sc.jobs {
+		sc.account(j)
+	}
 	for _, f := range flows {
 		if j := sc.jobs[fleet.JobID(f.Id)]; !j.HasEnded() {
 			sc.logf(event.JobRestored, string(j.ID), "term=%d unfinished=%d record=%s", sc.term, j.Unfinished(), sc.recordAge(j))
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -14,7 +14,8 @@
 
 // Limits of appends to the store.
 const (
-	maxBatchBytes    = 512 << 10               // a quarter of the platform's limit for one call
+	maxBatchBytes    = 512 << 10               // of accepted jobs, a quarter of the platform's limit for one call
+	maxTrackBytes    = 1 << 20                 // of the progress of jobs, half of that limit; a further record still fits
 	appendRetry      = 100 * time.Millisecond  // delay before a failed append is sent again
 	minAppendTimeout = 500 * time.Millisecond  // without an answer by then, the store is read to see whether the append took effect
 	minStuckAfter    = 600 * time.Millisecond  // an append normally takes milliseconds; after this long the store counts as unavailable
@@ -192,14 +193,17 @@
 	}
 	s.accepted, b.accepted = b.accepted[:n:n], b.accepted[n:]
 	var later []*job
+	trackBytes := 0
 	for _, j := range b.dirty {
 		switch {
 		case sc.jobs[j.ID] != j:
 		case slices.Contains(b.accepted, j):
 			later = append(later, j) // its progress must not be stored before the job itself
+		case trackBytes > maxTrackBytes:
+			later = append(later, j)
 		default:
 			j.dirty, j.lastBatch, j.madeAt = false, b.batchNo, sc.clock.Read(sc.now)
-			s.addRecord(trackKey+string(j.ID), j.Track(sc.limited(), j.madeAt))
+			trackBytes += s.addRecord(trackKey+string(j.ID), sc.trackOf(j))
 			if j.HasEnded() {
 				s.ended = append(s.ended, j)
 			}
@@ -227,6 +231,9 @@
 		}
 		s.starts = append(s.starts, o)
 	}
+	if trackBytes > maxTrackBytes {
+		return s // it may lack reported ends, so that none may be acknowledged yet
+	}
 	for _, w := range sc.pool.Sorted() {
 		if w.EndsSeen > w.EndsStored {
 			s.ends = append(s.ends, workerEnds{w, w.Inc, w.EndsSeen})
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -120,6 +120,7 @@
 func (sc *Scheduler) units() []unit {
 	var out []unit
 	for _, j := range sc.jobs {
+		sc.turnRounds(j)
 		j.EachOpen(sc.now, func(s *flow.Step) {
 			waiting := waitingTasks(s)
 			suspects := suspectedTasks(s, waiting)
@@ -200,7 +201,7 @@
 }
 
 func (sc *Scheduler) unit(j *job, s *flow.Step, waiting []int) unit {
-	due := j.Rounds[s.Round].Due
+	due := j.Due(s.Round)
 	u := unit{
 		Unit: assign.Unit{Job: j.Job, Step: s, Service: j.Spec.Service, Indexes: waiting, Avoid: j.failed},
 		job:  j, priority: j.Spec.Priority, waited: sc.now.Sub(due),
--- a/fleet/sched/preempt.go
+++ b/fleet/sched/preempt.go
@@ -206,7 +206,7 @@
 // canRestart reports whether a run without checkpoints may be restarted from the
 // beginning: it was not evicted too often, and its job can still meet its objective.
 func (sc *Scheduler) canRestart(j *job, s *flow.Step, r *pool.Run) bool {
-	due := j.Rounds[s.Round].Due.Add(sc.objective(j))
+	due := j.Due(s.Round).Add(sc.objective(j))
 	return j.evicted[s.Task(j.ID, evictionIndex(s, r))] < maxEvictions && sc.now.Add(sc.totalTime(j, r)).Before(due)
 }
 
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -36,6 +36,7 @@
 	Gang   time.Duration // all members of a gang must have started within this
 	Drain  time.Duration // shortest time between a worker's notice that it drains and its end
 	Status time.Duration // how long an ended job's status can be queried
+	Record int           // most bytes of a record in the store, 0 if not known
 }
 
 // mode is the daemon's role in the site.
@@ -81,6 +82,8 @@
 	leavingUntil time.Time  // when it stops announcing that it shuts down
 
 	jobs              map[fleet.JobID]*job
+	held              int64           // memory that the jobs are accounted for, in bytes
+	memory            fleet.Mebibytes // of the daemon that has least
 	pool              *pool.Pool
 	outbox            outbox
 	statusWaiters     []statusWaiter
@@ -116,7 +119,7 @@
 }
 
 func (sc *Scheduler) reset() {
-	sc.jobs = map[fleet.JobID]*job{}
+	sc.jobs, sc.held = map[fleet.JobID]*job{}, 0
 	sc.pool = pool.New(sc.limits.Lease)
 	sc.outbox = outbox{batchNo: sc.outbox.batchNo} // a late answer to an earlier batch must match no later one
 	sc.recordedLimits, sc.waiting = map[fleet.SpaceID]recordedLimit{}, nil
@@ -191,6 +194,7 @@
 	case Members:
 		sc.self.Inc = max(sc.self.Inc, e.Inc)
 		sc.Elect.SetMembers(e.All)
+		sc.memory = e.Memory
 		for _, p := range e.Left {
 			if before, known := sc.left[p.Host]; !known || p.Inc > before {
 				sc.left[p.Host] = p.Inc
--- a/fleet/sched/worker_test.go
+++ b/fleet/sched/worker_test.go
@@ -16,6 +16,7 @@
 	domain       fleet.DomainID
 	inc          fleet.Incarnation
 	epoch        time.Time // zero of its clock
+	saved        string    // checkpoint that its polls report
 	unlisted     bool
 	draining     bool
 	drainLeft    time.Duration // until it is gone, as announced while it drains
@@ -354,7 +355,7 @@
 			span = r.total
 		}
 		done := span - r.left
-		s.Runs = append(s.Runs, fleet.RunReport{Task: k.Task, Run: k.No, Percent: min(int(100*done/max(span, 1)), 100)})
+		s.Runs = append(s.Runs, fleet.RunReport{Task: k.Task, Run: k.No, Saved: w.saved, Percent: min(int(100*done/max(span, 1)), 100)})
 	}
 	return s
 }
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -40,6 +40,8 @@
 	ahead         time.Duration // of the daemon's time of day before that of the world
 	tick          time.Duration // by which a step advances the time
 	scheduler     *sched.Scheduler
+	limits        sched.Limits
+	memory        fleet.Mebibytes                    // of the smallest daemon; 0 if it is not known
 	host          fleet.HostID                       // of the daemon
 	peers         []fleet.HostID                     // in the order in which they answer
 	peerInc       map[fleet.HostID]fleet.Incarnation // of peers that have started anew
@@ -67,6 +69,7 @@
 	lastBatch     uint64          // number of the newest append
 	leavingBeats  int             // heartbeats that announce that the lead leaves
 	appendedBytes int             // total size of appended records
+	largestAppend int             // size of the largest append in bytes
 	stepTime      time.Duration   // processor time spent in Step
 	appendDelay   time.Duration   // extra duration of appends
 	peerAnswers   int             // number of peers that answer
@@ -157,7 +160,7 @@
 
 func newWorld(t *testing.T, racks, perRack int) *world {
 	w := &world{
-		host: "e1", peers: []fleet.HostID{"e2", "e3", "e4"}, peerInc: map[fleet.HostID]fleet.Incarnation{},
+		limits: limits, host: "e1", peers: []fleet.HostID{"e2", "e3", "e4"}, peerInc: map[fleet.HostID]fleet.Incarnation{},
 		t: t, now: startTime, tick: 10 * time.Millisecond, store: &store{}, workers: map[fleet.HostID]*worker{}, outOfService: map[fleet.DomainID]bool{},
 		submitReplies: map[sched.Waiter]*wire.HandReply{}, cancelReplies: map[sched.Waiter]*wire.FlowReply{}, statusReplies: map[sched.Waiter]*wire.FlowReply{}, configEnd: 1,
 	}
@@ -180,8 +183,8 @@
 func (w *world) restartDaemon() {
 	w.inc++
 	w.events, w.later = nil, nil
-	w.scheduler = sched.New(sched.Identity{Host: w.host, Addr: string(w.host) + ":7000", Domain: "d1", Inc: w.inc}, limits, w.local())
-	w.post(sched.Members{All: []elect.Member{{Host: w.host}}})
+	w.scheduler = sched.New(sched.Identity{Host: w.host, Addr: string(w.host) + ":7000", Domain: "d1", Inc: w.inc}, w.limits, w.local())
+	w.post(sched.Members{All: []elect.Member{{Host: w.host}}, Memory: w.memory})
 	w.postConfig()
 	w.postWorkers()
 }
@@ -330,9 +333,11 @@
 	case sched.Append:
 		w.appends++
 		w.lastBatch = a.Batch
+		size := 0
 		for _, r := range a.Records {
-			w.appendedBytes += len(r.Key) + len(r.Value)
+			size += len(r.Key) + len(r.Value)
 		}
+		w.appendedBytes, w.largestAppend = w.appendedBytes+size, max(w.largestAppend, size)
 		end, err := w.appendTo(a)
 		span := storeCallTime + w.appendDelay
 		if err == nil && span > a.Timeout {
--- a/fleet/site.go
+++ b/fleet/site.go
@@ -22,4 +22,5 @@
 	Grace  time.Duration `validate:"min=100ms"` // time from the termination signal until the process is killed
 	Power  Millicores    `validate:"min=1"`     // processor limit of this process
 	Memory Mebibytes     `validate:"min=32"`    // memory limit, above which this process is killed
+	Record Bytes         `validate:"min=1024"`  // largest record that the store takes
 }
