--- a/fleet/assign/assign.go
+++ b/fleet/assign/assign.go
@@ -26,6 +26,8 @@
 	Avoid       map[fleet.HostID]time.Time // workers that failed it: not eligible until the given time, and the last choice after it
 	OneDomain   bool                       // it is kept within one failure domain if there is room on workers as fast
 	Slack       float64                    // logarithm of the slowdown of a worker with which the unit would just end when its job is due
+	Claims      bool                       // all of its tasks claim the guarantee of their workspace now
+	Entitled    func() bool                // reports whether it is within the guarantee of its workspace; nil if it is not
 	Urgent      bool                       // it takes the fastest workers; other work leaves them free if it is in time on slower ones
 }
 
@@ -235,12 +237,18 @@
 		return false
 	case u.Isolation != Shared && w.CrashedLately(s.Now):
 		return false
-	case u.LastAttempt && !w.proven, !w.HasLabel(u.Step.Spec.Label), !w.AvailableTo(u.Job.ID, s.Now):
+	case u.LastAttempt && !w.proven, !w.HasLabel(u.Step.Spec.Label), !w.AvailableTo(u.Job.ID, s.Now) && !s.overrides(u, w):
 		return false
 	}
 	return len(u.Avoid) == 0 || !s.Now.Before(u.Avoid[w.Endpoint.Host])
 }
 
+// overrides reports whether a unit may use a worker that is reserved for another job: the unit is within the
+// guarantee of its workspace, and that job is not.
+func (s *Site) overrides(u Unit, w *usableWorker) bool {
+	return !w.ReservedFirmly() && u.Entitled != nil && u.Entitled()
+}
+
 // taskCount returns how many tasks of the unit, each of the given size, fit into the given
 // room of a worker.
 func (s *Site) taskCount(u Unit, w *pool.Worker, each, room fleet.Res) int {
--- a/fleet/assign/assign_test.go
+++ b/fleet/assign/assign_test.go
@@ -154,12 +154,25 @@
 
 func TestReservedWorkerRunsNoOtherJob(t *testing.T) {
 	s, all := site(1, 1)
-	all[0].Reserve("other", now.Add(time.Second))
+	all[0].Reserve("other", now.Add(time.Second), false)
 	qt.Assert(t, s.Place(unit(step(1, 1))), qt.HasLen, 0)
 	s.Now = now.Add(2 * time.Second)
 	qt.Assert(t, s.Place(unit(step(1, 1))), qt.HasLen, 1)
 }
 
+// Guards against a guarantee that waits for a reservation of work that is not owed (issue 50).
+func TestReservationHoldsAgainstAGuaranteeOnlyForAnother(t *testing.T) {
+	s, all := site(1, 1)
+	u := unit(step(1, 1))
+	u.Entitled = func() bool { return true }
+	all[0].Reserve("other", now.Add(time.Second), true)
+	qt.Check(t, s.Place(u), qt.HasLen, 0)
+	all[0].Reserve("other", now.Add(time.Second), false)
+	qt.Check(t, s.Place(u), qt.HasLen, 1)
+	u.Entitled = func() bool { return false }
+	qt.Check(t, s.Place(u), qt.HasLen, 0)
+}
+
 func TestFailureDomainThatIsOutGetsNothing(t *testing.T) {
 	s, all := site(1, 1)
 	all[0].Domain = "d1"
--- a/fleet/assign/present_test.go
+++ b/fleet/assign/present_test.go
@@ -73,7 +73,7 @@
 			w.NoteSuccess(now)
 		}
 		if r.IntN(20) == 0 {
-			w.Reserve("other", now.Add(time.Second))
+			w.Reserve("other", now.Add(time.Second), false)
 		}
 	}
 	return s, all
--- a/fleet/assign/room.go
+++ b/fleet/assign/room.go
@@ -49,16 +49,20 @@
 	Cost float64 // work that is lost if it is stopped, in core seconds
 
 	Beyond bool // its workspace uses all that it is entitled to
+	Class  int  // runs of a lower class are stopped first, whatever the cost
 }
 
 // Victims returns the runs of a worker that may be stopped, in the order in which to
 // stop them.
 type Victims func(*pool.Worker) []Victim
 
-// SortVictims orders runs by the work that is lost for each accelerator that their
+// SortVictims orders runs of the same class by the work that is lost for each accelerator that their
 // stop frees, and at equal cost those of workspaces that use their share first.
 func SortVictims(v []Victim) {
 	slices.SortStableFunc(v, func(a, b Victim) int {
+		if a.Class != b.Class {
+			return cmp.Compare(a.Class, b.Class)
+		}
 		if a.Beyond != b.Beyond && a.costPerAccel() == b.costPerAccel() {
 			if a.Beyond {
 				return -1
@@ -77,6 +81,7 @@
 	Workers []*pool.Worker // workers that have room for the unit then
 	Cost    float64        // work lost by the stops, in core seconds
 	Late    bool           // the unit would probably be late on these workers (chance in time below 0.3)
+	Class   int            // highest class of the runs to stop
 }
 
 // PlanPreemption returns the preemption that makes room for the unit at the least cost. It
@@ -107,6 +112,9 @@
 }
 
 func (p Preemption) less(o Preemption) bool {
+	if p.Class != o.Class {
+		return p.Class < o.Class
+	}
 	if p.Late != o.Late {
 		return o.Late
 	}
@@ -121,6 +129,7 @@
 	beyond bool        // all of its runs are of workspaces that use their share
 	grade  *speedGrade // of the worker
 	late   bool        // the unit would probably be late on the worker
+	class  int         // highest class of its runs and of those of the options that it depends on
 }
 
 func (o option) rack() string { return o.worker.Rack }
@@ -134,8 +143,9 @@
 		out = append(out, option{worker: w.Worker, grade: w.grade})
 	}
 	var runs []*pool.Run
-	cost, beyond := 0.0, true
+	cost, beyond, class := 0.0, true, 0
 	for _, v := range victims {
+		class = max(class, v.Class)
 		room = room.Add(v.Run.Each)
 		runs = append(runs, v.Run)
 		cost += v.Cost
@@ -144,6 +154,9 @@
 			first := len(out)
 			out = append(out, shareCost(w, runs, cost, more, out)...)
 			out[first].beyond = beyond && !followsAtEqualCost(out, first)
+			for i := range out[first:] {
+				out[first+i].class = class
+			}
 			runs, cost, beyond = nil, 0, true
 		}
 	}
@@ -170,14 +183,21 @@
 	return out
 }
 
-// cheapest combines the options that cost least for all tasks that must start at once,
-// with those on which the unit would be late last. It reports false if there are too few.
+// cheapest combines the options that cost least for all tasks that must start at once, those of the lowest
+// class first, and in a class those last on which the unit would be late. For a claim it makes room for
+// as many tasks as it can. It reports false if there are too few options.
 func cheapest(u Unit, all []option) (Preemption, bool) {
 	n := tasksAtOnce(u)
 	if len(all) < n {
 		return Preemption{}, false
 	}
+	if u.Claims {
+		n = max(n, min(len(all), len(u.Indexes)))
+	}
 	sort.SliceStable(all, func(a, b int) bool {
+		if all[a].class != all[b].class {
+			return all[a].class < all[b].class
+		}
 		if all[a].late != all[b].late {
 			return all[b].late
 		}
@@ -190,6 +210,7 @@
 	for _, o := range all[:n] {
 		p.Runs = append(p.Runs, o.runs...)
 		p.Cost += o.cost
+		p.Class = max(p.Class, o.class)
 		if !slices.Contains(p.Workers, o.worker) {
 			p.Workers = append(p.Workers, o.worker)
 		}
--- a/fleet/event/codes.go
+++ b/fleet/event/codes.go
@@ -49,6 +49,7 @@
 	JobRestored     Code = 325
 	JobReowned      Code = 326
 	RecordCut       Code = 327
+	ClaimUnserved   Code = 328
 	SpaceSet        Code = 401
 	SpaceDropped    Code = 402
 	DomainOut       Code = 403
@@ -155,6 +156,7 @@
 	{JobRestored, "job-restored", Info, "a new lead goes on with a job that has not ended; the line says how many of its tasks are unfinished by the job's record, and how old that record is", "nothing"},
 	{JobReowned, "job-reowned", Info, "a job belongs to another workspace than before, which has the key that it was submitted with", "nothing; the operator has renamed, split or joined workspaces"},
 	{RecordCut, "record-cut", Warn, "the progress of a job does not fit into a record of the store; the checkpoints that do not fit are not stored", "ask the owner of the job for smaller checkpoints or fewer tasks"},
+	{ClaimUnserved, "claim-unserved", Warn, "no runs can be stopped to make room for a job that claims the guarantee of its workspace", "if it lasts, compare the guarantees with the capacity of the workers that are ready; look for 601 and for domains out of service"},
 	{SpaceSet, "space-set", Info, "a workspace was created or changed", "nothing"},
 	{SpaceDropped, "space-dropped", Info, "a workspace was removed", "nothing"},
 	{DomainOut, "domain-out", Warn, "a failure domain was taken out of service", "nothing"},
--- a/fleet/pool/pool.go
+++ b/fleet/pool/pool.go
@@ -96,6 +96,7 @@
 	order            []*Run               // Runs in a fixed order, nil if they have changed since
 	speed            speedEstimate
 	reservedFor      fleet.JobID // job that its free resources are reserved for
+	reservedFirmly   bool        // that job is within the guarantee of its workspace
 	reservedUntil    time.Time   // end of that reservation
 	used             fleet.Res
 	ledger           *quota.Ledger // of the pool
@@ -137,9 +138,10 @@
 	return false
 }
 
-// Reserve reserves the worker's free resources for a job until the given time.
-func (w *Worker) Reserve(job fleet.JobID, until time.Time) {
-	w.reservedFor, w.reservedUntil = job, until
+// Reserve reserves the worker's free resources for a job until the given time; firmly for one that is
+// within the guarantee of its workspace.
+func (w *Worker) Reserve(job fleet.JobID, until time.Time, firmly bool) {
+	w.reservedFor, w.reservedUntil, w.reservedFirmly = job, until, firmly
 }
 
 // Unreserve ends the reservation for a job.
@@ -154,6 +156,10 @@
 	return w.reservedFor == "" || w.reservedFor == job || !now.Before(w.reservedUntil)
 }
 
+// ReservedFirmly reports whether the job that the worker is reserved for is within the guarantee of its
+// workspace.
+func (w *Worker) ReservedFirmly() bool { return w.reservedFirmly }
+
 // Add adds a run to the worker; one that is already there is ignored.
 func (w *Worker) Add(r *Run) {
 	k := Key{r.Task, r.No}
--- a/fleet/sched/admit.go
+++ b/fleet/sched/admit.go
@@ -35,7 +35,7 @@
 			return maxRetryAfter, "no worker is large enough for it"
 		}
 	}
-	if j.Repeats() {
+	if j.Repeats() || site.admitsClaim(sc, j) {
 		return 0, ""
 	}
 	ahead := sc.expectedWait(site, j, total)
--- a/fleet/sched/jobs.go
+++ b/fleet/sched/jobs.go
@@ -32,6 +32,7 @@
 	waiters        []submitter
 	preemptedAt    time.Time                  // when runs were last preempted for it
 	preemptTriedAt time.Time                  // when runs to preempt for it were last searched for
+	unservedAt     time.Time                  // when it was last logged that no room can be made for its claim
 	capPreemptedAt time.Time                  // when runs of its own workspace were last stopped for its cap
 	capTriedAt     time.Time                  // when runs of its own workspace to stop for its cap were last searched for
 	failed         map[fleet.HostID]time.Time // workers where one of its tasks failed; not used for it until the time given
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -56,6 +56,7 @@
 	for _, u := range units {
 		sc.placedAt = sc.now
 		u.AnyRack = sc.mayRunOffRack(p, u)
+		u.Entitled = func() bool { return p.withinGuarantee(sc, u.job) }
 		sc.place(p, u)
 	}
 	sc.waiting = p.waiting
@@ -64,19 +65,21 @@
 // planState caches what one pass of plan has found out about the site.
 type planState struct {
 	*assign.Site
-	full       assign.FullCache
-	loads      map[string]float64     // by service
-	guarantees map[fleet.SpaceID]bool // whether the urgent jobs of a workspace fit into its guarantee
-	victims    victimsCache
-	shares     map[string]*quota.Shares     // by service
-	capped     map[fleet.SpaceID]cappedUnit // waits for the cap of its workspace
-	waiting    map[fleet.SpaceID]waitCounts
-	lasting    map[fleet.SpaceID]fleet.Res // what lasting tasks that are placed count; nil until it is needed
+	full    assign.FullCache
+	loads   map[string]float64             // by service
+	needs   map[fleet.SpaceID]fleet.Accels // of the urgent jobs of each workspace; nil until they are needed
+	owed    map[*pool.Run]bool             // runs within guarantees; nil until they are needed
+	misses  map[*flow.Step]int             // how many more tasks of a step may be stopped
+	victims victimsCache
+	shares  map[string]*quota.Shares     // by service
+	capped  map[fleet.SpaceID]cappedUnit // waits for the cap of its workspace
+	waiting map[fleet.SpaceID]waitCounts
+	lasting map[fleet.SpaceID]fleet.Res // what lasting tasks that are placed count; nil until it is needed
 }
 
 func (sc *Scheduler) newPlan() *planState {
 	return &planState{
-		Site: sc.site(), full: assign.FullCache{}, loads: map[string]float64{}, guarantees: map[fleet.SpaceID]bool{}, victims: newVictimsCache(),
+		Site: sc.site(), full: assign.FullCache{}, loads: map[string]float64{}, misses: map[*flow.Step]int{}, victims: newVictimsCache(),
 		shares: map[string]*quota.Shares{}, capped: map[fleet.SpaceID]cappedUnit{}, waiting: map[fleet.SpaceID]waitCounts{},
 	}
 }
@@ -91,22 +94,9 @@
 	return l
 }
 
-// withinGuarantee is the scheduler's withinGuarantee, as of the first call in this pass or
-// since the last preemption.
-func (p *planState) withinGuarantee(sc *Scheduler, j *job) bool {
-	space := fleet.SpaceID(j.Spec.Space)
-	within, ok := p.guarantees[space]
-	if !ok {
-		within = sc.withinGuarantee(j)
-		p.guarantees[space] = within
-	}
-	return within
-}
-
 // noteStops forgets what stops of runs in this pass may have changed.
 func (p *planState) noteStops() {
 	p.NoteFreed()
-	clear(p.guarantees)
 }
 
 func (sc *Scheduler) site() *assign.Site {
@@ -287,7 +277,7 @@
 	}
 	run := sc.nextRun(u.Step)
 	u.Step.OffRack = u.AnyRack
-	if sc.holdsReservation(u.job) {
+	if sc.holdsReservation(u.job) && (len(placements) == len(u.Indexes) || !p.withinGuarantee(sc, u.job)) {
 		for _, w := range sc.pool.Sorted() {
 			w.Unreserve(u.job.ID)
 		}
--- a/fleet/sched/preempt.go
+++ b/fleet/sched/preempt.go
@@ -25,7 +25,8 @@
 // preempt stops less urgent runs for urgent work and reserves their capacity for it.
 // This serves bursts of urgent jobs on a site full of long ones. The work lost must
 // not exceed the work of the urgent job, and the job must still be able to end in time,
-// unless its workspace is entitled to the capacity.
+// unless its workspace is entitled to the capacity. Work that claims its guarantee gets room for all
+// of its tasks at once, whatever fills the site.
 func (sc *Scheduler) preempt(p *planState, u unit) {
 	if !sc.mayPreempt(u, preemptAfter) {
 		return
@@ -33,6 +34,7 @@
 	u.job.preemptTriedAt = sc.now
 	claim := sc.claimOf(p, u)
 	u.Slack = sc.slackAfter(u, sc.limits.Stop)
+	u.Claims = claim.anyCost
 	clearing, ok := p.PlanPreemption(u.Unit, func(w *pool.Worker) []assign.Victim {
 		all := sc.victims(p, w, claim.anyCost)
 		if u.beyond && !claim.entitled {
@@ -40,13 +42,16 @@
 		}
 		return all
 	})
+	if claim.anyCost && (!ok || len(clearing.Runs) == 0) {
+		sc.noteUnserved(u)
+	}
 	if !ok || len(clearing.Runs) == 0 || !claim.allows(u, clearing.Cost) || clearing.Late && !claim.anyCost {
 		return
 	}
 	u.job.preemptedAt = sc.now
-	sc.logf(event.JobEvicted, string(u.job.ID), "runs=%d stopped for it, cost=%.0f work=%.0f owed=%t waited=%s", len(clearing.Runs), clearing.Cost, coreSeconds(u), claim.entitled, u.waited)
+	sc.logf(event.JobEvicted, string(u.job.ID), "runs=%d stopped for it, cost=%.0f work=%.0f owed=%t class=%d waited=%s", len(clearing.Runs), clearing.Cost, coreSeconds(u), claim.entitled, clearing.Class, u.waited)
 	for _, w := range clearing.Workers {
-		w.Reserve(u.job.ID, sc.now.Add(reservationTime))
+		w.Reserve(u.job.ID, sc.now.Add(reservationTime), claim.entitled)
 	}
 	for _, r := range clearing.Runs {
 		sc.evict(r, "preempted by urgent work")
@@ -91,21 +96,6 @@
 	return float64(len(u.Indexes)) * cores(u.Step.Each()) * u.Step.Estimate().Seconds()
 }
 
-// withinGuarantee reports whether all urgent jobs of a job's workspace together fit
-// into the workspace's guarantee.
-func (sc *Scheduler) withinGuarantee(j *job) bool {
-	var need fleet.Accels
-	for _, o := range sc.jobs {
-		if o.HasEnded() || o.Spec.Priority != 0 || o.Spec.Space != j.Spec.Space {
-			continue
-		}
-		for _, s := range o.Spec.Steps {
-			need += fleet.Accels(s.Each.GetAccels()) * fleet.Accels(s.Count)
-		}
-	}
-	return need <= sc.config.Guaranteed(fleet.SpaceID(j.Spec.Space))
-}
-
 // evict stops a run, and with it the other members of its gang.
 func (sc *Scheduler) evict(r *pool.Run, why string) {
 	j := sc.jobs[r.Task.Job]
@@ -136,8 +126,13 @@
 	all, ok := cache[w]
 	if !ok {
 		for _, r := range w.Sorted() {
-			if cost := sc.preemptionCost(r, claimsGuarantee); cost >= 0 {
-				all = append(all, assign.Victim{Run: r, Cost: cost, Beyond: sc.isBeyond(p, w, r.Space)})
+			v, ok := assign.Victim{Run: r, Cost: sc.preemptionCost(r)}, true
+			if claimsGuarantee {
+				v, ok = sc.victimOfClaim(p, r)
+			}
+			if ok && v.Cost >= 0 {
+				v.Beyond = sc.isBeyond(p, w, r.Space)
+				all = append(all, v)
 			}
 		}
 		assign.SortVictims(all)
@@ -159,10 +154,9 @@
 }
 
 // preemptionCost returns the work in core-seconds that is lost by stopping a run
-// for urgent work, or a negative number if it must not be stopped. Work that claims
-// its workspace's guarantee may stop any less urgent run that is running, except
-// for lasting tasks. A run that ends by itself as soon as a stop would is left alone.
-func (sc *Scheduler) preemptionCost(r *pool.Run, claimsGuarantee bool) float64 {
+// for urgent work, or a negative number if it must not be stopped. A run that ends by itself as
+// soon as a stop would is left alone. For work that claims a guarantee see victimOfClaim.
+func (sc *Scheduler) preemptionCost(r *pool.Run) float64 {
 	if r.Phase != pool.Running {
 		return -1
 	}
@@ -174,9 +168,14 @@
 	if s.Spec.Lasting {
 		return -1
 	}
-	if !claimsGuarantee && (!s.Spec.Saves && !sc.canRestart(j, s, r) || sc.remainingTime(j, r) < sc.limits.Stop) {
+	if !s.Spec.Saves && !sc.canRestart(j, s, r) || sc.remainingTime(j, r) < sc.limits.Stop {
 		return -1
 	}
+	return sc.stopCost(s, r)
+}
+
+// stopCost returns the core-seconds that are lost by stopping a run, and with it its gang.
+func (sc *Scheduler) stopCost(s *flow.Step, r *pool.Run) float64 {
 	cost := sc.lostWork(s, r)
 	if s.Spec.Gang {
 		cost *= float64(len(s.Tasks))
--- a/fleet/sched/worker_test.go
+++ b/fleet/sched/worker_test.go
@@ -15,8 +15,10 @@
 	rack         string
 	domain       fleet.DomainID
 	inc          fleet.Incarnation
-	epoch        time.Time // zero of its clock
-	saved        string    // checkpoint that its polls report
+	epoch        time.Time     // zero of its clock
+	saved        string        // checkpoint that its polls report
+	stopTime     time.Duration // of a run; 0 for half of the limit
+	atWork       bool          // its runs report that they have started up
 	unlisted     bool
 	draining     bool
 	drainLeft    time.Duration // until it is gone, as announced while it drains
@@ -317,7 +319,7 @@
 	w.term = o.Term
 	w.closed[o.Task] = max(w.closed[o.Task], o.Run)
 	if r := w.runs[pool.Key{Task: o.Task, No: o.Run}]; r != nil && r.stop.IsZero() {
-		r.stop = now.Add(limits.Stop / 2)
+		r.stop = now.Add(cmp.Or(w.stopTime, limits.Stop/2))
 	}
 	if w.losesAnswers {
 		return w.timedOut("stop")
@@ -355,7 +357,11 @@
 			span = r.total
 		}
 		done := span - r.left
-		s.Runs = append(s.Runs, fleet.RunReport{Task: k.Task, Run: k.No, Saved: w.saved, Percent: min(int(100*done/max(span, 1)), 100)})
+		percent := min(int(100*done/max(span, 1)), 100)
+		if w.atWork {
+			percent = 100
+		}
+		s.Runs = append(s.Runs, fleet.RunReport{Task: k.Task, Run: k.No, Saved: w.saved, Percent: percent})
 	}
 	return s
 }
