--- a/deckd/site/intake.go
+++ b/deckd/site/intake.go
@@ -7,7 +7,6 @@
 	"dragonflydeck.example/fleet"
 	"dragonflydeck.example/fleet/client"
 	"dragonflydeck.example/fleet/event"
-	"dragonflydeck.example/fleet/queue"
 	"dragonflydeck.example/fleet/sched"
 	"dragonflydeck.example/fleet/wire"
 )
@@ -36,11 +35,7 @@
 		s.logRefused(path, "the key is not known", c.Version)
 		return fleet.Caller{}, fleet.UnknownKey
 	}
-	caller := fleet.Caller{Queue: q.Name, Space: space, Path: rest}
-	if known {
-		caller.Mark = queue.MarkOf(key)
-	}
-	return caller, fleet.Granted
+	return fleet.Caller{Queue: q.Name, Space: space, Mark: c.Mark(key), Path: rest}, fleet.Granted
 }
 
 // logRefused logs a call that the configuration does not allow.
--- a/fleet/queue/queue.go
+++ b/fleet/queue/queue.go
@@ -44,22 +44,29 @@
 	Spaces  []Space
 	MaxBody int // bytes
 
-	keys   map[string]fleet.SpaceID
+	keys   map[string]keyOwner
 	marks  map[fleet.KeyMark]fleet.SpaceID
 	byName map[string]*Queue
 	byAddr map[string]*Queue
 	spaces map[fleet.SpaceID]*Space
 }
 
+// keyOwner is the workspace that an API key belongs to, and the key's mark.
+type keyOwner struct {
+	space fleet.SpaceID
+	mark  fleet.KeyMark
+}
+
 // New returns a copy of the configuration, with the indexes that its methods need.
 func New(c Config) *Config {
-	c.keys, c.marks = map[string]fleet.SpaceID{}, map[fleet.KeyMark]fleet.SpaceID{}
+	c.keys, c.marks = map[string]keyOwner{}, map[fleet.KeyMark]fleet.SpaceID{}
 	c.spaces = make(map[fleet.SpaceID]*Space, len(c.Spaces))
 	for i := range c.Spaces {
 		s := &c.Spaces[i]
 		c.spaces[s.Name] = s
 		for _, k := range s.Keys {
-			c.keys[k], c.marks[MarkOf(k)] = s.Name, s.Name
+			mark := MarkOf(k)
+			c.keys[k], c.marks[mark] = keyOwner{s.Name, mark}, s.Name
 		}
 	}
 	c.byName, c.byAddr = make(map[string]*Queue, len(c.Queues)), make(map[string]*Queue, len(c.Queues))
@@ -141,10 +148,13 @@
 
 // SpaceOf returns the workspace that a key belongs to.
 func (c *Config) SpaceOf(key string) (fleet.SpaceID, bool) {
-	s, ok := c.keys[key]
-	return s, ok
+	o, ok := c.keys[key]
+	return o.space, ok
 }
 
+// Mark returns the mark of a key of a workspace, 0 for any other key.
+func (c *Config) Mark(key string) fleet.KeyMark { return c.keys[key].mark }
+
 // Guaranteed returns how many accelerators are guaranteed to a workspace. A nil
 // configuration guarantees none.
 func (c *Config) Guaranteed(name fleet.SpaceID) fleet.Accels {
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -56,7 +56,9 @@
 	for _, u := range units {
 		sc.placedAt = sc.now
 		u.AnyRack = sc.mayRunOffRack(p, u)
-		u.Entitled = func() bool { return p.withinGuarantee(sc, u.job) }
+		if u.priority <= 0 {
+			u.Entitled = func() bool { return p.withinGuarantee(sc, u.job) }
+		}
 		sc.place(p, u)
 	}
 	sc.waiting = p.waiting
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -194,7 +194,7 @@
 	case Members:
 		sc.self.Inc = max(sc.self.Inc, e.Inc)
 		sc.Elect.SetMembers(e.All)
-		sc.memory = e.Memory
+		sc.memory, sc.rolls.mayDiffer = e.Memory, true
 		for _, p := range e.Left {
 			if before, known := sc.left[p.Host]; !known || p.Inc > before {
 				sc.left[p.Host] = p.Inc
--- a/fleet/sched/succession.go
+++ b/fleet/sched/succession.go
@@ -23,7 +23,7 @@
 // noteFollower records that a peer knows this lead.
 func (sc *Scheduler) noteFollower(host fleet.HostID) {
 	if !sc.succession.settled {
-		sc.succession.followers[host] = true
+		sc.succession.followers[host], sc.rolls.mayDiffer = true, true
 		sc.settleSuccession()
 	}
 }
@@ -35,7 +35,7 @@
 	if slices.ContainsFunc(sc.rolls.stored.Former, func(t voter.Tenure) bool { return !sc.isOver(t) }) {
 		return
 	}
-	s.settled = true
+	s.settled, sc.rolls.mayDiffer = true, true
 	sc.assumeForeignLeases()
 	sc.logf(event.LeadSettled, string(sc.self.Host), "term=%d followers=%d after=%s", sc.term, len(s.followers), sc.now.Sub(sc.leadingSince))
 }
--- a/fleet/sched/succession_test.go
+++ b/fleet/sched/succession_test.go
@@ -175,6 +175,29 @@
 	}
 }
 
+// Beside daemons of an earlier version, which store no voters, a lead counts those that it knows.
+func TestVotersOfLeadsOfAnEarlierVersion(t *testing.T) {
+	two, three := voter.Set{{Host: "e1", Inc: 1}, {Host: "e2", Inc: 1}}, voter.Set{{Host: "e1", Inc: 1}, {Host: "e2", Inc: 1}, {Host: "e3", Inc: 1}}
+	first, err := sched.SucceedRoll(nil, &wire.Lead{}, two[0], two)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, first.Former, qt.HasLen, 0)
+
+	records, err := sched.ClaimRecords(&wire.Lead{Host: "e1", Inc: 1, Epoch: 1}, first)
+	qt.Assert(t, err, qt.IsNil)
+	after, err := sched.SucceedRoll(records, &wire.Lead{Host: "e3", Inc: 9, Epoch: 2}, two[1], three)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, after.Former, qt.DeepEquals, []voter.Tenure{
+		{Lead: two[0], Voters: two}, {Lead: voter.Process{Host: "e3", Inc: 9}, Voters: three},
+	})
+
+	none, err := sched.SucceedRoll(nil, &wire.Lead{Host: "e3", Inc: 9, Epoch: 2}, two[1], three)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, none.Former, qt.DeepEquals, []voter.Tenure{{Lead: voter.Process{Host: "e3", Inc: 9}, Voters: three}})
+
+	_, err = sched.SucceedRoll([]fleet.Record{{Key: sched.RollKey, Value: []byte{0xff}}}, &wire.Lead{Host: "e3", Epoch: 2}, two[1], three)
+	qt.Check(t, err, qt.IsNotNil)
+}
+
 // Voters follow the daemons that are present while the store answers, and change for both leads at once.
 func TestVotersFollowTheMembers(t *testing.T) {
 	w := newLeadOfFour(t, 1, 1)
--- a/fleet/sched/voters.go
+++ b/fleet/sched/voters.go
@@ -28,9 +28,10 @@
 
 // rolls are the voters of this lead and of the former ones that may still act.
 type rolls struct {
-	stored  voter.Roll
-	next    *voter.Roll // in the batch in flight, which may be stored already
-	builtAt time.Time   // when the newest record was made
+	stored    voter.Roll
+	next      *voter.Roll // in the batch in flight, which may be stored already
+	builtAt   time.Time   // when the newest record was made
+	mayDiffer bool        // members or followers have changed since the record was last compared with them
 }
 
 // SucceedRoll returns the roll that is stored with a claim, given the records of the topic.
@@ -39,11 +40,16 @@
 		return voter.Roll{Present: voter.Tenure{Lead: lead, Voters: voters}}, nil // there is no former lead
 	}
 	former, err := ReadRoll(records)
-	if err == nil && len(former.Present.Voters) == 0 {
-		// A lead of an earlier version counted the daemons that it knew.
-		former.Present = voter.Tenure{Lead: voter.Process{Host: fleet.HostID(before.Host), Inc: fleet.Incarnation(before.Inc)}, Voters: voters}
+	last := voter.Process{Host: fleet.HostID(before.Host), Inc: fleet.Incarnation(before.Inc)}
+	switch {
+	case err != nil:
+		return voter.Roll{}, err
+	case len(former.Present.Voters) == 0:
+		former.Present = voter.Tenure{Lead: last, Voters: voters} // of an earlier version: it counts the daemons that it knows
+	case former.Present.Lead != last:
+		former = former.Succeed(last, voters) // as above, after a lead of this version
 	}
-	return former.Succeed(lead, voters), err
+	return former.Succeed(lead, voters), nil
 }
 
 // ClaimRecords returns the records of a claim. The term is the offset after the last one.
@@ -101,7 +107,7 @@
 // nextRoll returns the roll that should be stored: all daemons that are present vote, and former
 // leads that are over are left out.
 func (sc *Scheduler) nextRoll() voter.Roll {
-	next := voter.Roll{Present: voter.Tenure{Lead: sc.process(), Voters: sc.present()}}
+	next := voter.Roll{Present: voter.Tenure{Lead: sc.rolls.stored.Present.Lead, Voters: sc.present()}}
 	for _, t := range sc.rolls.stored.Former {
 		if !sc.isOver(t) {
 			next.Former = append(next.Former, t)
@@ -113,7 +119,12 @@
 // rollDue reports whether other voters than those of the record are present. A record without an
 // outcome makes it harder to be confirmed, so that none is sent to a store that does not answer.
 func (sc *Scheduler) rollDue() bool {
-	return sc.isRecent(sc.quorum.confirmedAt) && sc.now.Sub(sc.rolls.builtAt) >= rollInterval && !sc.nextRoll().Equal(sc.rolls.stored)
+	r := &sc.rolls
+	if !r.mayDiffer || sc.now.Sub(r.builtAt) < rollInterval || !sc.isRecent(sc.quorum.confirmedAt) {
+		return false
+	}
+	r.mayDiffer = !sc.nextRoll().Equal(r.stored)
+	return r.mayDiffer
 }
 
 // addRoll adds the record of the voters to a batch if they have changed.
@@ -130,7 +141,7 @@
 // noteRollStored notes that the store holds the voters of a batch.
 func (sc *Scheduler) noteRollStored(roll *voter.Roll) {
 	if roll != nil {
-		sc.rolls.stored, sc.rolls.next = *roll, nil
+		sc.rolls.stored, sc.rolls.next, sc.rolls.mayDiffer = *roll, nil, true
 	}
 }
 
@@ -141,7 +152,7 @@
 			roll.Former[i].Replaced = sc.clock.Read(sc.now)
 		}
 	}
-	sc.rolls = rolls{stored: roll}
+	sc.rolls = rolls{stored: roll, mayDiffer: true}
 }
 
 // isOver reports whether a former lead can no longer be confirmed.
