--- a/deckd/site/heartbeat.go
+++ b/deckd/site/heartbeat.go
@@ -33,7 +33,7 @@
 	return &heartbeats{conn: conn, site: s, done: make(chan error, 1)}, nil
 }
 
-// send sends a heartbeat to every other daemon, silent ones included. A failure is logged and not
+// send sends a heartbeat to every other daemon, silent and leaving ones included. A failure is logged and not
 // retried, since the next heartbeat follows shortly.
 func (h *heartbeats) send(b *wire.Beat) {
 	data, err := proto.Marshal(b)
@@ -41,7 +41,7 @@
 		h.site.log(event.CallFailed, "beat", "%v", err)
 		return
 	}
-	for _, m := range h.site.members.reachable(h.site.self.Host) {
+	for _, m := range h.site.members.listeners(h.site.self.Host, time.Now()) {
 		to, err := net.ResolveUDPAddr("udp", m.Addr)
 		if err == nil {
 			_, err = h.conn.WriteTo(data, to)
--- a/deckd/site/members.go
+++ b/deckd/site/members.go
@@ -32,6 +32,10 @@
 	memberTTL     = 24 * time.Hour   // after the newest renewal; regions lose each other for an hour now and then
 )
 
+// departGrace is for how long a daemon that shuts down is still sent heartbeats. Until its callers have gone
+// elsewhere, it forwards their calls to the lead that it hears; the platform ends it sooner.
+const departGrace = 15 * time.Second
+
 // departTimeout is how long a daemon that shuts down waits for a peer to note it.
 const departTimeout = 500 * time.Millisecond
 
@@ -49,12 +53,13 @@
 type members struct {
 	mu     sync.RWMutex
 	all    map[fleet.HostID]*wire.Member
-	newest clock.Reading // of the site's clock
+	newest clock.Reading              // of the site's clock
+	leftAt map[fleet.HostID]time.Time // when it was noted that a daemon leaves
 	logged map[fleet.HostID]presence
 }
 
 func newMembers() *members {
-	return &members{all: map[fleet.HostID]*wire.Member{}, logged: map[fleet.HostID]presence{}}
+	return &members{all: map[fleet.HostID]*wire.Member{}, leftAt: map[fleet.HostID]time.Time{}, logged: map[fleet.HostID]presence{}}
 }
 
 // split returns the daemons except self by their presence.
@@ -97,6 +102,21 @@
 	return append(all[present], all[silent]...)
 }
 
+// listeners returns every daemon except self that heartbeats are sent to: those that may run, and those
+// that are shutting down.
+func (m *members) listeners(self fleet.HostID, now time.Time) []*wire.Member {
+	all := m.split(self)
+	out := append(all[present], all[silent]...)
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	for _, member := range all[departed] {
+		if now.Sub(m.leftAt[fleet.HostID(member.Host)]) < departGrace {
+			out = append(out, member)
+		}
+	}
+	return out
+}
+
 // get returns the entry of a host; nil if it is not known.
 func (m *members) get(host fleet.HostID) *wire.Member {
 	m.mu.RLock()
@@ -150,9 +170,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.newest = max(m.newest, clock.Reading(member.Stamp))
-	before, ok := m.all[fleet.HostID(member.Host)]
+	id := fleet.HostID(member.Host)
+	before, ok := m.all[id]
+	if member.Left && (!ok || !before.Left || member.Inc > before.Inc) {
+		m.leftAt[id] = time.Now()
+	}
 	if !ok || member.Inc > before.Inc || member.Inc == before.Inc && !before.Left {
-		m.all[fleet.HostID(member.Host)] = member
+		m.all[id] = member
 	}
 }
 
--- a/deckd/site/members_test.go
+++ b/deckd/site/members_test.go
@@ -129,6 +129,18 @@
 	qt.Check(t, m.others("own"), qt.HasLen, 1)
 }
 
+// Guards against a graceful shutdown that refuses callers: a daemon that shuts down hears the lead until it ends, and
+// forwards the calls that still reach it.
+func TestDaemonThatLeavesStillHearsTheLead(t *testing.T) {
+	m := newMembers()
+	m.update(&wire.Member{Host: "e2", Addr: "e2:7000", Inc: 1})
+	m.update(&wire.Member{Host: "e2", Addr: "e2:7000", Inc: 1, Left: true})
+	qt.Check(t, m.listeners("own", time.Now()), qt.HasLen, 1)
+	m.update(&wire.Member{Host: "e2", Addr: "e2:7000", Inc: 1, Left: true})
+	qt.Check(t, m.listeners("own", time.Now().Add(departGrace)), qt.HasLen, 0)
+	qt.Check(t, m.reachable("own"), qt.HasLen, 0)
+}
+
 // A daemon that the lead marked as lost is asked and hears heartbeats, as it may be a voter.
 func TestSilentDaemonIsReachable(t *testing.T) {
 	m := newMembers()
