A claim stops a gang only if all of it may be missing, and needs a guarantee

A step that limits how many of its tasks may be missing is stopped as a whole if it is a gang, which counted as one task. And a workspace without a guarantee claims nothing: urgent work of it that needs no accelerators counted as within a guarantee of none, and could stop tasks that last and others' urgent work. Both tests fail without their rule.

--- a/fleet/sched/caps.go
+++ b/fleet/sched/caps.go
@@ -178,7 +178,7 @@
 	claim := sc.claimOf(p, u)
 	need := sc.pool.Ledger.Used(space).Add(declared(u.Step).Times(len(u.Indexes)))
 	excess := sc.limitOf(space).Excess(need)
-	runs, cost, ok := sc.ownVictims(p, space, excess, claim.anyCost)
+	runs, cost, ok := sc.ownVictims(p, space, excess, claim.grounds())
 	if !ok || len(runs) == 0 || !claim.allows(u, cost) {
 		return
 	}
@@ -203,10 +203,10 @@
 
 // ownVictims returns the runs of a workspace whose stop frees the given resources at the least
 // cost. It reports false if all of them do not free enough.
-func (sc *Scheduler) ownVictims(p *planState, space fleet.SpaceID, excess fleet.Res, claimsGuarantee bool) ([]*pool.Run, float64, bool) {
+func (sc *Scheduler) ownVictims(p *planState, space fleet.SpaceID, excess fleet.Res, g grounds) ([]*pool.Run, float64, bool) {
 	var all []assign.Victim
 	for _, w := range sc.pool.Sorted() {
-		for _, v := range sc.victims(p, w, claimsGuarantee) {
+		for _, v := range sc.victims(p, w, g) {
 			if v.Run.Space == space {
 				all = append(all, v)
 			}
--- a/fleet/sched/claim.go
+++ b/fleet/sched/claim.go
@@ -21,10 +21,19 @@
 	extraLasting
 )
 
-// victimOfClaim returns what is lost by stopping a run for work that claims its workspace's guarantee. It
+// grounds are on what grounds a unit may stop runs of other work.
+type grounds int
+
+const (
+	byWork      grounds = iota // it is worth more than what is lost
+	byUrgency                  // its workspace is entitled to go on, but has no accelerators guaranteed that it could claim
+	byGuarantee                // it claims accelerators that are guaranteed to its workspace
+)
+
+// victimOfClaim returns what is lost by stopping a run for work that its workspace is entitled to. It
 // reports false if the run must not be stopped: it is within the guarantee of its own workspace, it has not begun or
 // is being stopped, or too many tasks of a step are away that must not miss more.
-func (sc *Scheduler) victimOfClaim(p *planState, r *pool.Run) (assign.Victim, bool) {
+func (sc *Scheduler) victimOfClaim(p *planState, r *pool.Run, g grounds) (assign.Victim, bool) {
 	j, s := sc.stepOf(r.Task)
 	if s == nil || r.Phase != pool.Running {
 		return assign.Victim{}, false
@@ -39,6 +48,9 @@
 		}
 		v.Class += urgentExtra
 	}
+	if g == byUrgency && v.Class > lessUrgent {
+		return assign.Victim{}, false
+	}
 	return v, p.mayMiss(sc, j, s)
 }
 
@@ -95,8 +107,8 @@
 	return p.owed
 }
 
-// mayMiss reports whether one more task of a step may be stopped, and counts it. Only steps of lasting tasks limit
-// how many of them the scheduler may interrupt at a time; those that are away for any reason count.
+// mayMiss reports whether one more task of a step may be stopped, or all of a gang, and counts it. Only steps of
+// lasting tasks limit how many of them the scheduler may interrupt at a time; those that are away for any reason count.
 func (p *planState) mayMiss(sc *Scheduler, j *job, s *flow.Step) bool {
 	if !s.Spec.Lasting || s.Spec.Misses == 0 {
 		return true
@@ -110,6 +122,10 @@
 			}
 		}
 	}
+	if s.Spec.Gang {
+		p.misses[s] = left
+		return left >= len(s.Tasks)
+	}
 	p.misses[s] = left - 1
 	return left > 0
 }
--- a/fleet/sched/claim_test.go
+++ b/fleet/sched/claim_test.go
@@ -231,6 +231,50 @@
 	qt.Check(t, w.eventCount(event.ClaimUnserved) > 0, qt.IsTrue)
 }
 
+// A gang whose tasks must not all be missing is not stopped for a claim, as it stops as a whole.
+func TestGuaranteeStopsNoGangThatMustNotMissAll(t *testing.T) {
+	w := newGuaranteedSite(t)
+	w.fill("gang-misses", "bulk", "t", func() *wire.Step {
+		s := gangStep(16, 1, time.Hour)
+		s.Lasting, s.Misses = true, 4
+		return s
+	})
+	for _, one := range w.workers {
+		one.atWork = true
+	}
+	w.run(3 * time.Second)
+	runTimes["claim-gang-misses"] = time.Hour
+	w.submitAccepted(inSpace("u", newFlow("claim-gang-misses", "urgent", taskStep(4, 1, time.Hour))))
+	w.run(5 * time.Second)
+	qt.Check(t, w.running("gang-misses-0")+w.running("gang-misses-1"), qt.Equals, 32)
+}
+
+// Urgent work of a workspace without a guarantee has nothing to claim, whatever little it needs: it stops less urgent tasks
+// that end, and nothing else.
+func TestUrgentWorkWithoutAGuaranteeStopsNoUrgentNorLastingTasks(t *testing.T) {
+	for _, lasting := range []bool{true, false} {
+		w := newGuaranteedSite(t)
+		name := fmt.Sprint("no-guarantee-", lasting)
+		queueName := "urgent"
+		if lasting {
+			queueName = "bulk"
+		}
+		w.fill(name, queueName, "u", func() *wire.Step {
+			s := taskStep(16, 1, time.Hour)
+			s.Lasting, s.Each.Mem = lasting, 8192
+			return s
+		})
+		id := "cpu-only-" + name
+		runTimes[fleet.JobID(id)] = time.Hour
+		f := inSpace("t", newFlow(id, "urgent", taskStep(64, 0, time.Hour)))
+		f.Steps[0].Each = &wire.Res{Cores: 1000, Mem: 8192}
+		f.Target = (100 * time.Hour).Milliseconds()
+		w.submitAccepted(f)
+		w.run(5 * time.Second)
+		qt.Check(t, w.running(fleet.JobID(name+"-0"))+w.running(fleet.JobID(name+"-1")), qt.Equals, 32)
+	}
+}
+
 // Guards against a guarantee that is refused: a large backlog of urgent work of others is no reason for that.
 func TestBacklogOfOthersDoesNotRefuseAGuarantee(t *testing.T) {
 	w := newGuaranteedSite(t)
--- a/fleet/sched/preempt.go
+++ b/fleet/sched/preempt.go
@@ -36,7 +36,7 @@
 	u.Slack = sc.slackAfter(u, sc.limits.Stop)
 	u.Claims = claim.anyCost
 	clearing, ok := p.PlanPreemption(u.Unit, func(w *pool.Worker) []assign.Victim {
-		all := sc.victims(p, w, claim.anyCost)
+		all := sc.victims(p, w, claim.grounds())
 		if u.beyond && !claim.entitled {
 			all = runsOf(fleet.SpaceID(u.job.Spec.Space), all)
 		}
@@ -61,13 +61,25 @@
 
 // claim is on what grounds a unit may stop less urgent runs.
 type claim struct {
-	entitled bool // it is within the guarantee of its workspace
-	anyCost  bool // and has waited so long that it gets the capacity at any cost
+	entitled   bool // it is within the guarantee of its workspace
+	anyCost    bool // and has waited so long that it gets the capacity at any cost
+	guaranteed bool // its workspace has accelerators guaranteed
 }
 
 func (sc *Scheduler) claimOf(p *planState, u unit) claim {
 	entitled := p.withinGuarantee(sc, u.job)
-	return claim{entitled, entitled && u.waited >= guaranteePreemptAfter}
+	guaranteed := sc.config.Guaranteed(fleet.SpaceID(u.job.Spec.Space)) > 0
+	return claim{entitled: entitled, anyCost: entitled && u.waited >= guaranteePreemptAfter, guaranteed: guaranteed}
+}
+
+func (c claim) grounds() grounds {
+	switch {
+	case !c.anyCost:
+		return byWork
+	case !c.guaranteed:
+		return byUrgency
+	}
+	return byGuarantee
 }
 
 // allows reports whether work of a cost may be stopped for the unit.
@@ -111,24 +123,23 @@
 	}
 }
 
-// victimsCache holds the runs that urgent work may stop, by worker, for work that
-// claims its workspace's guarantee and for other work.
-type victimsCache map[bool]map[*pool.Worker][]assign.Victim
+// victimsCache holds the runs that urgent work may stop, by its grounds and by worker.
+type victimsCache map[grounds]map[*pool.Worker][]assign.Victim
 
 func newVictimsCache() victimsCache {
-	return victimsCache{true: {}, false: {}}
+	return victimsCache{byWork: {}, byUrgency: {}, byGuarantee: {}}
 }
 
 // victims returns the runs of a worker that urgent work may stop. They are computed
 // once in a plan; runs that were stopped since are left out.
-func (sc *Scheduler) victims(p *planState, w *pool.Worker, claimsGuarantee bool) []assign.Victim {
-	cache := p.victims[claimsGuarantee]
+func (sc *Scheduler) victims(p *planState, w *pool.Worker, g grounds) []assign.Victim {
+	cache := p.victims[g]
 	all, ok := cache[w]
 	if !ok {
 		for _, r := range w.Sorted() {
 			v, ok := assign.Victim{Run: r, Cost: sc.preemptionCost(r)}, true
-			if claimsGuarantee {
-				v, ok = sc.victimOfClaim(p, r)
+			if g != byWork {
+				v, ok = sc.victimOfClaim(p, r, g)
 			}
 			if ok && v.Cost >= 0 {
 				v.Beyond = sc.isBeyond(p, w, r.Space)
