Orders in flight are limited: wide steps end no daemon by its memory

A plan places no more tasks than 1,024 starts in flight allow, and stops beyond as many are sent when the others are answered. TestOrdersInFlightAreLimited: 8,000 orders in flight without the limit.

--- a/fleet/sched/footprint_test.go
+++ b/fleet/sched/footprint_test.go
@@ -216,6 +216,35 @@
 	qt.Check(t, w.largestAppend <= callBytes, qt.IsTrue, qt.Commentf("%d bytes in one call", w.largestAppend))
 }
 
+// Guards against a daemon that ends by its memory as thousands of tasks start or are stopped at once: each call in flight takes
+// memory of its own. All of them start and stop within seconds all the same.
+func TestOrdersInFlightAreLimited(t *testing.T) {
+	const wideJobs, tasks = 8, 1000
+	w := newWorld(t, 1, 4)
+	w.becomeLead()
+	for i := range wideJobs {
+		id := fmt.Sprintf("orders-%d", i)
+		runTimes[fleet.JobID(id)] = time.Hour
+		f := newFlow(id, "bulk", taskStep(tasks, 1, 10*time.Millisecond))
+		f.Steps[0].Each = &wire.Res{Cores: 1, Mem: 1}
+		f.Target = (1000 * time.Hour).Milliseconds()
+		w.submitAccepted(f)
+	}
+	running := func() int {
+		n := 0
+		for i := range wideJobs {
+			n += w.running(fleet.JobID(fmt.Sprintf("orders-%d", i)))
+		}
+		return n
+	}
+	w.runUntil(3*time.Second, "start of all tasks", func() bool { return running() == wideJobs*tasks })
+	for i := range wideJobs {
+		w.post(sched.CancelRequested{Waiter: sched.Waiter(1e6 + i), Ask: &wire.FlowAsk{Id: fmt.Sprintf("orders-%d", i), Queue: "bulk", Space: "a"}, Deadline: w.local().Add(time.Minute)})
+	}
+	w.runUntil(4*time.Second, "end of all tasks", func() bool { return running() == 0 })
+	qt.Check(t, w.mostOrders <= 1024, qt.IsTrue, qt.Commentf("%d orders in flight", w.mostOrders))
+}
+
 // The memory of accepted work is given back once it has ended and is forgotten.
 func TestEndedWorkMakesRoom(t *testing.T) {
 	w := newSmallLead(t, 32)
--- a/fleet/sched/outbox.go
+++ b/fleet/sched/outbox.go
@@ -435,6 +435,7 @@
 		r.Saved = j.Step(r.Task).CheckpointOf(r.Task.Index)
 	}
 	r.Sends++
+	sc.orders.starts++
 	w.ExpectAnswer(0, sc.now)
 	sc.emit(Start{
 		Endpoint: w.Endpoint, Key: key(r),
--- a/fleet/sched/plan.go
+++ b/fleet/sched/plan.go
@@ -270,6 +270,9 @@
 	if len(u.Indexes) == 0 {
 		return
 	}
+	if u = sc.fitToOrders(u); len(u.Indexes) == 0 {
+		return
+	}
 	placements := sc.findPlacements(p, u)
 	p.noteWaiting(u, len(u.Indexes)-len(placements), u.waitReason())
 	if len(placements) == 0 {
--- a/fleet/sched/runs.go
+++ b/fleet/sched/runs.go
@@ -28,6 +28,7 @@
 
 // handleStarted processes the outcome of a start.
 func (sc *Scheduler) handleStarted(e Started) {
+	sc.noteStartEnded(e)
 	w, r := sc.findRun(e.Endpoint.Host, e.Term, e.SentAt, e.Key)
 	if r == nil {
 		return
@@ -66,6 +67,7 @@
 // handleStopped processes the outcome of a stop. The capacity becomes free only when
 // the worker reports the end or no longer lists the run.
 func (sc *Scheduler) handleStopped(e Stopped) {
+	sc.noteStopEnded(e)
 	w, r := sc.findRun(e.Endpoint.Host, e.Term, e.SentAt, e.Key)
 	if w != nil {
 		sc.pool.NoteOrderAnswer(w, e.Clock, sc.now)
@@ -158,6 +160,11 @@
 	sc.sendStop(w, r)
 }
 
+// sendStop sends a stop, unless too many are in flight. It is sent again until it is answered.
 func (sc *Scheduler) sendStop(w *pool.Worker, r *pool.Run) {
+	if sc.orders.stops >= maxOrders {
+		return
+	}
+	sc.orders.stops++
 	sc.emit(Stop{Endpoint: w.Endpoint, Key: key(r), Order: fleet.StopOrder{Task: r.Task, Run: r.No, Term: sc.term}})
 }
--- a/fleet/sched/sched.go
+++ b/fleet/sched/sched.go
@@ -71,6 +71,7 @@
 	succession succession
 	rolls      rolls
 	watch      watch
+	orders     orders
 	left       map[fleet.HostID]fleet.Incarnation // newest process of each host that has left
 	term       fleet.Term
 	epoch      int64
@@ -128,7 +129,7 @@
 	sc.speeds, sc.goneSpeeds = newSpeeds(), nil
 	sc.clock = clock.Clock{}
 	sc.quorum, sc.succession = quorum{confirmedAt: sc.now}, succession{followers: map[fleet.HostID]bool{}}
-	sc.rolls, sc.watch = rolls{}, newWatch()
+	sc.rolls, sc.watch, sc.orders = rolls{}, newWatch(), orders{}
 	sc.unreachable, sc.domainPolledAt = nil, map[fleet.DomainID]time.Time{}
 }
 
--- a/fleet/sched/world_test.go
+++ b/fleet/sched/world_test.go
@@ -66,10 +66,12 @@
 	openPolls     int // polls without an answer so far
 	maxOpenPolls  int
 	appends       int
-	lastBatch     uint64          // number of the newest append
-	leavingBeats  int             // heartbeats that announce that the lead leaves
-	appendedBytes int             // total size of appended records
-	largestAppend int             // size of the largest append in bytes
+	lastBatch     uint64 // number of the newest append
+	leavingBeats  int    // heartbeats that announce that the lead leaves
+	appendedBytes int    // total size of appended records
+	largestAppend int    // size of the largest append in bytes
+	openOrders    int    // starts, or stops, without an answer so far
+	mostOrders    int
 	stepTime      time.Duration   // processor time spent in Step
 	appendDelay   time.Duration   // extra duration of appends
 	peerAnswers   int             // number of peers that answer
@@ -263,8 +265,11 @@
 			remaining = append(remaining, d)
 			continue
 		}
-		if _, ok := d.event.(sched.Polled); ok {
+		switch d.event.(type) {
+		case sched.Polled:
 			w.openPolls--
+		case sched.Started, sched.Stopped:
+			w.openOrders--
 		}
 		w.post(d.event)
 	}
@@ -358,11 +363,13 @@
 		}
 		w.postAfter(storeCallTime, sched.Checked{Batch: a.Batch, Records: w.store.records[a.At:], End: fleet.Offset(len(w.store.records)), SentAt: w.local()})
 	case sched.Start:
+		w.countOrder()
 		one, mend := w.worker(a.Endpoint)
 		clock, span, err := one.start(w.now, a.Order)
 		mend()
 		w.postAfter(span, sched.Started{Endpoint: a.Endpoint, Term: a.Order.Term, SentAt: w.local(), Key: a.Key, Clock: clock, Err: err})
 	case sched.Stop:
+		w.countOrder()
 		one, mend := w.worker(a.Endpoint)
 		clock, span, err := one.stop(w.now, a.Order)
 		mend()
@@ -381,6 +388,11 @@
 	}
 }
 
+func (w *world) countOrder() {
+	w.openOrders++
+	w.mostOrders = max(w.mostOrders, w.openOrders)
+}
+
 func (w *world) poll(a sched.Poll) {
 	one, mend := w.worker(a.Endpoint)
 	defer mend()
