--- a/fleet/sched/claim_test.go
+++ b/fleet/sched/claim_test.go
@@ -33,6 +33,15 @@
 	return f
 }
 
+// submitUrgent submits urgent tasks of an hour that are not refused as late.
+func (w *world) submitUrgent(id, space string, count int32) {
+	w.t.Helper()
+	runTimes[fleet.JobID(id)] = time.Hour
+	f := inSpace(space, newFlow(id, "urgent", taskStep(count, 1, time.Hour)))
+	f.Target = (100 * time.Hour).Milliseconds()
+	w.submitAccepted(f)
+}
+
 // fill submits jobs that use all accelerators, and waits until all of their tasks run.
 func (w *world) fill(name, queueName, space string, step func() *wire.Step) {
 	w.t.Helper()
@@ -138,20 +147,14 @@
 // the work that has run for longest keeps the guarantee.
 func TestWorkWithinItsGuaranteeIsNotStoppedForAnother(t *testing.T) {
 	w := newGuaranteedSite(t)
-	submit := func(id, space string, count int32) {
-		runTimes[fleet.JobID(id)] = time.Hour
-		f := inSpace(space, newFlow(id, "urgent", taskStep(count, 1, time.Hour)))
-		f.Target = (100 * time.Hour).Milliseconds()
-		w.submitAccepted(f)
-	}
-	submit("owed-v", "v", 8)
+	w.submitUrgent("owed-v", "v", 8)
 	w.run(time.Second)
-	submit("extra-v", "v", 16)
+	w.submitUrgent("extra-v", "v", 16)
 	w.run(time.Second)
-	submit("extra-t", "t", 8)
+	w.submitUrgent("extra-t", "t", 8)
 	w.runUntil(time.Second, "start", func() bool { return w.running("extra-t") == 8 })
 	w.run(2 * time.Second)
-	submit("claim-u", "u", 8)
+	w.submitUrgent("claim-u", "u", 8)
 	w.runUntil(reclaimTime, "start", func() bool { return w.startCount("claim-u") == 8 })
 	qt.Check(t, w.running("owed-v"), qt.Equals, 8)
 	qt.Check(t, w.running("extra-v")+w.running("extra-t"), qt.Equals, 16)
@@ -165,18 +168,12 @@
 // workspace.
 func TestYoungWorkWithinItsGuaranteeIsNotStopped(t *testing.T) {
 	w := newGuaranteedSite(t)
-	submit := func(id, space string, count int32) {
-		runTimes[fleet.JobID(id)] = time.Hour
-		f := inSpace(space, newFlow(id, "urgent", taskStep(count, 1, time.Hour)))
-		f.Target = (100 * time.Hour).Milliseconds()
-		w.submitAccepted(f)
-	}
-	submit("old-extra-t", "t", 24)
+	w.submitUrgent("old-extra-t", "t", 24)
 	w.run(30 * time.Second)
-	submit("young-owed-v", "v", 8)
+	w.submitUrgent("young-owed-v", "v", 8)
 	w.runUntil(time.Second, "start", func() bool { return w.running("young-owed-v") == 8 })
 	w.run(2 * time.Second)
-	submit("young-claim-u", "u", 8)
+	w.submitUrgent("young-claim-u", "u", 8)
 	w.runUntil(reclaimTime, "start", func() bool { return w.startCount("young-claim-u") == 8 })
 	qt.Check(t, w.running("young-owed-v"), qt.Equals, 8)
 	qt.Check(t, w.running("old-extra-t"), qt.Equals, 16)
--- a/fleet/sched/watch_test.go
+++ b/fleet/sched/watch_test.go
@@ -53,27 +53,26 @@
 
 // tell delivers which daemons are present.
 func (s *site) tell(w *world) {
-	var all []elect.Member
-	for _, h := range s.alive {
-		if !slices.ContainsFunc(w.lost, func(p voter.Process) bool { return p.Host == h }) {
-			all = append(all, elect.Member{Host: h})
-		}
-	}
-	w.peers = slices.DeleteFunc(slices.Clone(s.alive), func(h fleet.HostID) bool { return h == w.host })
-	w.peerAnswers = len(w.peers)
-	w.post(sched.Members{All: all, Left: s.left})
+	s.deliver(w, slices.DeleteFunc(slices.Clone(s.alive), func(h fleet.HostID) bool {
+		return slices.ContainsFunc(w.lost, func(p voter.Process) bool { return p.Host == h })
+	}))
 }
 
 // silence makes a daemon that is present not answer until the lead marks it as lost.
 func (s *site) silence(w *world, host fleet.HostID) {
+	s.deliver(w, append(slices.Clone(s.alive), host))
+	w.runUntil(time.Minute, "mark", func() bool { return slices.Contains(w.lost, voter.Process{Host: host}) })
+}
+
+// deliver delivers the daemons that are taken for present. Those that are alive answer.
+func (s *site) deliver(w *world, present []fleet.HostID) {
 	var all []elect.Member
-	for _, h := range append(slices.Clone(s.alive), host) {
+	for _, h := range present {
 		all = append(all, elect.Member{Host: h})
 	}
 	w.peers = slices.DeleteFunc(slices.Clone(s.alive), func(h fleet.HostID) bool { return h == w.host })
 	w.peerAnswers = len(w.peers)
 	w.post(sched.Members{All: all, Left: s.left})
-	w.runUntil(time.Minute, "mark", func() bool { return slices.Contains(w.lost, voter.Process{Host: host}) })
 }
 
 // becomeOther makes the newest daemon take the lead.
